Grow the control group and the routing that a large deployment needs

Routes, services and accounts are replaced as a whole under the operator's version. Batch jobs are kept by the replicas from their acceptance on. The group forms from its founders, takes new replicas in as learners and gives the vote of a lost disk to the replica that runs at its address. Leases count on the boot clock, which goes on while a VM is suspended. Connections between daemons end when bytes stay unacknowledged.

--- a/internal/dispatch/choose.go
+++ b/internal/chooser/chooser.go
@@ -1,4 +1,4 @@
-package dispatch
+package chooser
 
 import (
 	"context"
@@ -13,26 +13,33 @@
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
-// chooser picks upstreams and remembers what runs where.
-type chooser struct {
+// Directory lists the upstreams of a service.
+type Directory interface {
+	Service(name string) []upstream.Announcement
+}
+
+// Chooser picks upstreams; it may be used by many goroutines.
+type Chooser struct {
 	directory Directory
 	pipeline  picker.Pipeline
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	health   *upstream.Health
+	paces    paces
 	inFlight map[string]int // by upstream
 }
 
-func newChooser(dir Directory) *chooser {
-	return &chooser{
+// New returns a chooser among the upstreams of dir.
+func New(dir Directory) *Chooser {
+	return &Chooser{
 		directory: dir, pipeline: picker.Default(), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		health: upstream.NewHealth(), inFlight: map[string]int{},
 	}
 }
 
-// pick chooses an upstream and counts the request there.
-func (c *chooser) pick(q picker.Request) (upstream.Announcement, bool) {
+// Pick chooses an upstream and counts the request there.
+func (c *Chooser) Pick(q picker.Request) (upstream.Announcement, bool) {
 	all := c.directory.Service(q.Service)
 	now := time.Now()
 	c.mu.Lock()
@@ -46,18 +53,19 @@
 	return u, ok
 }
 
-func (c *chooser) candidates(now time.Time, all []upstream.Announcement) []picker.Candidate {
+func (c *Chooser) candidates(now time.Time, all []upstream.Announcement) []picker.Candidate {
 	ejected := c.health.Ejected(now, all)
+	slowness := c.paces.slowness(now, all)
 	cs := make([]picker.Candidate, 0, len(all))
 	for i, a := range all {
-		cs = append(cs, picker.Candidate{Upstream: a, InFlight: c.inFlight[a.ID], Ejected: ejected[i]})
+		cs = append(cs, picker.Candidate{Upstream: a, InFlight: c.inFlight[a.ID], Ejected: ejected[i], Slowness: slowness[i]})
 	}
 	return cs
 }
 
-// release ends a request at u. What became of a request that its caller ended
+// Release ends a request at u. What became of a request that its caller ended
 // tells nothing about u.
-func (c *chooser) release(ctx context.Context, u upstream.Announcement, err error) {
+func (c *Chooser) Release(ctx context.Context, u upstream.Announcement, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight[u.ID]--
@@ -75,8 +83,8 @@
 	}
 }
 
-// occupied returns the upstreams on which requests of this entry run.
-func (c *chooser) occupied() []string {
+// Occupied returns the upstreams on which requests of this entry run.
+func (c *Chooser) Occupied() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
@@ -85,3 +93,22 @@
 	}
 	return out
 }
+
+// Took records how long u needed for an answer.
+func (c *Chooser) Took(u upstream.Announcement, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paces.record(time.Now(), u, took)
+}
+
+// Ejected reports for each upstream of the list whether it should be avoided.
+func (c *Chooser) Ejected(list []upstream.Announcement) []bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.health.Ejected(time.Now(), list)
+}
+
+// Listed returns the upstreams of a service, whatever their condition.
+func (c *Chooser) Listed(service string) []upstream.Announcement {
+	return c.directory.Service(service)
+}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -65,6 +65,25 @@
 	return diff <= 1
 }
 
+// Exchanges reports whether next gives the vote of one member to another at the
+// same address and changes no other vote. The caller guarantees that the old
+// member's disk is gone: it can never vote again, so that every quorum of m that
+// can still form holds a quorum's worth of voters common to both.
+func (m Membership) Exchanges(next Membership) bool {
+	var lost, won []Member
+	for id, x := range m {
+		if x.Voter && !next.IsVoter(id) {
+			lost = append(lost, x)
+		}
+	}
+	for id, x := range next {
+		if x.Voter && !m.IsVoter(id) {
+			won = append(won, x)
+		}
+	}
+	return len(lost) == 1 && len(won) == 1 && lost[0].Address == won[0].Address
+}
+
 // Encode returns the entry payload of m.
 func (m Membership) Encode() []byte {
 	b, err := json.Marshal(m)
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -151,7 +151,7 @@
 	if n.changePending() || !n.committedInTerm() {
 		return 0, 0, ErrChangePending
 	}
-	if !n.members.OneApart(next) {
+	if !n.members.OneApart(next) && !n.members.Exchanges(next) {
 		return 0, 0, ErrChangeTooLarge
 	}
 	answering := 0
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,15 +1,25 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"github.com/apricotstream/apricotstream/internal/clock"
+)
 
 // Leadership is the right to act for the system until a monotonic time.
 type Leadership struct {
 	Term  uint64    // fencing number: grows with every leader
 	Until time.Time // end of the lease, on the local monotonic clock
+	// Ends is the same on the boot clock, which goes on while the machine is
+	// suspended; 0 when only Until is known.
+	Ends time.Duration
 }
 
 // Valid reports whether the lease still runs. Check it right before writing to
 // the outside, and set the write deadline to Until.
 func (l Leadership) Valid() bool {
-	return l.Term > 0 && time.Now().Before(l.Until)
+	if l.Term == 0 || l.Ends != 0 && clock.Now() >= l.Ends {
+		return false
+	}
+	return time.Now().Before(l.Until)
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -15,6 +15,8 @@
 	MethodSync      = "control.sync"       // call: SyncRequest -> SyncReply
 	MethodQuery     = "control.query"      // call: QueryRequest -> QueryReply
 	MethodMembers   = "control.members"    // call: MembersRequest -> MembersReply
+	MethodReadBatch = "control.read_batch" // call: BatchReadRequest -> BatchReadReply
+	MethodRetire    = "control.retire"     // call: RetireRequest -> RetireReply
 )
 
 // StepNotice carries a message of the agreement core. A replica of another
@@ -69,11 +71,13 @@
 
 // QueryRequest reads from the ledger, after everything committed before it.
 type QueryRequest struct {
-	History string         `json:"history,omitempty"` // service name
-	Step    string         `json:"step,omitempty"`
-	Claim   *state.ClaimID `json:"claim,omitempty"`
-	Orders  bool           `json:"orders,omitempty"`
-	Windows bool           `json:"windows,omitempty"`
+	History   string         `json:"history,omitempty"` // service name
+	Step      string         `json:"step,omitempty"`
+	Claim     *state.ClaimID `json:"claim,omitempty"`
+	Orders    bool           `json:"orders,omitempty"`
+	Windows   bool           `json:"windows,omitempty"`
+	Routing   bool           `json:"routing,omitempty"`
+	Intervals bool           `json:"intervals,omitempty"`
 }
 
 // QueryReply holds what was asked for.
@@ -83,8 +87,10 @@
 	Claim   *state.Claim    `json:"claim,omitempty"`
 	Orders  []state.Order   `json:"orders,omitempty"`
 	// LastOrder is the Seq of the newest order ever committed.
-	LastOrder uint64         `json:"last_order,omitempty"`
-	Windows   []state.Window `json:"windows,omitempty"`
+	LastOrder uint64               `json:"last_order,omitempty"`
+	Windows   []state.Window       `json:"windows,omitempty"`
+	Routing   *state.RoutingSource `json:"routing,omitempty"`
+	Intervals []state.Interval     `json:"intervals,omitempty"`
 }
 
 // MembersRequest changes the membership by one replica; without Add and Remove
@@ -98,6 +104,7 @@
 
 // MembersReply is the membership after the change, with the leader's view.
 type MembersReply struct {
+	Cluster string                  `json:"cluster"`
 	Members consensus.Membership    `json:"members"`
 	Leader  consensus.ID            `json:"leader,omitempty"`
 	Term    uint64                  `json:"term"`
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -19,9 +20,10 @@
 // Timing and bounds of a replica.
 const (
 	tickInterval    = 20 * time.Millisecond
-	snapshotEntries = 1000 // entries after which the log is compacted
-	maxBatch        = 512  // proposals and messages taken in before one sync
-	changeHistory   = 1024 // configuration changes kept for followers
+	snapshotEntries = 1000    // entries after which the log is compacted
+	snapshotBytes   = 8 << 20 // bytes of entries after which it is, whatever their number
+	maxBatch        = 512     // proposals and messages taken in before one sync
+	changeHistory   = 1024    // configuration changes kept for followers
 )
 
 // Replica is one member of the control group. Its loop owns node, disk and
@@ -34,7 +36,7 @@
 	disk    *storage.Disk
 	node    *consensus.Node
 	state   *state.State
-	start   time.Time
+	start   time.Duration // on the boot clock
 
 	inbox     chan StepNotice
 	proposals chan *proposal
@@ -44,9 +46,15 @@
 	heard   map[consensus.ID]string // addresses that messages came with
 	waits   []indexWait
 	changes []Change
+	logged  int // bytes of entries applied since the last snapshot
+
+	batchWaits   map[string]chan struct{} // closed when the batch job changes
+	openBatches  chan struct{}            // closed when the set of open batch jobs changes
+	batchWaitsMu sync.Mutex
 
 	mu      sync.Mutex
-	changed chan struct{} // closed when the configuration changes
+	changed chan struct{}   // closed when the configuration changes
+	retired map[string]bool // peer addresses of replicas to be emptied; replaced, never changed
 
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
@@ -88,14 +96,15 @@
 	}
 	r := &Replica{
 		log: logger, client: client, cluster: l.Identity.Cluster, address: address,
-		disk: disk, state: st, start: time.Now(),
-		inbox:     make(chan StepNotice, 4096),
-		proposals: make(chan *proposal, 4096),
-		tasks:     make(chan func(), 256),
-		waiting:   map[uint64]*proposal{},
-		heard:     map[consensus.ID]string{},
-		changed:   make(chan struct{}),
-		done:      make(chan struct{}),
+		disk: disk, state: st, start: clock.Now(),
+		inbox:      make(chan StepNotice, 4096),
+		proposals:  make(chan *proposal, 4096),
+		tasks:      make(chan func(), 256),
+		waiting:    map[uint64]*proposal{},
+		heard:      map[consensus.ID]string{},
+		changed:    make(chan struct{}),
+		batchWaits: map[string]chan struct{}{}, openBatches: make(chan struct{}),
+		done: make(chan struct{}),
 	}
 	r.node = consensus.New(consensus.Config{
 		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries,
@@ -106,7 +115,8 @@
 	return r, l.Identity, nil
 }
 
-func (r *Replica) now() consensus.Time { return time.Since(r.start) }
+// now counts suspensions of the machine, as leases must.
+func (r *Replica) now() consensus.Time { return clock.Now() - r.start }
 
 // Run is the replica's loop. It returns when ctx ends or the disk fails.
 func (r *Replica) Run(ctx context.Context) error {
@@ -226,6 +236,8 @@
 	}
 	r.state = st
 	r.changes = nil
+	r.logged = 0
+	r.wakeAllBatches()
 	return nil
 }
 
@@ -255,11 +267,13 @@
 		}
 		before := r.state.Config.Version
 		o = r.state.Apply(c)
+		r.batchApplied(c)
 		if v := r.state.Config.Version; v != before {
-			r.changes = append(r.changes, Change{Version: v, Command: c})
+			r.changes = append(r.changes, Change{Version: v, Command: c.Slim()})
 			r.changes = r.changes[max(0, len(r.changes)-changeHistory):]
 		}
 	}
+	r.logged += len(e.Data)
 	p := r.waiting[e.Index]
 	if p == nil {
 		return nil
@@ -276,7 +290,10 @@
 // compact stores a snapshot once enough entries follow the last one.
 func (r *Replica) compact() error {
 	st := r.node.Status()
-	if st.Applied < r.disk.Snapshot().Meta.Index+snapshotEntries {
+	if st.Applied < r.disk.Snapshot().Meta.Index+snapshotEntries && r.logged < max(snapshotBytes, 2*len(r.disk.Snapshot().Data)) {
+		return nil
+	}
+	if r.logged < len(r.disk.Snapshot().Data) {
 		return nil
 	}
 	term, ok := r.node.TermAt(st.Applied)
@@ -293,6 +310,7 @@
 		return err
 	}
 	r.node.Compact(meta)
+	r.logged = 0
 	return nil
 }
 
@@ -302,7 +320,7 @@
 	r.status.Store(&st)
 	l := Leadership{}
 	if until, ok := r.node.LeaseUntil(); ok {
-		l = Leadership{Term: st.Term, Until: r.start.Add(until)}
+		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), Ends: r.start + until}
 	}
 	r.leadership.Store(&l)
 	if r.config.Swap(r.state.Config) != r.state.Config {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -21,6 +21,8 @@
 	peer.Handle(s, MethodSync, r.Sync)
 	peer.Handle(s, MethodQuery, r.Query)
 	peer.Handle(s, MethodMembers, r.Members)
+	peer.Handle(s, MethodReadBatch, r.ReadBatch)
+	peer.Handle(s, MethodRetire, r.Retire)
 }
 
 // Step takes in a message of the agreement core. It is dropped when the loop
@@ -182,6 +184,14 @@
 			out.Orders = append(out.Orders, l.Orders[k])
 		}
 	}
+	if q.Routing {
+		out.Routing = &l.Source
+	}
+	if q.Intervals {
+		for _, k := range slices.Sorted(maps.Keys(l.Intervals)) {
+			out.Intervals = append(out.Intervals, l.Intervals[k])
+		}
+	}
 	if q.Windows {
 		for _, k := range slices.Sorted(maps.Keys(l.Windows)) {
 			out.Windows = append(out.Windows, l.Windows[k])
@@ -202,12 +212,12 @@
 		return relay[MembersReply](ctx, r, q.Relayed, MethodMembers, relayed)
 	}
 	if q.Add == nil && q.Remove == "" {
-		return membersReply(st), nil
+		return r.membersReply(st), nil
 	}
 	if _, err := r.decide(ctx, &proposal{change: q.apply}); err != nil {
 		return MembersReply{}, err
 	}
-	return membersReply(r.Status()), nil
+	return r.membersReply(r.Status()), nil
 }
 
 // apply returns the membership after the change.
@@ -220,6 +230,6 @@
 	return next
 }
 
-func membersReply(st consensus.Status) MembersReply {
-	return MembersReply{Members: st.Members, Leader: st.Leader, Term: st.Term, Commit: st.Commit, Match: st.Match}
+func (r *Replica) membersReply(st consensus.Status) MembersReply {
+	return MembersReply{Cluster: r.cluster, Members: st.Members, Leader: st.Leader, Term: st.Term, Commit: st.Commit, Match: st.Match}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/apricotstream/apricotstream/internal/chooser"
 	"github.com/apricotstream/apricotstream/internal/forward"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
@@ -60,15 +61,10 @@
 	return delivered{err}
 }
 
-// Directory lists the upstreams of a service.
-type Directory interface {
-	Service(name string) []upstream.Announcement
-}
-
 // Dispatcher runs jobs for one entry.
 type Dispatcher struct {
 	zone       string
-	chooser    *chooser
+	chooser    *chooser.Chooser
 	forwarder  *forward.Forwarder
 	quarantine *quarantine.Table
 	tracer     trace.Tracer
@@ -78,9 +74,9 @@
 }
 
 // New returns a Dispatcher for an entry in zone.
-func New(zone string, dir Directory, f *forward.Forwarder, q *quarantine.Table, tracer trace.Tracer) *Dispatcher {
+func New(zone string, dir chooser.Directory, f *forward.Forwarder, q *quarantine.Table, tracer trace.Tracer) *Dispatcher {
 	return &Dispatcher{
-		zone: zone, chooser: newChooser(dir), forwarder: f, quarantine: q, tracer: tracer,
+		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, tracer: tracer,
 		budgets: map[string]*Budget{},
 	}
 }
@@ -106,7 +102,7 @@
 			break
 		}
 		err := d.attempt(ctx, job, u, consume)
-		d.chooser.release(ctx, u, err)
+		d.chooser.Release(ctx, u, err)
 		free()
 		if err == nil {
 			d.clear(known)
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -28,14 +28,14 @@
 func (d *Dispatcher) choose(q picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
 	q.Exclude = slices.Concat(q.Exclude, d.quarantine.Reserved())
 	if !suspect {
-		u, ok := d.chooser.pick(q)
+		u, ok := d.chooser.Pick(q)
 		return u, func() {}, ok
 	}
 	alone := q
-	alone.Exclude = slices.Concat(q.Exclude, d.chooser.occupied())
-	u, ok := d.chooser.pick(alone)
+	alone.Exclude = slices.Concat(q.Exclude, d.chooser.Occupied())
+	u, ok := d.chooser.Pick(alone)
 	if !ok {
-		u, ok = d.chooser.pick(q)
+		u, ok = d.chooser.Pick(q)
 	}
 	if !ok {
 		return u, nil, false
@@ -75,7 +75,7 @@
 
 // restarted reports whether a newer incarnation of u announces itself.
 func (d *Dispatcher) restarted(u upstream.Announcement) bool {
-	for _, a := range d.chooser.directory.Service(u.Service) {
+	for _, a := range d.chooser.Listed(u.Service) {
 		if a.ID == u.ID && a.Incarnation > u.Incarnation {
 			return true
 		}
--- a/internal/dispatch/zone_test.go
+++ b/internal/dispatch/zone_test.go
@@ -54,7 +54,7 @@
 		})
 		g.Expect(err).NotTo(HaveOccurred(), "request %d", i)
 	}
-	ejected := d.chooser.health.Ejected(time.Now(), list)
+	ejected := d.chooser.Ejected(list)
 	for i, a := range list {
 		g.Expect(ejected[i]).To(Equal(a.Zone == "a"), a.ID)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,7 +31,7 @@
 // DialFrom returns the Dialer of a daemon: its connections come from the IP of
 // its own peer address.
 func DialFrom(peerAddress string) Dialer {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	if a, err := netip.ParseAddrPort(peerAddress); err == nil {
 		d.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
 	}
@@ -63,6 +63,7 @@
 
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
+	heard   *heardConn // below conn
 	retryAt time.Time
 }
 
@@ -114,7 +115,8 @@
 		l.retryAt = time.Now().Add(redialPause)
 		return nil, fmt.Errorf("%w: %v", ErrUnreached, err)
 	}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VSCodeObjectCodec{})
+	l.heard = &heardConn{Conn: nc}
+	stream := jsonrpc2.NewBufferedStream(l.heard, jsonrpc2.VSCodeObjectCodec{})
 	l.conn = jsonrpc2.NewConn(context.Background(), stream, discard{}, quiet)
 	return l.conn, nil
 }
@@ -162,6 +164,7 @@
 	if err != nil {
 		return r, err
 	}
+	began := time.Now()
 	err = conn.Call(ctx, method, params, &r)
 	var rpc *jsonrpc2.Error
 	switch {
@@ -170,6 +173,9 @@
 	case errors.As(err, &rpc):
 		return r, decodeError(err)
 	case ctx.Err() != nil:
+		if time.Since(began) >= silentAfter && l.silentSince(conn, began) {
+			l.drop(conn)
+		}
 		return r, ctx.Err()
 	}
 	l.drop(conn)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -25,8 +25,9 @@
 // Candidate is an upstream with what this entry knows of it.
 type Candidate struct {
 	Upstream upstream.Announcement
-	InFlight int  // requests of this entry that run there now
-	Ejected  bool // it, or most of its zone, could not be reached lately
+	InFlight int     // requests of this entry that run there now
+	Ejected  bool    // it, or most of its zone, could not be reached lately
+	Slowness float64 // time of its answers beside its peers'; 0 or 1: nothing known
 }
 
 // Filter drops candidates that must not run a request.
@@ -62,7 +63,7 @@
 func Default() Pipeline {
 	return Pipeline{
 		Filters:     []Filter{excluded{}, version{}, reclaim{}},
-		Preferences: []Preference{healthy{}, class{}, affinity{}},
+		Preferences: []Preference{recent{}, healthy{}, brisk{}, class{}, affinity{}},
 		Scorers:     []Weighted{{load{}, 1}, {zone{}, 0.2}},
 		Picker:      TwoChoices{},
 	}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -38,6 +38,10 @@
 	FreshnessLost     Code = 216
 	AnswerNotKept     Code = 217
 	QuarantinedNow    Code = 218
+	UpstreamBusy      Code = 219
+	UpstreamMoved     Code = 220
+	NoConfiguration   Code = 221
+	Stopped           Code = 222
 
 	StepUnknown    Code = 301
 	StepMoved      Code = 302
--- a/internal/result/info.go
+++ b/internal/result/info.go
@@ -45,6 +45,10 @@
 	{FreshnessLost, "freshness-lost", Unknown, http.StatusServiceUnavailable, "The entry lost touch with the leader's side while the request ran, so the key could no longer be checked.", "Use another entry; send again only if the request may run twice."},
 	{AnswerNotKept, "answer-not-kept", Ran, http.StatusGone, "The first sending ran and was answered; its answer was too large to keep.", "Do not send it again; check the effect out of band."},
 	{QuarantinedNow, "quarantined-now", Unknown, http.StatusUnprocessableEntity, "The request crashed upstreams while it ran and is quarantined now.", "Do not send it again; ask the operator."},
+	{UpstreamBusy, "upstream-busy", NotRun, http.StatusServiceUnavailable, "The upstream is full and did not run the request.", "Come back after Retry-After."},
+	{UpstreamMoved, "upstream-moved", NotRun, http.StatusServiceUnavailable, "Another upstream answers at the address; it did not run the request.", "Come back after Retry-After."},
+	{NoConfiguration, "no-configuration", NotRun, http.StatusServiceUnavailable, "This entry has no configuration yet.", "Use another entry, or come back after Retry-After."},
+	{Stopped, "stopped", Unknown, http.StatusBadGateway, "The work was stopped because its batch job ended.", "Nothing."},
 
 	{StepUnknown, "step-unknown", NotRun, http.StatusNotFound, "No such step.", "Open the step first."},
 	{StepMoved, "step-moved", NotRun, http.StatusConflict, "The owner of the step was lost or replaced.", "Open the step again under the same id."},
--- /dev/null
+++ b/internal/routing/configuration.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"time"
+)
+
+// Configuration is one complete version of routes, services and client
+// accounts. It is replaced as a whole and never edited in place.
+type Configuration struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Accounts []Account `json:"accounts,omitempty"`
+	Limits   Limits    `json:"limits"`
+	// Keyed is set when the configuration lists accounts: requests then need a
+	// key on every route that is not open.
+	Keyed bool `json:"keyed,omitempty"`
+}
+
+// Limits bounds what a caller may send on one connection. Zero means no bound.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes,omitempty"`
+	BodyBytes     int64         `json:"body_bytes,omitempty"`
+	HeaderTimeout time.Duration `json:"header_timeout,omitempty"` // nanoseconds
+	IdleTimeout   time.Duration `json:"idle_timeout,omitempty"`   // nanoseconds
+}
+
+// Account is a client account with the hashes of its keys.
+type Account struct {
+	Name      string   `json:"name"`
+	KeyHashes []string `json:"key_hashes,omitempty"`
+	// Priority takes precedence over the route's when set; 0 is the highest.
+	Priority *int `json:"priority,omitempty"`
+}
+
+// Service is a group of upstreams that run the same requests.
+type Service struct {
+	Name    string   `json:"name"`
+	Engine  *Engine  `json:"engine,omitempty"`  // nil for a plain service
+	Scaling *Scaling `json:"scaling,omitempty"` // nil when upstreams can't be ordered
+}
+
+// Engine describes the model servers of a service.
+type Engine struct {
+	Slots  int      `json:"slots"` // requests that run at once
+	Models []string `json:"models,omitempty"`
+}
+
+// Scaling bounds the upstreams that may be ordered in each availability zone.
+type Scaling struct {
+	Min        int                `json:"min"`
+	Max        int                `json:"max"`
+	Boot       time.Duration      `json:"boot"` // nanoseconds from an order to the first request
+	CheapPrice float64            `json:"cheap_price,omitempty"`
+	ZonePrices map[string]float64 `json:"zone_prices,omitempty"` // by availability zone
+}
+
+// Service returns the service called name.
+func (c *Configuration) Service(name string) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/apricotstream/apricotstream/internal/account"
+)
+
+// Table is a configuration compiled for lookups. It is immutable.
+type Table struct {
+	Config *Configuration
+	hosts  map[string][]*Route // by lower-case host, longest prefix first
+	keys   map[string]*Account // by key hash
+}
+
+// NewTable compiles c, which must not change afterwards.
+func NewTable(c *Configuration) *Table {
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[string]*Account{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, rs := range t.hosts {
+		slices.SortFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Accounts {
+		for _, k := range c.Accounts[i].KeyHashes {
+			t.keys[k] = &c.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route of the host with the longest prefix that begins path;
+// nil when there is none. A port in host is ignored.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// BatchRoute returns a route of the host that takes batch jobs; nil for none.
+func (t *Table) BatchRoute(host string) *Route {
+	for _, r := range t.hosts[hostName(host)] {
+		if r.Kind == Batch {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds key; nil for none.
+func (t *Table) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return t.keys[account.Hash(key)]
+}
+
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// Service draws one of the route's services by weight; draw lies in [0, 1).
+func (r *Route) Service(draw float64) string {
+	sum := 0
+	for _, s := range r.Splits {
+		sum += s.Weight
+	}
+	at := draw * float64(sum)
+	for _, s := range r.Splits {
+		at -= float64(s.Weight)
+		if at < 0 && s.Weight > 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
--- a/internal/state/apply_config.go
+++ b/internal/state/apply_config.go
@@ -11,7 +11,8 @@
 // IsConfig reports whether c changes the part that every entry holds.
 func (c Command) IsConfig() bool {
 	return c.AccountCreate != nil || c.AccountRemove != nil || c.KeyCreate != nil ||
-		c.KeyWithdraw != nil || c.ServicePut != nil || c.WeightsPut != nil
+		c.KeyWithdraw != nil || c.ServicePut != nil || c.WeightsPut != nil ||
+		c.RoutingPut != nil || c.VersionPut != nil
 }
 
 // Apply returns the configuration after c, or c itself unchanged with the
@@ -32,6 +33,10 @@
 		next, o = c.servicePut(cmd.ServicePut)
 	case cmd.WeightsPut != nil:
 		next, o = c.weightsPut(cmd)
+	case cmd.RoutingPut != nil:
+		next, o = c.routingPut(cmd.RoutingPut)
+	case cmd.VersionPut != nil:
+		next, o = c.versionPut(cmd.VersionPut)
 	default:
 		o = refuse(result.Internal, "not a change of the configuration")
 	}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -21,6 +21,13 @@
 	KeyWithdraw   *KeyWithdraw   `json:"key_withdraw,omitempty"`
 	ServicePut    *ServicePut    `json:"service_put,omitempty"`
 	WeightsPut    *WeightsPut    `json:"weights_put,omitempty"`
+	RoutingPut    *RoutingPut    `json:"routing_put,omitempty"`
+	VersionPut    *VersionPut    `json:"version_put,omitempty"`
+
+	BatchAccept *BatchAccept `json:"batch_accept,omitempty"`
+	BatchRecord *BatchRecord `json:"batch_record,omitempty"`
+	BatchEnd    *BatchEnd    `json:"batch_end,omitempty"`
+	IntervalFix *IntervalFix `json:"interval_fix,omitempty"`
 
 	ClaimBegin  *ClaimBegin  `json:"claim_begin,omitempty"`
 	ClaimFinish *ClaimFinish `json:"claim_finish,omitempty"`
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/document"
+	"github.com/apricotstream/apricotstream/internal/routing"
 )
 
 // Account is a client account.
@@ -44,6 +45,11 @@
 	Keys     map[string]Key     `json:"keys"` // by hash
 	Services map[string]Service `json:"services"`
 	Weights  map[string]Weights `json:"weights"` // by service
+	// Routing replaces services' routes where operators set all routes at once;
+	// nil until they do.
+	Routing *routing.Configuration `json:"routing,omitempty"`
+	// ModelVersions holds the newest published weight version by model.
+	ModelVersions map[string]uint64 `json:"model_versions,omitempty"`
 }
 
 // NewConfig returns an empty configuration.
@@ -53,6 +59,8 @@
 		Keys:     map[string]Key{},
 		Services: map[string]Service{},
 		Weights:  map[string]Weights{},
+
+		ModelVersions: map[string]uint64{},
 	}
 }
 
@@ -87,6 +95,9 @@
 }
 
 func with[K comparable, V any](m map[K]V, k K, v V) map[K]V {
+	if m == nil {
+		return map[K]V{k: v}
+	}
 	m = maps.Clone(m)
 	m[k] = v
 	return m
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -20,6 +20,9 @@
 	Ops        map[string]Operation // outcomes of operations, for resends
 	OpOrder    []string
 	History    map[string][]Edit // accepted edits by service
+	Batches    map[string]*Batch
+	Intervals  map[uint64]Interval
+	Source     RoutingSource
 }
 
 // Edit is one accepted edit of a service document.
@@ -50,6 +53,7 @@
 		Windows: map[uint64]Window{},
 		Ops:     map[string]Operation{},
 		History: map[string][]Edit{},
+		Batches: map[string]*Batch{}, Intervals: map[uint64]Interval{},
 	}
 }
 
@@ -83,6 +87,9 @@
 	Ops        map[string]Operation   `json:"ops"`
 	OpOrder    []string               `json:"op_order"`
 	History    map[string][]Edit      `json:"history"`
+	Batches    map[string]*Batch      `json:"batches,omitempty"`
+	Intervals  map[uint64]Interval    `json:"intervals,omitempty"`
+	Source     RoutingSource          `json:"routing_source"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -90,6 +97,7 @@
 	im := ledgerImage{
 		Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
 		LastWindow: l.LastWindow, LastEnd: l.LastEnd, Ops: l.Ops, OpOrder: l.OpOrder, History: l.History,
+		Batches: l.Batches, Intervals: l.Intervals, Source: l.Source,
 	}
 	for _, id := range l.ClaimOrder {
 		im.Claims = append(im.Claims, l.Claims[id])
@@ -103,6 +111,7 @@
 	im := ledgerImage{
 		Steps: fresh.Steps, Orders: fresh.Orders, Sources: fresh.Sources,
 		Windows: fresh.Windows, Ops: fresh.Ops, History: fresh.History,
+		Batches: fresh.Batches, Intervals: fresh.Intervals,
 	}
 	if err := json.Unmarshal(b, &im); err != nil {
 		return err
@@ -110,6 +119,10 @@
 	*l = Ledger{
 		Claims: fresh.Claims, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
 		Windows: im.Windows, LastWindow: im.LastWindow, LastEnd: im.LastEnd, Ops: im.Ops, OpOrder: im.OpOrder, History: im.History,
+		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source,
+	}
+	for _, b := range l.Batches {
+		b.reindex()
 	}
 	for _, c := range im.Claims {
 		l.putClaim(c)
--- a/internal/state/outcome.go
+++ b/internal/state/outcome.go
@@ -11,6 +11,8 @@
 	Step    *Step       `json:"step,omitempty"`
 	Order   *Order      `json:"order,omitempty"`
 	Window  *Window     `json:"window,omitempty"`
+
+	Interval *Interval `json:"interval,omitempty"`
 }
 
 // Err returns nil for OK, else the coded error.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -82,6 +82,14 @@
 		return s.usageDelta(c.UsageDelta, c.At)
 	case c.WindowClose != nil:
 		return s.windowClose(c.WindowClose, c.At)
+	case c.BatchAccept != nil:
+		return s.batchAccept(c.BatchAccept, c.At)
+	case c.BatchRecord != nil:
+		return s.batchRecord(c.BatchRecord)
+	case c.BatchEnd != nil:
+		return s.batchEnd(c.BatchEnd)
+	case c.IntervalFix != nil:
+		return s.intervalFix(c.IntervalFix, c.At)
 	case c.WindowReported != nil:
 		return s.windowReported(c.WindowReported)
 	}
@@ -94,6 +102,9 @@
 		return o
 	}
 	s.Config = next
+	if p := c.RoutingPut; p != nil {
+		s.Ledger.Source = RoutingSource{Version: p.Configuration.Version, Text: p.Source}
+	}
 	if p := c.ServicePut; p != nil {
 		h := append(s.Ledger.History[p.Name], Edit{Version: p.Version, At: c.At, Text: p.Text})
 		s.Ledger.History[p.Name] = h[max(0, len(h)-maxHistory):]
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -26,6 +26,9 @@
 	Leaving       bool    `json:"leaving,omitempty"`
 	ReclaimAt     int64   `json:"reclaim_at,omitempty"` // Unix milliseconds when it will be taken away; 0: not known
 	ChecksFencing bool    `json:"checks_fencing,omitempty"`
+	Models        string  `json:"models,omitempty"`   // weight versions by model, "a=1,b=3", where several are loaded
+	Software      string  `json:"software,omitempty"` // version of the program
+	Silent        bool    `json:"-"`                  // not heard of within its TTL
 }
 
 // Classes of upstreams.
@@ -39,6 +42,9 @@
 const (
 	// MaxTTL bounds how long a silent upstream is believed.
 	MaxTTL = 10 * time.Second
+	// silentTime is how long after its TTL an upstream is still known: it may be
+	// cut off from the daemons that take announcements and serve all the same.
+	silentTime = 40 * time.Second
 	// tombstoneTTL is how long a leaving incarnation stays known as such.
 	tombstoneTTL = 5 * time.Minute
 )
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,17 +24,20 @@
 	mu       sync.Mutex
 	registry *Registry
 	live     atomic.Pointer[[]Announcement]
+	known    atomic.Pointer[[]Announcement]
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory(spread Spreader) *Directory {
 	d := &Directory{spread: spread, registry: NewRegistry()}
 	d.live.Store(&[]Announcement{})
+	d.known.Store(&[]Announcement{})
 	return d
 }
 
 // Register adds the notice handler to s.
 func (d *Directory) Register(s *peer.Server) {
+	d.registerExchange(s)
 	peer.HandleNotice(s, MethodAnnounce, func(a Announcement) {
 		if a.Check() == nil {
 			d.take(a, true)
@@ -75,8 +79,10 @@
 }
 
 func (d *Directory) refresh() {
-	live := d.registry.Live(time.Now())
+	known := d.registry.Known(time.Now())
+	live := slices.DeleteFunc(slices.Clone(known), func(a Announcement) bool { return a.Silent })
 	d.live.Store(&live)
+	d.known.Store(&known)
 }
 
 // Live returns the usable upstreams; the slice must not be changed.
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -67,16 +67,45 @@
 // Live returns the upstreams whose announcements still hold and that are not
 // leaving, by id.
 func (r *Registry) Live(now time.Time) []Announcement {
+	return slices.DeleteFunc(r.Known(now), func(a Announcement) bool { return a.Silent })
+}
+
+// Known returns the upstreams that are not leaving, by id, with those that have
+// gone silent marked. Of two at one address the newer incarnation is known: the
+// other one has ended.
+func (r *Registry) Known(now time.Time) []Announcement {
 	var out []Announcement
+	at := map[string]int64{}
 	for id, k := range r.byID {
-		if now.After(k.until) {
+		if now.Sub(k.until) > silentTime || k.a.Leaving && now.After(k.until) {
 			delete(r.byID, id)
 			continue
 		}
-		if !k.a.Leaving {
-			out = append(out, k.a)
+		at[k.a.Address] = max(at[k.a.Address], k.a.Incarnation)
+	}
+	for _, k := range r.byID {
+		if k.a.Leaving || at[k.a.Address] > k.a.Incarnation {
+			continue
 		}
+		k.a.Silent = now.After(k.until)
+		out = append(out, k.a)
+	}
+	slices.SortFunc(out, func(a, b Announcement) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// All returns every announcement, those of leaving upstreams included.
+func (r *Registry) All() []Announcement {
+	var out []Announcement
+	for _, k := range r.byID {
+		out = append(out, k.a)
 	}
 	slices.SortFunc(out, func(a, b Announcement) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// Get returns the newest announcement of an upstream.
+func (r *Registry) Get(id string) (Announcement, bool) {
+	k, ok := r.byID[id]
+	return k.a, ok
+}
