--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -7,9 +7,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/fenced"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
-	"github.com/apricotstream/apricotstream/internal/platform"
 )
 
 const (
@@ -28,7 +28,7 @@
 	log    *log.Logger
 	term   uint64
 	since  time.Time // when this replica was first seen to lead in term
-	sender *platform.Sender
+	sender *fenced.Sender
 	waves  *waves
 }
 
@@ -79,8 +79,8 @@
 func (x *duties) begin(term uint64) {
 	x.term = term
 	x.since = time.Now()
-	dial := platform.Dial(peer.DialFrom(x.d.set.PeerAddress))
-	x.sender = platform.NewSender(dial, x.d.replica.Leadership, term)
+	dial := fenced.Dial(peer.DialFrom(x.d.set.PeerAddress))
+	x.sender = fenced.NewSender(dial, x.d.replica.Leadership, term)
 	x.waves = newWaves()
 	x.log.Info("This replica leads.", "fence", term, "duty", x.name)
 }
--- a/internal/daemon/duty_orders.go
+++ b/internal/daemon/duty_orders.go
@@ -8,7 +8,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/capacity"
 	"github.com/apricotstream/apricotstream/internal/control"
-	"github.com/apricotstream/apricotstream/internal/platform"
+	"github.com/apricotstream/apricotstream/internal/fenced"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -107,11 +107,11 @@
 // send asks whether the platform has the order before sending it: an earlier
 // sending may have arrived although its answer was lost.
 func (x *orderDuty) send(ctx context.Context, o state.Order) error {
-	var a platform.VMAnswer
+	var a fenced.VMAnswer
 	url := x.d.set.OrdersURL
 	err := x.sender.Get(ctx, url+"/"+o.ID, &a)
 	if result.CodeOf(err) == result.NotFound {
-		m := platform.VMOrder{Fence: x.term, ID: o.ID, Service: o.Service, Zone: o.Zone, Class: o.Class}
+		m := fenced.VMOrder{Fence: x.term, ID: o.ID, Service: o.Service, Zone: o.Zone, Class: o.Class}
 		err = x.sender.Post(ctx, url, m, &a)
 	}
 	if err != nil {
@@ -126,7 +126,7 @@
 }
 
 func (x *orderDuty) giveBack(ctx context.Context, o state.Order) error {
-	m := platform.VMRelease{Fence: x.term, ID: o.ID}
+	m := fenced.VMRelease{Fence: x.term, ID: o.ID}
 	if err := x.sender.Post(ctx, x.d.set.OrdersURL+"/"+o.ID+"/release", m, nil); err != nil {
 		return err
 	}
--- a/internal/platform/fenced.go
+++ b/internal/fenced/fenced.go
@@ -1,6 +1,6 @@
-// Package platform sends the leader's orders to the outside: to the platform,
+// Package fenced sends the leader's orders to the outside: to the platform,
 // to the usage receiver and to engines. Nothing leaves without a valid lease.
-package platform
+package fenced
 
 import (
 	"context"
--- a/internal/platform/order.go
+++ b/internal/fenced/order.go
@@ -1,4 +1,4 @@
-package platform
+package fenced
 
 // VMOrder asks the platform for one upstream VM. The platform answers a second
 // order of the same ID with the first one's answer.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/apricotstream/apricotstream/internal/platform"
+	"github.com/apricotstream/apricotstream/internal/fenced"
 )
 
 // Platform takes orders for upstreams and starts engine stand-ins for them in
@@ -21,8 +21,8 @@
 
 	mu      sync.Mutex
 	fence   uint64
-	orders  map[string]platform.VMOrder
-	answers map[string]platform.VMAnswer
+	orders  map[string]fenced.VMOrder
+	answers map[string]fenced.VMAnswer
 	stop    map[string]context.CancelFunc
 	view    PlatformView
 }
@@ -38,7 +38,7 @@
 // NewPlatform returns a platform without orders.
 func NewPlatform(o Options) *Platform {
 	return &Platform{
-		Options: o, orders: map[string]platform.VMOrder{}, answers: map[string]platform.VMAnswer{},
+		Options: o, orders: map[string]fenced.VMOrder{}, answers: map[string]fenced.VMAnswer{},
 		stop: map[string]context.CancelFunc{},
 	}
 }
@@ -54,7 +54,7 @@
 }
 
 func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.VMOrder
+	var o fenced.VMOrder
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -82,8 +82,8 @@
 	return true
 }
 
-func (p *Platform) decide(o platform.VMOrder) {
-	a := platform.VMAnswer{ID: o.ID, Accepted: p.Refuse != o.Class}
+func (p *Platform) decide(o fenced.VMOrder) {
+	a := fenced.VMAnswer{ID: o.ID, Accepted: p.Refuse != o.Class}
 	p.answers[o.ID] = a
 	p.view.Decided++
 	if !a.Accepted {
@@ -96,7 +96,7 @@
 }
 
 // start runs the ordered upstream.
-func (p *Platform) start(o platform.VMOrder) {
+func (p *Platform) start(o fenced.VMOrder) {
 	opts := p.Options
 	opts.ID = fmt.Sprintf("ordered-%d", len(p.answers))
 	opts.Service, opts.Zone, opts.Class, opts.Order = o.Service, o.Zone, o.Class, o.ID
@@ -107,7 +107,7 @@
 }
 
 func (p *Platform) release(w http.ResponseWriter, r *http.Request) {
-	var o platform.VMRelease
+	var o fenced.VMRelease
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -121,7 +121,7 @@
 		p.end(o.ID)
 		p.view.Released = append(p.view.Released, o.ID)
 	}
-	writeJSON(w, platform.VMAnswer{ID: o.ID, Accepted: true})
+	writeJSON(w, fenced.VMAnswer{ID: o.ID, Accepted: true})
 }
 
 func (p *Platform) end(id string) {
@@ -161,10 +161,10 @@
 }
 
 // Orders returns the orders whose upstreams are not released or reclaimed.
-func (p *Platform) Orders() []platform.VMOrder {
+func (p *Platform) Orders() []fenced.VMOrder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := []platform.VMOrder{}
+	out := []fenced.VMOrder{}
 	for _, o := range p.orders {
 		out = append(out, o)
 	}
--- a/internal/systest/fence_test.go
+++ b/internal/systest/fence_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/apricotstream/apricotstream/internal/platform"
+	"github.com/apricotstream/apricotstream/internal/fenced"
 	"github.com/apricotstream/apricotstream/internal/standin"
 )
 
@@ -95,7 +95,7 @@
 }
 
 func (p *deafPlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var o platform.VMOrder
+	var o fenced.VMOrder
 	if r.Method == http.MethodPost && json.NewDecoder(r.Body).Decode(&o) == nil {
 		p.mu.Lock()
 		p.fences = append(p.fences, o.Fence)
