--- /dev/null
+++ b/internal/batch/session.go
@@ -0,0 +1,326 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/state"
+)
+
+var (
+	itemsDone   = metrics.NewCounter(`apricotstream_items_total{outcome="completed"}`)
+	itemsAbort  = metrics.NewCounter(`apricotstream_items_total{outcome="aborted"}`)
+	itemRuns    = metrics.NewCounter("apricotstream_item_runs_total")
+	itemResumes = metrics.NewCounter("apricotstream_item_resumes_total")
+	itemMoves   = metrics.NewCounter("apricotstream_item_moves_total")
+	itemSeconds = metrics.NewHistogram("apricotstream_item_seconds")
+)
+
+// session runs batch jobs in one term. Its goroutine owns the plan.
+type session struct {
+	*Runner
+	term     uint64
+	plan     *Plan
+	paces    *Paces
+	attempts map[*item]*attempt
+	avoid    map[string]time.Time // engines to leave alone until then
+	ended    chan *attempt
+	scored   chan scored
+	commit   *committer
+	wg       sync.WaitGroup
+}
+
+func newSession(r *Runner, term uint64) *session {
+	return &session{
+		Runner: r, term: term, plan: NewPlan(), paces: NewPaces(), attempts: map[*item]*attempt{},
+		avoid: map[string]time.Time{}, ended: make(chan *attempt, 256), scored: make(chan scored, 256),
+	}
+}
+
+// run works until the term's leadership ends.
+func (s *session) run(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	s.commit = newCommitter(s.replica, s.log)
+	s.wg.Go(func() { s.commit.run(ctx) })
+	defer func() {
+		cancel()
+		go s.discard()
+		s.wg.Wait()
+		close(s.ended)
+	}()
+	s.log.Info("Batch jobs are run here.", "term", s.term)
+	changed := s.replica.BatchesChanged()
+	if !s.list(ctx) {
+		return
+	}
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	paced := time.Now()
+	for s.leads(s.term) && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			changed = s.replica.BatchesChanged()
+			if !s.list(ctx) {
+				return
+			}
+		case a := <-s.ended:
+			s.take(ctx, a)
+		case x := <-s.scored:
+			s.takeScore(ctx, x)
+		case <-tick.C:
+		}
+		now := time.Now()
+		if now.Sub(paced) >= paceInterval {
+			s.learn(now)
+			s.move(now)
+			paced = now
+		}
+		s.expire(now)
+		s.start(ctx, now)
+	}
+	s.log.Info("Batch jobs are no longer run here.", "term", s.term)
+}
+
+// discard lets attempts end that nobody waits for.
+func (s *session) discard() {
+	for range s.ended {
+	}
+}
+
+// list brings the plan up to date with the replicated state.
+func (s *session) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	open, err := s.replica.OpenBatches(ctx)
+	if err != nil {
+		s.log.Warn("Open batch jobs not read.", "term", s.term, "err", err.Error())
+		return false
+	}
+	jobs := make([]OpenJob, 0, len(open))
+	for _, o := range open {
+		if s.plan.jobs[o.Batch.ID] == nil {
+			s.log.Info("Batch job taken on.", "batch", o.Batch.ID, "items", len(o.Batch.Items), "listed", len(o.Listed), "min_version", o.Batch.MinVersion, "age_ms", time.Since(o.Batch.Accepted).Milliseconds())
+		}
+		jobs = append(jobs, OpenJob(o))
+	}
+	for _, it := range s.plan.Update(jobs) {
+		if a := s.attempts[it]; a != nil {
+			a.stop(result.New(result.Stopped, "the batch job ended"))
+		}
+		it.phase = finished
+	}
+	return true
+}
+
+func (s *session) start(ctx context.Context, now time.Time) {
+	if s.plan.Waiting() == 0 {
+		return
+	}
+	for _, x := range s.plan.Next(now, s.view(now)) {
+		a := newAttempt(ctx, x.item, x.Engine)
+		s.attempts[x.item] = a
+		itemRuns.Inc()
+		if x.item.lastID > 0 {
+			itemResumes.Inc()
+		}
+		s.wg.Go(func() {
+			a.run(s.engines)
+			s.ended <- a
+		})
+	}
+}
+
+// view describes the engines as of now.
+func (s *session) view(now time.Time) []Engine {
+	running := map[string]int{}
+	for _, a := range s.attempts {
+		running[a.engine.ID]++
+	}
+	var out []Engine
+	for _, u := range s.pool.Known() {
+		out = append(out, Engine{
+			Upstream: u, Slots: s.pool.Slots(u), Running: running[u.ID], Versions: s.pool.Versions(u),
+			Loading: s.pool.Loading(u.ID), Avoid: now.Before(s.avoid[u.ID]), Slowness: s.paces.Slowness(now, u.ID),
+		})
+	}
+	return out
+}
+
+// Pauses after failures.
+const (
+	unreachedPause = time.Second            // an engine that cannot be reached
+	busyPause      = 100 * time.Millisecond // an engine that refused
+	failurePause   = 50 * time.Millisecond  // an item that failed
+	scorePause     = 150 * time.Millisecond // a reward request that failed
+)
+
+// take deals with the end of an attempt.
+func (s *session) take(ctx context.Context, a *attempt) {
+	it := a.item
+	delete(s.attempts, it)
+	if it.phase == finished {
+		return
+	}
+	now := time.Now()
+	for _, e := range a.events {
+		it.record(e)
+	}
+	if len(a.events) > 0 {
+		s.pool.Seen(a.engine.ID, it.spec.Model, a.events[len(a.events)-1].Version)
+	}
+	if !it.sound() {
+		s.log.Info("Sample discarded for its versions.", "item", it.spec.ID, "batch", it.job.batch.ID, "versions", it.versions, "min", it.job.batch.MinVersion)
+		it.restart()
+		a.err = result.New(result.StaleVersion, "the sample has versions that its batch job does not allow")
+	}
+	if a.err == nil {
+		it.phase = rewarding
+		s.score(ctx, it)
+		return
+	}
+	it.phase = waiting
+	code := result.CodeOf(a.err)
+	s.log.Info("Item run ended early.", "item", it.spec.ID, "batch", it.job.batch.ID, "upstream", a.engine.ID, "events", it.lastID, "ran_ms", now.Sub(a.began).Milliseconds(), "code", int(code), "err", result.From(a.err).Message)
+	switch code {
+	case result.UpstreamUnreached, result.UpstreamMoved:
+		s.avoid[a.engine.ID] = now.Add(unreachedPause)
+		it.notTo = a.engine.ID
+	case result.UpstreamBusy:
+		s.avoid[a.engine.ID] = now.Add(busyPause)
+	case result.SampleRefused:
+		s.abort(it, "refused by the upstream")
+	case result.SampleFailed:
+		it.failures++
+		it.notTo = a.engine.ID
+		it.after = now.Add(failurePause)
+		if it.failures >= max(1, it.job.batch.MaxAttempts) {
+			s.abort(it, "failed at every attempt")
+		}
+	case result.SampleMoved, result.StaleVersion:
+		it.notTo = a.engine.ID
+	default:
+		it.notTo = a.engine.ID
+		it.after = now.Add(failurePause)
+	}
+}
+
+// scored is the end of a reward request.
+type scored struct {
+	item  *item
+	score string
+	err   error
+}
+
+func (s *session) score(ctx context.Context, it *item) {
+	if it.spec.Reward == nil {
+		s.complete(it, "")
+		return
+	}
+	deadline := it.job.expires()
+	s.wg.Go(func() {
+		if wait := time.Until(it.after); wait > 0 {
+			pause(ctx, wait)
+		}
+		sig, err := s.scorer.Score(ctx, it.spec.Reward, deadline)
+		select {
+		case s.scored <- scored{item: it, score: sig, err: err}:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (s *session) takeScore(ctx context.Context, x scored) {
+	it := x.item
+	if it.phase == finished {
+		return
+	}
+	if x.err == nil {
+		s.complete(it, x.score)
+		return
+	}
+	s.log.Info("Reward request failed.", "item", it.spec.ID, "batch", it.job.batch.ID, "reward", it.spec.Reward.ID, "code", int(result.CodeOf(x.err)), "err", result.From(x.err).Message)
+	if result.CodeOf(x.err) == result.SampleFailed {
+		it.unscored++
+		if it.unscored >= max(1, it.job.batch.MaxAttempts) {
+			s.abort(it, "its reward request failed at every attempt")
+			return
+		}
+	}
+	it.after = time.Now().Add(scorePause)
+	s.score(ctx, it)
+}
+
+func (s *session) complete(it *item, score string) {
+	s.log.Info("Sample complete.", "item", it.spec.ID, "batch", it.job.batch.ID, "group", it.spec.Group, "events", len(it.events), "versions", it.versions, "age_ms", time.Since(it.job.batch.Accepted).Milliseconds())
+	itemsDone.Inc()
+	itemSeconds.Update(time.Since(it.job.batch.Accepted).Seconds())
+	r := state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Text: joinEvents(it.events), Versions: it.versions, Score: score}
+	s.plan.Finish(it)
+	s.commit.add(r)
+}
+
+func (s *session) abort(it *item, why string) {
+	s.log.Warn("Item given up.", "item", it.spec.ID, "batch", it.job.batch.ID, "why", why, "failures", it.failures, "reward_failures", it.unscored)
+	itemsAbort.Inc()
+	if a := s.attempts[it]; a != nil {
+		a.stop(result.New(result.Stopped, "the item was given up"))
+	}
+	s.plan.Finish(it)
+	s.commit.add(state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Aborted: true})
+}
+
+func (s *session) expire(now time.Time) {
+	for _, it := range s.plan.Expired(now) {
+		s.abort(it, "its lifetime has passed")
+	}
+}
+
+// learn records the pace of the engines since the last look.
+func (s *session) learn(now time.Time) {
+	type sum struct {
+		events int
+		ran    time.Duration
+	}
+	sums := map[string]sum{}
+	for _, a := range s.attempts {
+		events, ran := a.progress(now)
+		x := sums[a.engine.ID]
+		sums[a.engine.ID] = sum{x.events + events, x.ran + ran}
+	}
+	for id, x := range sums {
+		s.paces.Record(now, id, x.events, x.ran)
+	}
+}
+
+// move stops items on slow or leaving engines, so that they go on elsewhere
+// from their last event, as far as other engines have free slots.
+func (s *session) move(now time.Time) {
+	view := s.view(now)
+	free := 0
+	slow := map[string]bool{}
+	leaving := map[string]bool{}
+	for _, e := range view {
+		leaves := e.Upstream.ReclaimAt
+		switch {
+		case leaves != 0 && now.Add(leaveMargin).UnixMilli() >= leaves:
+			leaving[e.Upstream.ID] = true
+		case e.Slowness > moveSlowness:
+			slow[e.Upstream.ID] = true
+		case !e.Loading && !e.Avoid:
+			free += max(0, e.Slots-e.Running)
+		}
+	}
+	for _, a := range s.attempts {
+		if !leaving[a.engine.ID] && (!slow[a.engine.ID] || free == 0 || now.Sub(a.began) < paceInterval) {
+			continue
+		}
+		free--
+		itemMoves.Inc()
+		a.stop(result.New(result.SampleMoved, "engine %s is slow or leaving", a.engine.ID))
+	}
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -76,7 +76,7 @@
 		return
 	}
 	switch result.CodeOf(err) {
-	case result.UpstreamUnreached:
+	case result.UpstreamUnreached, result.UpstreamMoved:
 		c.health.Failed(time.Now(), u)
 	case result.OK, result.AnswerCrossed:
 		c.health.Reached(u)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/platform"
 )
 
 // Exit codes of the command.
@@ -71,6 +72,7 @@
 		{"init", "Create the data folder of a first voter", "Run it once on each of the first voters, with the same --voter options and operator key. Example:\n  apricotstream init --config entry-1.ini --operator-key-file operator.key --voter entry-1=10.0.1.1:7070@zone-a --voter ...", &initCommand{o: o}},
 		{"join", "Create the data folder of a replica that joins a running group", "The new replica starts as a learner. Add it with `apricotstream member add`.", &joinCommand{o: o}},
 		{"serve", "Run the daemon", "Example:\n  apricotstream serve --config entry-1.ini", &serveCommand{o: o}},
+		{"platform", "Run the daemon of a deployment whose routes are set as a whole", "Example:\n  apricotstream platform --config entry.ini", &platform.Command{Out: o.out}},
 		{"check", "Check settings and service documents without a daemon", "Example:\n  apricotstream check --config entry-1.ini --service hint-model.ini", &checkCommand{o: o}},
 		{"status", "Show the system as an entry sees it", "Example:\n  apricotstream status --entry 10.0.1.1:8080 --key-file operator.key", &statusCommand{o: o}},
 		{"entries", "List the addresses that callers should use", "Example:\n  apricotstream entries --entry 10.0.1.1:8080 --zone zone-a", &entriesCommand{o: o}},
--- a/internal/daemon/connections.go
+++ b/internal/conntrack/connections.go
@@ -1,4 +1,6 @@
-package daemon
+// Package conntrack knows the open connections of an HTTP server, so that a
+// graceful shutdown cuts off no request.
+package conntrack
 
 import (
 	"net"
@@ -7,20 +9,21 @@
 	"time"
 )
 
-// connections knows the callers' connections and since when each has carried no
+// Connections knows the callers' connections and since when each has carried no
 // request. The library's own shutdown closes idle ones at once, just as the next
 // request may be on its way.
-type connections struct {
+type Connections struct {
 	mu    sync.Mutex
 	quiet map[net.Conn]time.Time // zero while a request runs
 }
 
-func newConnections() *connections {
-	return &connections{quiet: map[net.Conn]time.Time{}}
+// New returns an empty Connections.
+func New() *Connections {
+	return &Connections{quiet: map[net.Conn]time.Time{}}
 }
 
-// track is the server's ConnState hook.
-func (c *connections) track(conn net.Conn, s http.ConnState) {
+// Track is the server's ConnState hook.
+func (c *Connections) Track(conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
@@ -33,9 +36,9 @@
 	}
 }
 
-// closeQuiet closes the connections that have carried no request for at least
+// CloseQuiet closes the connections that have carried no request for at least
 // grace and returns how many others are open.
-func (c *connections) closeQuiet(now time.Time, grace time.Duration) int {
+func (c *Connections) CloseQuiet(now time.Time, grace time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.quiet {
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -63,12 +63,23 @@
 		c.Op = uuid.NewString()
 	}
 	out, err := try(ctx, p, MethodPropose, ProposeRequest{Command: c}, (*Replica).Propose)
-	if !c.IsConfig() {
+	if !c.IsConfig() && c.BatchAccept == nil {
 		err = readable(err)
 	}
 	return out, err
 }
 
+// ReadBatch reads a batch job as of now.
+func (p *Proposer) ReadBatch(ctx context.Context, q BatchReadRequest) (BatchReadReply, error) {
+	out, err := try(ctx, p, MethodReadBatch, q, (*Replica).ReadBatch)
+	return out, readable(err)
+}
+
+// Retire empties a replica, or tells how far that is.
+func (p *Proposer) Retire(ctx context.Context, q RetireRequest) (RetireReply, error) {
+	return try(ctx, p, MethodRetire, q, (*Replica).Retire)
+}
+
 // readable turns CommitUnknown into NoQuorum where no change is at stake.
 func readable(err error) error {
 	if result.CodeOf(err) == result.CommitUnknown {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/admission"
 	"github.com/apricotstream/apricotstream/internal/claim"
+	"github.com/apricotstream/apricotstream/internal/conntrack"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/dispatch"
 	"github.com/apricotstream/apricotstream/internal/forward"
@@ -53,7 +54,7 @@
 	quarantine  *quarantine.Table
 	tracing     *telemetry.Tracing
 	claims      *claim.Runner
-	connections *connections // of callers
+	connections *conntrack.Connections // of callers
 
 	wg sync.WaitGroup
 }
@@ -91,7 +92,7 @@
 
 func (d *Daemon) buildTraffic() {
 	d.claims = claim.New(d.proposer, d.incarnation, d.alive)
-	d.connections = newConnections()
+	d.connections = conntrack.New()
 	d.quarantine = quarantine.NewTable(time.Now, spreader{d})
 	d.quarantine.Register(d.server)
 	dispatcher := dispatch.New(d.set.Zone, d.directory, forward.New(), d.quarantine, d.tracing.Tracer)
@@ -141,7 +142,7 @@
 	defer stop()
 	go d.server.Serve(background, peers)
 	d.start(background)
-	web := &http.Server{Handler: d.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: d.connections.track}
+	web := &http.Server{Handler: d.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: d.connections.Track}
 	failed := make(chan error, 1)
 	go func() { failed <- web.Serve(callers) }()
 	d.log.Info("Daemon serves.", "id", d.set.ID, "zone", d.set.Zone, "callers", d.set.CallerAddress, "replica", d.identity.ID)
--- /dev/null
+++ b/internal/duty/weights.go
@@ -0,0 +1,224 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+	"github.com/apricotstream/apricotstream/internal/weights"
+)
+
+// Bounds of loading weights.
+const (
+	// engineShare is the part of a service's engines that load at once: the
+	// store slows down beyond about a fifth of them.
+	engineShare = 0.2
+	minStreams  = 2
+	// orderTimeout bounds an order or a report with its answer.
+	orderTimeout = time.Second
+	// usualLoad is when a load may be complete for the first time.
+	usualLoad = 850 * time.Millisecond
+	loadPoll  = 150 * time.Millisecond
+	// maxLoad is when a load is taken for failed.
+	maxLoad = 6 * time.Second
+)
+
+var loadLimits = weights.Limits{
+	StoreStreams: minStreams,
+	Keep:         0.67,
+	Tries:        1000,
+	Backoff:      200 * time.Millisecond,
+	MinTimeout:   maxLoad + 2*time.Second,
+}
+
+var (
+	loadsOrdered = metrics.NewCounter("apricotstream_loads_ordered_total")
+	loadSeconds  = metrics.NewHistogram("apricotstream_load_seconds")
+)
+
+// Published is what the weights duty follows.
+type Published interface {
+	// ModelVersions returns the newest published version by model.
+	ModelVersions() map[string]uint64
+	// Services returns the services whose engines hold a model, and whether runs
+	// may go on under another version there.
+	Services(model string) map[string]bool
+}
+
+// Weights brings engines to the published versions.
+type Weights struct {
+	term      *Term
+	published Published
+	upstreams func() []upstream.Announcement
+	holdings  *weights.Holdings
+	engines   Engines
+	log       *log.Logger
+
+	mu       sync.Mutex
+	planners map[loadPlace]*weights.Planner
+}
+
+// loadPlace is what one planner looks after.
+type loadPlace struct{ service, model string }
+
+// NewWeights returns the duty; Run must follow.
+func NewWeights(t *Term, p Published, upstreams func() []upstream.Announcement, h *weights.Holdings, e Engines, logger *log.Logger) *Weights {
+	return &Weights{term: t, published: p, upstreams: upstreams, holdings: h, engines: e, log: logger, planners: map[loadPlace]*weights.Planner{}}
+}
+
+// Run works until ctx ends.
+func (w *Weights) Run(ctx context.Context) { each(ctx, func() { w.round(ctx) }) }
+
+func (w *Weights) round(ctx context.Context) {
+	f, changed, ok := w.term.fence(time.Now())
+	if changed {
+		w.mu.Lock()
+		w.planners = map[loadPlace]*weights.Planner{}
+		w.mu.Unlock()
+	}
+	if !ok {
+		return
+	}
+	for model, version := range w.published.ModelVersions() {
+		for service, goOn := range w.published.Services(model) {
+			for _, s := range w.plan(loadPlace{service, model}, version) {
+				go w.load(ctx, f, loadPlace{service, model}, s, goOn)
+			}
+		}
+	}
+}
+
+// plan returns the loads to order now. All models of a service share the streams
+// of the store, and an engine carries out one order at a time.
+func (w *Weights) plan(at loadPlace, version uint64) []weights.Swap {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.planners[at]
+	if p == nil {
+		p = weights.NewPlanner(loadLimits)
+		w.planners[at] = p
+	}
+	elsewhere := 0
+	busy := func(string) bool { return false }
+	for other, q := range w.planners {
+		if other.service == at.service && other != at {
+			elsewhere += q.Loads()
+			before := busy
+			busy = func(id string) bool { return before(id) || q.Busy(id) }
+		}
+	}
+	var view []upstream.Announcement
+	engines := 0
+	for _, u := range w.upstreams() {
+		if u.Service != at.service {
+			continue
+		}
+		engines++
+		versions := w.holdings.Versions(u)
+		held, ok := versions[at.model]
+		if !ok || busy(u.ID) {
+			continue
+		}
+		u.Version = held
+		view = append(view, u)
+	}
+	p.SetStreams(max(minStreams, int(engineShare*float64(engines))) - elsewhere)
+	return p.Plan(time.Now(), view, version)
+}
+
+// load orders one engine and follows the load to its end.
+func (w *Weights) load(ctx context.Context, f Fence, at loadPlace, s weights.Swap, goOn bool) {
+	began := time.Now()
+	u := s.Upstream
+	err := w.order(ctx, f, at, s, goOn)
+	if err == nil {
+		err = w.await(ctx, at, s)
+	}
+	w.holdings.SetLoading(u, false)
+	if err == nil {
+		loadSeconds.Update(time.Since(began).Seconds())
+		w.log.Info("Weights loaded.", "upstream", u.ID, "model", at.model, "version", s.Version, "fence", f.Token, "ms", time.Since(began).Milliseconds())
+		return
+	}
+	w.log.Warn("Weights not loaded.", "upstream", u.ID, "model", at.model, "version", s.Version, "fence", f.Token, "code", int(result.CodeOf(err)), "err", result.From(err).Message)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.planners[at]; p != nil {
+		p.Failed(time.Now(), u.ID)
+	}
+}
+
+func (w *Weights) order(ctx context.Context, f Fence, at loadPlace, s weights.Swap, goOn bool) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+	defer cancel()
+	u := s.Upstream
+	expected, known := w.holdings.Orders(u)
+	if !known {
+		r, err := w.report(ctx, u)
+		if err != nil {
+			return err
+		}
+		if r.Busy {
+			return result.New(result.OrderConflict, "the engine carries out another order")
+		}
+		expected = r.Orders
+	}
+	if w.holdings.Versions(u)[at.model] >= s.Version {
+		return nil
+	}
+	if !w.term.valid(f) {
+		return result.New(result.Fenced, "the leadership has ended")
+	}
+	o := Order{Model: at.model, Version: s.Version, Keep: FinishFirst, Expected: expected}
+	if goOn {
+		o.Keep = GoOn
+	}
+	loadsOrdered.Inc()
+	w.holdings.SetLoading(u, true)
+	accepted, err := w.engines.Order(ctx, f, u, o)
+	if err != nil {
+		w.holdings.Forget(u)
+		return err
+	}
+	if accepted {
+		w.holdings.Reported(u, nil, expected+1)
+	} else {
+		w.holdings.Seen(u.ID, at.model, s.Version)
+	}
+	return nil
+}
+
+// await asks the engine until it holds the version.
+func (w *Weights) await(ctx context.Context, at loadPlace, s weights.Swap) error {
+	u := s.Upstream
+	until := time.Now().Add(maxLoad)
+	wait := usualLoad
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if w.holdings.Versions(u)[at.model] >= s.Version {
+			return nil
+		}
+		time.Sleep(wait)
+		wait = loadPoll
+		ask, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := w.report(ask, u)
+		cancel()
+		if code := result.CodeOf(err); code == result.UpstreamUnreached || code == result.UpstreamMoved {
+			return err
+		}
+	}
+	w.holdings.Forget(u)
+	return result.New(result.UpstreamTimeout, "the engine did not load in time")
+}
+
+func (w *Weights) report(ctx context.Context, u upstream.Announcement) (Report, error) {
+	r, err := w.engines.Report(ctx, u)
+	if err == nil {
+		w.holdings.Reported(u, r.Versions, r.Orders)
+	}
+	return r, err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/apricotstream/apricotstream/internal/batch"
+	"github.com/apricotstream/apricotstream/internal/chooser"
+	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/duty"
+	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/peer"
+	"github.com/apricotstream/apricotstream/internal/periodic"
+	"github.com/apricotstream/apricotstream/internal/proxy"
+	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/routing"
+	"github.com/apricotstream/apricotstream/internal/storage"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+	"github.com/apricotstream/apricotstream/internal/weights"
+)
+
+// Outside is what a node reaches beyond the deployment.
+type Outside struct {
+	Upstreams proxy.Upstreams
+	Engines   batch.Engines
+	Orders    duty.Engines
+	Provider  duty.Provider // nil: no duties towards a provider
+	Scorer    func(*Node) batch.Scorer
+}
+
+// Node is one process.
+type Node struct {
+	cfg      Config
+	log      *log.Logger
+	started  time.Time
+	client   *peer.Client
+	server   *peer.Server
+	replica  *control.Replica // nil without a data folder
+	identity storage.Identity
+	follower *control.Follower
+	health   *control.Health
+	proposer *control.Proposer
+	gossip   *member.Gossip
+
+	directory  *upstream.Directory
+	holdings   *weights.Holdings
+	quarantine *quarantine.Table
+	proxy      *proxy.Proxy
+	counter    *duty.Counter
+	usage      *duty.Usage // nil without a data folder
+	outside    Outside
+
+	table    atomic.Pointer[routing.Table]
+	draining atomic.Bool
+	wg       sync.WaitGroup
+}
+
+// New builds a node. A replica whose data folder is empty founds the group with
+// the others on the first start and enlists with the running group otherwise,
+// which waits until that group answers or ctx ends.
+func New(ctx context.Context, cfg Config, out Outside, logger *log.Logger) (*Node, error) {
+	n := &Node{
+		cfg: cfg, log: logger, started: time.Now(), outside: out, health: control.NewHealth(),
+		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), holdings: weights.NewHoldings(),
+	}
+	if cfg.DataFolder != "" {
+		if err := n.openReplica(ctx); err != nil {
+			return nil, err
+		}
+	}
+	n.follower = control.NewFollower(n.sources, freshness, logger.WithPrefix("follow"))
+	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health)
+	n.gossip = member.NewGossip(n.client, n.seeds(), n.self)
+	n.gossip.Register(n.server)
+	n.directory = upstream.NewDirectory(n.gossip)
+	n.directory.Register(n.server)
+	n.quarantine = quarantine.NewTable(time.Now, spreader{n})
+	n.quarantine.Register(n.server)
+	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
+	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, chooser.New(upstream.Reachable{Directory: n.directory}), out.Upstreams, n.counter, suspects{n})
+	if n.replica != nil {
+		n.replica.Register(n.server)
+		n.registerTallies()
+	}
+	return n, nil
+}
+
+func (n *Node) incarnation() string { return fmt.Sprintf("%s:%d", n.cfg.ID, n.started.UnixNano()) }
+
+// openReplica opens the data folder, after creating it where it is empty.
+func (n *Node) openReplica(ctx context.Context) error {
+	var err error
+	n.replica, n.identity, err = control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	if result.CodeOf(err) != result.DataMissing {
+		return err
+	}
+	if n.cfg.First && n.founder() {
+		_, err = control.Form(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
+		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
+	} else {
+		var id storage.Identity
+		id, err = control.Enlist(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.seeds(), n.log.WithPrefix("control"))
+		n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
+	}
+	if err != nil {
+		return err
+	}
+	n.replica, n.identity, err = control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	return err
+}
+
+func (n *Node) founder() bool {
+	for _, a := range n.cfg.Founders {
+		if a == n.cfg.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
+// Start runs the node until ctx ends; Wait returns after that.
+func (n *Node) Start(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.cfg.PeerAddress)
+	if err != nil {
+		return err
+	}
+	n.spawn(func() {
+		<-ctx.Done()
+		l.Close()
+		n.server.Close()
+	})
+	n.spawn(func() { n.server.Serve(ctx, l) })
+	n.spawn(func() { n.follower.Run(ctx) })
+	n.spawn(func() { n.followTable(ctx) })
+	n.spawn(func() { n.gossip.Run(ctx) })
+	n.spawn(func() { n.quarantine.Run(ctx) })
+	n.spawn(func() { periodic.Every(ctx, expireInterval, n.directory.Expire) })
+	n.spawn(func() { periodic.Every(ctx, pullInterval, func() { n.pull(ctx) }) })
+	if n.cfg.CallerAddress != "" && n.cfg.UsageInterval > 0 {
+		n.spawn(func() { periodic.Every(ctx, tallyInterval, n.sendTally) })
+	}
+	if n.replica != nil {
+		n.startReplica(ctx)
+	}
+	return nil
+}
+
+func (n *Node) startReplica(ctx context.Context) {
+	n.spawn(func() {
+		if err := n.replica.Run(ctx); err != nil {
+			n.log.Error("Replica stopped.", "code", int(result.CodeOf(err)), "err", result.From(err).Message)
+		}
+	})
+	keeper := control.NewKeeper(n.replica, n.liveReplicas, n.voters, n.log.WithPrefix("group"))
+	n.spawn(func() { keeper.Run(ctx) })
+	runner := batch.NewRunner(n.replica, pool{n}, n.outside.Engines, n.outside.Scorer(n), n.log.WithPrefix("batch"))
+	n.spawn(func() { runner.Run(ctx) })
+	load := duty.NewWeights(n.term(), published{n}, n.directory.Known, n.holdings, n.outside.Orders, n.log.WithPrefix("weights"))
+	n.spawn(func() { load.Run(ctx) })
+	if n.usage != nil {
+		n.spawn(func() { n.usage.Run(ctx) })
+	}
+}
+
+// Failed is closed when the replica has stopped; it never is without one.
+func (n *Node) Failed() <-chan struct{} {
+	if n.replica == nil {
+		return nil
+	}
+	return n.replica.Done()
+}
+
+func (n *Node) term() *duty.Term {
+	return duty.NewTerm(n.replica.Leadership, n.cfg.ID, n.cfg.DutyGuard)
+}
+
+func (n *Node) spawn(f func()) { n.wg.Go(f) }
+
+// Wait returns when everything that Start has started has ended.
+func (n *Node) Wait() {
+	n.wg.Wait()
+	n.client.Close()
+}
+
+// self describes this node to the others.
+func (n *Node) self() member.Daemon {
+	return member.Daemon{
+		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
+		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: string(n.identity.ID),
+		Fresh: n.follower.Fresh(), Draining: n.draining.Load(),
+	}
+}
+
+// followTable compiles each new configuration for traffic.
+func (n *Node) followTable(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := n.follower.Changed()
+		if c := n.follower.Config().Routing; c != nil {
+			if old := n.table.Load(); old == nil || old.Config != c {
+				n.table.Store(routing.NewTable(c))
+				n.log.Info("Configuration active.", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Table returns the active routes; nil before there are any.
+func (n *Node) Table() *routing.Table { return n.table.Load() }
+
+// Serve runs a caller's request.
+func (n *Node) Serve(ctx context.Context, q *proxy.Request) (*proxy.Answer, error) {
+	return n.proxy.Serve(ctx, q)
+}
+
+// Drain takes the node out of the list of entries, for good.
+func (n *Node) Drain() {
+	n.draining.Store(true)
+	n.gossip.Beat()
+}
+
+// Ready reports whether the node can serve callers.
+func (n *Node) Ready() bool { return n.Table() != nil && !n.draining.Load() }
+
+// Draining reports whether the node is being shut down.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// Log returns the node's logger.
+func (n *Node) Log() *log.Logger { return n.log }
+
+// Entries returns the caller addresses that clients in zone should use: its own
+// zone's where two or more are up, else all.
+func (n *Node) Entries(zone string) []string {
+	var near, all []string
+	for _, fresh := range []bool{true, false} {
+		for _, d := range n.gossip.Live() {
+			if d.CallerAddress == "" || d.Draining || fresh && !d.Fresh {
+				continue
+			}
+			all = append(all, d.CallerAddress)
+			if d.Zone == zone {
+				near = append(near, d.CallerAddress)
+			}
+		}
+		if len(all) > 0 {
+			break // stale entries are only better than none
+		}
+	}
+	if len(near) >= 2 {
+		return near
+	}
+	return all
+}
+
+// liveReplicas lists the replicas that run now.
+func (n *Node) liveReplicas() []consensus.Member {
+	var out []consensus.Member
+	for _, d := range n.gossip.Live() {
+		if d.Replica != "" {
+			out = append(out, consensus.Member{ID: consensus.ID(d.Replica), Address: d.PeerAddress, Zone: d.Zone})
+		}
+	}
+	return out
+}
+
+// voters is the number of voters that bears the tolerated losses.
+func (n *Node) voters() int { return 2*max(n.cfg.Tolerance, 1) + 1 }
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -51,6 +51,8 @@
 	StepSuperseded Code = 306
 	LabelMissing   Code = 307
 	SampleMoved    Code = 308
+	SampleRefused  Code = 309
+	SampleFailed   Code = 310
 
 	NotLeader       Code = 401
 	VersionConflict Code = 402
--- a/internal/result/info.go
+++ b/internal/result/info.go
@@ -58,6 +58,8 @@
 	{StepSuperseded, "step-superseded", NotRun, http.StatusConflict, "A newer opening of the step has come.", "Leave the step to the process that opened it last."},
 	{LabelMissing, "label-missing", Ran, http.StatusBadGateway, "The engine did not report what produced each token.", "Check the engine; the sample is generated anew."},
 	{SampleMoved, "sample-moved", Ran, http.StatusConflict, "The sample goes on at another upstream.", "Nothing."},
+	{SampleRefused, "sample-refused", Ran, http.StatusUnprocessableEntity, "The upstream says that the item can never be done.", "Do not send the item again."},
+	{SampleFailed, "sample-failed", Ran, http.StatusBadGateway, "The upstream failed on the item.", "Nothing; it is run again while attempts are left."},
 
 	{NotLeader, "not-leader", NotRun, http.StatusServiceUnavailable, "No leader can be reached.", "Come back after Retry-After."},
 	{VersionConflict, "version-conflict", NotRun, http.StatusConflict, "Another edit has this version number.", "Read the current version and edit again."},
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -67,6 +67,18 @@
 	return &Planner{limits: l, loads: map[string]load{}, failures: map[string]failure{}}
 }
 
+// SetStreams changes how many loads from the store may run at once.
+func (p *Planner) SetStreams(n int) { p.limits.StoreStreams = n }
+
+// Loads counts the loads under way.
+func (p *Planner) Loads() int { return len(p.loads) }
+
+// Busy reports whether an upstream loads a version that this planner ordered.
+func (p *Planner) Busy(id string) bool {
+	_, ok := p.loads[id]
+	return ok
+}
+
 // Plan returns the swaps to order now, so that every upstream comes to run want.
 func (p *Planner) Plan(now time.Time, live []upstream.Announcement, want uint64) []Swap {
 	p.observe(now, live)
