Divide the engines of a service among its models

Ruled out: lost items, reward requests. Each engine now follows the versions of one model, in proportion to demand.

--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -105,6 +105,7 @@
 	for _, o := range open {
 		if s.plan.jobs[o.Batch.ID] == nil {
 			s.log.Info("Batch job taken on.", "batch", o.Batch.ID, "items", len(o.Batch.Items), "listed", len(o.Listed), "min_version", o.Batch.MinVersion, "age_ms", time.Since(o.Batch.Accepted).Milliseconds())
+			s.asked(o.Batch)
 		}
 		jobs = append(jobs, OpenJob(o))
 	}
@@ -117,6 +118,17 @@
 	return true
 }
 
+// asked records the demand of a new batch job.
+func (s *session) asked(b *state.Batch) {
+	sums := map[string]int{}
+	for i := range b.Items {
+		sums[b.Items[i].Model] += max(b.Items[i].Hint, 1)
+	}
+	for model, tokens := range sums {
+		s.pool.Asked(model, tokens)
+	}
+}
+
 func (s *session) start(ctx context.Context, now time.Time) {
 	if s.plan.Waiting() == 0 {
 		return
@@ -289,6 +301,9 @@
 	sums := map[string]sum{}
 	for _, a := range s.attempts {
 		events, ran := a.progress(now)
+		if s.pool.Loading(a.engine.ID) {
+			continue // it pauses for the load
+		}
 		x := sums[a.engine.ID]
 		sums[a.engine.ID] = sum{x.events + events, x.ran + ran}
 	}
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -1,7 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +25,7 @@
 	// orderTimeout bounds an order or a report with its answer.
 	orderTimeout = time.Second
 	// usualLoad is when a load may be complete for the first time.
-	usualLoad = 850 * time.Millisecond
+	usualLoad = 930 * time.Millisecond
 	loadPoll  = 150 * time.Millisecond
 	// maxLoad is when a load is taken for failed.
 	maxLoad = 6 * time.Second
@@ -48,6 +51,8 @@
 	// Services returns the services whose engines hold a model, and whether runs
 	// may go on under another version there.
 	Services(model string) map[string]bool
+	// Demand returns the recent work by model, in tokens.
+	Demand() map[string]float64
 }
 
 // Weights brings engines to the published versions.
@@ -61,6 +66,8 @@
 
 	mu       sync.Mutex
 	planners map[loadPlace]*weights.Planner
+	homes    map[string]weights.Assignment // by service
+	ordered  map[loadPlace]time.Time       // newest load
 }
 
 // loadPlace is what one planner looks after.
@@ -68,7 +75,8 @@
 
 // NewWeights returns the duty; Run must follow.
 func NewWeights(t *Term, p Published, upstreams func() []upstream.Announcement, h *weights.Holdings, e Engines, logger *log.Logger) *Weights {
-	return &Weights{term: t, published: p, upstreams: upstreams, holdings: h, engines: e, log: logger, planners: map[loadPlace]*weights.Planner{}}
+	return &Weights{term: t, published: p, upstreams: upstreams, holdings: h, engines: e, log: logger, planners: map[loadPlace]*weights.Planner{},
+		homes: map[string]weights.Assignment{}, ordered: map[loadPlace]time.Time{}}
 }
 
 // Run works until ctx ends.
@@ -84,12 +92,44 @@
 	if !ok {
 		return
 	}
-	for model, version := range w.published.ModelVersions() {
-		for service, goOn := range w.published.Services(model) {
-			for _, s := range w.plan(loadPlace{service, model}, version) {
-				go w.load(ctx, f, loadPlace{service, model}, s, goOn)
+	versions := w.published.ModelVersions()
+	goOn := map[loadPlace]bool{}
+	for model := range versions {
+		for service, ok := range w.published.Services(model) {
+			goOn[loadPlace{service, model}] = ok
+		}
+	}
+	w.assign(goOn)
+	// The model that waited longest comes first: all share the store.
+	places := slices.SortedFunc(maps.Keys(goOn), func(a, b loadPlace) int {
+		return cmp.Or(w.ordered[a].Compare(w.ordered[b]), cmp.Compare(a.model, b.model))
+	})
+	for _, at := range places {
+		for _, s := range w.plan(at, versions[at.model]) {
+			w.ordered[at] = time.Now()
+			go w.load(ctx, f, at, s, goOn[at])
+		}
+	}
+}
+
+// assign divides the engines of each service among its models.
+func (w *Weights) assign(places map[loadPlace]bool) {
+	demand := map[string]map[string]float64{}
+	all := w.published.Demand()
+	for at := range places {
+		if demand[at.service] == nil {
+			demand[at.service] = map[string]float64{}
+		}
+		demand[at.service][at.model] = max(all[at.model], 1)
+	}
+	for service, models := range demand {
+		var engines []upstream.Announcement
+		for _, u := range w.upstreams() {
+			if u.Service == service && !u.Silent && u.ReclaimAt == 0 {
+				engines = append(engines, u)
 			}
 		}
+		w.homes[service] = weights.Assign(w.homes[service], engines, models)
 	}
 }
 
@@ -121,7 +161,7 @@
 		engines++
 		versions := w.holdings.Versions(u)
 		held, ok := versions[at.model]
-		if !ok || busy(u.ID) {
+		if home := w.homes[at.service][u.ID]; !ok || busy(u.ID) || home != at.model {
 			continue
 		}
 		u.Version = held
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/apricotstream/apricotstream/internal/duty"
@@ -28,11 +29,30 @@
 	return max(a.Concurrency, 1)
 }
 
+func (p pool) Asked(model string, tokens int) {
+	p.n.demandMu.Lock()
+	defer p.n.demandMu.Unlock()
+	old, ok := p.n.demand[model]
+	if !ok {
+		old = float64(tokens)
+	}
+	p.n.demand[model] = old + demandWeight*(float64(tokens)-old)
+}
+
+// demandWeight is the weight of the newest batch job in a model's demand.
+const demandWeight = 0.3
+
 // published implements duty.Published.
 type published struct{ n *Node }
 
 func (p published) ModelVersions() map[string]uint64 { return p.n.follower.Config().ModelVersions }
 
+func (p published) Demand() map[string]float64 {
+	p.n.demandMu.Lock()
+	defer p.n.demandMu.Unlock()
+	return maps.Clone(p.n.demand)
+}
+
 func (p published) Services(model string) map[string]bool {
 	out := map[string]bool{}
 	t := p.n.Table()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,9 @@
 	usage      *duty.Usage // nil without a data folder
 	outside    Outside
 
+	demandMu sync.Mutex
+	demand   map[string]float64 // tokens of recent batch jobs, by model
+
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
 	wg       sync.WaitGroup
@@ -69,7 +72,7 @@
 func New(ctx context.Context, cfg Config, out Outside, logger *log.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, log: logger, started: time.Now(), outside: out, health: control.NewHealth(),
-		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), holdings: weights.NewHoldings(),
+		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), holdings: weights.NewHoldings(), demand: map[string]float64{},
 	}
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
--- /dev/null
+++ b/internal/weights/assign.go
@@ -0,0 +1,86 @@
+package weights
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/apricotstream/apricotstream/internal/upstream"
+)
+
+// Assignment says which model's new versions an engine loads.
+type Assignment map[string]string // model by engine id
+
+// Assign divides the engines of a service among its models in proportion to
+// demand, at least one each while there are enough. Loading every model's new
+// versions everywhere would take the store several times as long as the versions
+// last. An engine keeps its model where the shares allow it, and a model's
+// engines are spread over the availability zones.
+func Assign(old Assignment, engines []upstream.Announcement, demand map[string]float64) Assignment {
+	models := slices.Sorted(maps.Keys(demand))
+	out := Assignment{}
+	if len(models) == 0 {
+		return out
+	}
+	quota := shares(models, demand, len(engines))
+	count := map[string]int{}
+	zones := map[string]map[string]int{}
+	take := func(e upstream.Announcement, m string) {
+		out[e.ID] = m
+		count[m]++
+		if zones[m] == nil {
+			zones[m] = map[string]int{}
+		}
+		zones[m][e.Zone]++
+	}
+	engines = slices.Clone(engines)
+	slices.SortFunc(engines, func(a, b upstream.Announcement) int { return cmp.Compare(a.ID, b.ID) })
+	for _, e := range engines {
+		if m, ok := old[e.ID]; ok && count[m] < quota[m] {
+			take(e, m)
+		}
+	}
+	for _, e := range engines {
+		if _, ok := out[e.ID]; ok {
+			continue
+		}
+		best := ""
+		for _, m := range models {
+			if count[m] >= quota[m] {
+				continue
+			}
+			if best == "" || zones[m][e.Zone] < zones[best][e.Zone] {
+				best = m
+			}
+		}
+		if best != "" {
+			take(e, best)
+		}
+	}
+	return out
+}
+
+// shares divides n engines by demand: one each first, as far as they go, then
+// the next one to the model that has the fewest for its demand.
+func shares(models []string, demand map[string]float64, n int) map[string]int {
+	quota := map[string]int{}
+	order := slices.Clone(models)
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(demand[b], demand[a]) })
+	for _, m := range order {
+		if n == 0 {
+			return quota
+		}
+		quota[m]++
+		n--
+	}
+	for ; n > 0; n-- {
+		best := order[0]
+		for _, m := range order[1:] {
+			if demand[m]/float64(quota[m]+1) > demand[best]/float64(quota[best]+1) {
+				best = m
+			}
+		}
+		quota[best]++
+	}
+	return quota
+}
