--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -19,11 +19,19 @@
 
 // Timing and bounds of a replica.
 const (
-	tickInterval    = 20 * time.Millisecond
-	snapshotEntries = 1000    // entries after which the log is compacted
-	snapshotBytes   = 8 << 20 // bytes of entries after which it is, whatever their number
-	maxBatch        = 512     // proposals and messages taken in before one sync
-	changeHistory   = 1024    // configuration changes kept for followers
+	tickInterval  = 20 * time.Millisecond
+	maxBatch      = 512  // proposals and messages taken in before one sync
+	changeHistory = 1024 // configuration changes kept for followers
+	// changeHistoryBytes bounds them too: a change may replace all routes.
+	changeHistoryBytes = 1 << 20
+	// snapshotEntries after the last snapshot the log is compacted, unless the
+	// snapshot would be large beside them.
+	snapshotEntries = 1000
+	// snapshotBytes of entries after the last snapshot it is compacted, whatever
+	// their number: a restart replays as much in well under a second.
+	snapshotBytes = 16 << 20
+	// largeSnapshot is the size of entries from which their number does not count.
+	largeSnapshot = 1 << 20
 )
 
 // Replica is one member of the control group. Its loop owns node, disk and
@@ -47,6 +55,8 @@
 	waits   []indexWait
 	changes []Change
 	logged  int // bytes of entries applied since the last snapshot
+	// changeBytes holds the sizes of changes, oldest first.
+	changeBytes []int
 
 	batchWaits   map[string]chan struct{} // closed when the batch job changes
 	openBatches  chan struct{}            // closed when the set of open batch jobs changes
@@ -235,7 +245,7 @@
 		return err
 	}
 	r.state = st
-	r.changes = nil
+	r.changes, r.changeBytes = nil, nil
 	r.logged = 0
 	r.wakeAllBatches()
 	return nil
@@ -271,6 +281,8 @@
 		if v := r.state.Config.Version; v != before {
 			r.changes = append(r.changes, Change{Version: v, Command: c.Slim()})
 			r.changes = r.changes[max(0, len(r.changes)-changeHistory):]
+			r.changeBytes = append(r.changeBytes, len(e.Data))
+			r.trimChanges()
 		}
 	}
 	r.logged += len(e.Data)
@@ -287,13 +299,27 @@
 	return nil
 }
 
+// trimChanges drops the oldest changes beyond the bounds; followers that need
+// them get the whole configuration.
+func (r *Replica) trimChanges() {
+	r.changeBytes = r.changeBytes[max(0, len(r.changeBytes)-len(r.changes)):]
+	sum := 0
+	for _, n := range r.changeBytes {
+		sum += n
+	}
+	for len(r.changes) > 1 && sum > changeHistoryBytes {
+		sum -= r.changeBytes[0]
+		r.changes, r.changeBytes = r.changes[1:], r.changeBytes[1:]
+	}
+}
+
 // compact stores a snapshot once enough entries follow the last one.
 func (r *Replica) compact() error {
 	st := r.node.Status()
-	if st.Applied < r.disk.Snapshot().Meta.Index+snapshotEntries && r.logged < max(snapshotBytes, 2*len(r.disk.Snapshot().Data)) {
-		return nil
-	}
-	if r.logged < len(r.disk.Snapshot().Data) {
+	last := r.disk.Snapshot()
+	many := st.Applied >= last.Meta.Index+snapshotEntries && r.logged < largeSnapshot
+	large := r.logged >= max(snapshotBytes, 2*len(last.Data))
+	if !many && !large {
 		return nil
 	}
 	term, ok := r.node.TermAt(st.Applied)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -32,6 +32,7 @@
 	expireInterval = 250 * time.Millisecond
 	tallyInterval  = 500 * time.Millisecond
 	pullInterval   = time.Second
+	catchUpPause   = 100 * time.Millisecond
 	callTimeout    = time.Second
 	// confirmTimeout bounds the wait until the other daemons know that an
 	// upstream is leaving; a frozen one does not answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 	n.spawn(func() { n.gossip.Run(ctx) })
 	n.spawn(func() { n.quarantine.Run(ctx) })
 	n.spawn(func() { periodic.Every(ctx, expireInterval, n.directory.Expire) })
+	n.spawn(func() { n.catchUp(ctx) })
 	n.spawn(func() { periodic.Every(ctx, pullInterval, func() { n.pull(ctx) }) })
 	if n.cfg.CallerAddress != "" && n.cfg.UsageInterval > 0 {
 		n.spawn(func() { periodic.Every(ctx, tallyInterval, n.sendTally) })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
@@ -68,6 +69,27 @@
 	return out
 }
 
+// catchUp learns of upstreams from every replica that answers, until one does:
+// a restarted node must not use upstreams that are leaving.
+func (n *Node) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		learned := false
+		for _, a := range n.replicaAddresses() {
+			ask, cancel := context.WithTimeout(ctx, callTimeout)
+			err := n.directory.Pull(ask, n.client, a)
+			cancel()
+			learned = learned || err == nil
+		}
+		if learned {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(catchUpPause):
+		}
+	}
+}
+
 // pull compares what is known of upstreams with a replica, which hears of them
 // first.
 func (n *Node) pull(ctx context.Context) {
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -28,13 +28,14 @@
 }
 
 // Take records a and reports whether it was news. An older incarnation or
-// sequence number is ignored, and an incarnation that is leaving stays so: a
-// late announcement cannot bring it back.
+// sequence number is ignored, but a withdrawal counts whatever its number, and an
+// incarnation that is leaving stays so: a late announcement cannot bring it back.
 func (r *Registry) Take(now time.Time, a Announcement) bool {
 	old, ok := r.byID[a.ID]
 	if ok {
 		order := cmp.Or(cmp.Compare(a.Incarnation, old.a.Incarnation), cmp.Compare(a.Seq, old.a.Seq))
-		if order <= 0 {
+		withdrawn := a.Leaving && !old.a.Leaving && a.Incarnation == old.a.Incarnation
+		if order <= 0 && !withdrawn {
 			return false
 		}
 		if a.Incarnation == old.a.Incarnation && old.a.Leaving {
