--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -17,6 +17,14 @@
 	DefaultLease = 800 * time.Millisecond
 	// DefaultMaxAppend is the largest number of entries in one message.
 	DefaultMaxAppend = 256
+	// DefaultMaxAppendBytes is how much data one message carries, beside its last
+	// entry: a slow link must pass it within a heartbeat interval.
+	DefaultMaxAppendBytes = 256 << 10
+	// DefaultWindowBytes is how much data may be under way to one replica.
+	DefaultWindowBytes = 1 << 20
+	// DefaultSnapshotRetry is when a snapshot that was not acknowledged is sent
+	// again: a large one takes a good second to be read and stored.
+	DefaultSnapshotRetry = 2 * time.Second
 )
 
 // Config starts a Node from its durable state.
@@ -32,6 +40,10 @@
 	Election  time.Duration
 	Lease     time.Duration
 	MaxAppend int
+
+	MaxAppendBytes int
+	WindowBytes    int
+	SnapshotRetry  time.Duration
 }
 
 func (c *Config) setDefaults() {
@@ -47,4 +59,13 @@
 	if c.MaxAppend == 0 {
 		c.MaxAppend = DefaultMaxAppend
 	}
+	if c.MaxAppendBytes == 0 {
+		c.MaxAppendBytes = DefaultMaxAppendBytes
+	}
+	if c.WindowBytes == 0 {
+		c.WindowBytes = DefaultWindowBytes
+	}
+	if c.SnapshotRetry == 0 {
+		c.SnapshotRetry = DefaultSnapshotRetry
+	}
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -36,8 +36,9 @@
 	return l.entries[i-l.first()].Term, true
 }
 
-// slice returns at most limit entries from index i on.
-func (l *log) slice(i uint64, limit int) []Entry {
+// slice returns entries from index i on: at most limit, and no more after their
+// data adds up to maxBytes.
+func (l *log) slice(i uint64, limit, maxBytes int) []Entry {
 	if i < l.first() || i > l.last() {
 		return nil
 	}
@@ -45,9 +46,26 @@
 	if len(s) > limit {
 		s = s[:limit]
 	}
+	sum := 0
+	for k := range s {
+		sum += len(s[k].Data)
+		if sum >= maxBytes {
+			s = s[:k+1]
+			break
+		}
+	}
 	return append([]Entry(nil), s...)
 }
 
+// bytes adds up the data of the entries from index i until before end.
+func (l *log) bytes(i, end uint64) int {
+	sum := 0
+	for k := max(i, l.first()); k < end && k <= l.last(); k++ {
+		sum += len(l.entries[k-l.first()].Data)
+	}
+	return sum
+}
+
 func (l *log) append(es ...Entry) {
 	l.entries = append(l.entries, es...)
 	for _, e := range es {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -41,6 +42,14 @@
 	acked Time   // sending time of the newest heartbeat it answered
 	clock Time   // its own clock at its newest answer
 	life  uint32 // of its process then
+
+	// probing is set after a rejection until an append matches: one append at a
+	// time is under way then, so that rejections do not multiply.
+	probing bool
+	probed  Time // sending time of the newest probe
+	// snapshot is the index of a snapshot under way; 0: none.
+	snapshot   uint64
+	snapshotAt Time // its sending time
 }
 
 // Node is one replica of the group.
@@ -298,5 +307,5 @@
 
 // EntriesAfter returns the entries behind index i.
 func (n *Node) EntriesAfter(i uint64) []Entry {
-	return n.log.slice(i+1, int(n.log.last()-i))
+	return n.log.slice(i+1, int(n.log.last()-i), math.MaxInt)
 }
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "math"
+
 // Ready is the work that a step left for the caller; see the package contract.
 type Ready struct {
 	HardState *HardState // nil when unchanged
@@ -29,10 +31,10 @@
 		n.handedHard = hs
 	}
 	if n.log.stable < n.log.last() {
-		r.Entries = n.log.slice(n.log.stable+1, int(n.log.last()-n.log.stable))
+		r.Entries = n.log.slice(n.log.stable+1, int(n.log.last()-n.log.stable), math.MaxInt)
 	}
 	if n.applied < n.commit {
-		r.Committed = n.log.slice(n.applied+1, int(n.commit-n.applied))
+		r.Committed = n.log.slice(n.applied+1, int(n.commit-n.applied), math.MaxInt)
 	}
 	return r
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -120,12 +120,15 @@
 	}
 	p.acked = max(p.acked, m.Sent)
 	if m.Reject {
-		if m.Index == p.next-1 || p.next > m.Hint+1 {
-			p.next = max(m.Hint+1, p.match+1)
-			n.sendAppend(m.From)
-		}
+		n.stepReject(p, m)
 		return
 	}
+	if m.Index >= p.snapshot {
+		p.snapshot = 0
+	}
+	if p.probing {
+		p.probing, p.next = false, m.Index+1
+	}
 	p.clock, p.life = m.Clock, m.Life
 	p.match = max(p.match, m.Index)
 	p.next = max(p.next, p.match+1)
@@ -135,6 +138,17 @@
 	}
 }
 
+// stepReject goes back to where the logs may match. Of several rejections in a
+// row only the one of the newest probe counts.
+func (n *Node) stepReject(p *progress, m Message) {
+	if p.snapshot != 0 || m.Index < p.match || p.probing && m.Index != p.next-1 {
+		return
+	}
+	p.next = max(min(m.Hint, m.Index-1)+1, p.match+1)
+	p.probing, p.probed = true, 0
+	n.sendAppend(m.From)
+}
+
 func (n *Node) stepSnapshot(m Message) {
 	if m.Snapshot == nil || !n.follow(m) {
 		return
@@ -175,22 +189,40 @@
 }
 
 // sendAppend sends what id lacks. A snapshot message goes out without data;
-// the caller fills it in from storage.
+// the caller fills it in from storage. While a snapshot is under way, or more
+// entries than a window are, only heartbeats go out; while probing, one append
+// per heartbeat interval unless a reply has come.
 func (n *Node) sendAppend(id ID) {
 	p := n.progress[id]
 	if p == nil {
 		return
 	}
+	if p.snapshot != 0 && n.now >= p.snapshotAt+n.cfg.SnapshotRetry {
+		p.snapshot = 0
+		p.next = p.match + 1
+	}
+	if p.probing && p.probed != 0 && n.now < p.probed+n.cfg.Heartbeat {
+		return
+	}
 	prev := p.next - 1
 	t, ok := n.log.term(prev)
 	if !ok {
 		meta := n.log.snapshot
 		n.send(Message{Kind: MsgSnapshot, To: id, Sent: n.now, Snapshot: &Snapshot{Meta: meta}})
 		p.next = meta.Index + 1
+		p.snapshot, p.snapshotAt = meta.Index, n.now
+		p.probing = false
 		return
 	}
-	es := n.log.slice(p.next, n.cfg.MaxAppend)
-	p.next += uint64(len(es))
+	var es []Entry
+	if p.snapshot == 0 && n.log.bytes(p.match+1, p.next) < n.cfg.WindowBytes {
+		es = n.log.slice(p.next, n.cfg.MaxAppend, n.cfg.MaxAppendBytes)
+	}
+	if p.probing {
+		p.probed = n.now
+	} else {
+		p.next += uint64(len(es))
+	}
 	_, leased := n.LeaseUntil()
 	n.send(Message{
 		Kind: MsgAppend, To: id, Index: prev, LogTerm: t, Entries: es, Commit: n.commit, Sent: n.now,
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -343,7 +343,7 @@
 // publish makes the loop's view readable and wakes those who wait for it.
 func (r *Replica) publish() {
 	st := r.node.Status()
-	r.status.Store(&st)
+	r.reportRole(r.status.Swap(&st), &st)
 	l := Leadership{}
 	if until, ok := r.node.LeaseUntil(); ok {
 		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), Ends: r.start + until}
@@ -369,6 +369,15 @@
 	}
 }
 
+// reportRole logs a change of role, term or leader.
+func (r *Replica) reportRole(old, now *consensus.Status) {
+	if old != nil && old.Role == now.Role && old.Term == now.Term && old.Leader == now.Leader {
+		return
+	}
+	r.log.Info("Role in the control group.", "id", now.ID, "role", now.Role, "term", now.Term, "leader", now.Leader,
+		"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members))
+}
+
 // errOverwritten answers a proposal that another leader's entry replaced.
 func errOverwritten() error {
 	return result.Later(result.NotLeader, time.Second, "another leader's entry took its place")
