Say that no entry is known instead of an empty list

An entry that knows no address answered 200 with an empty list, and the list left out every entry that was not fresh, so callers got no address while the group had no quorum. It answers 503 with a time to come back now, and lists the live entries where none is fresh.

--- /dev/null
+++ b/internal/control/grouping_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/testkit"
+)
+
+// group is a simulated control group: the leader is replica r0 at machine 0.
+type group struct {
+	view    GroupView
+	machine map[consensus.ID]int
+}
+
+func newGroup(voters int) *group {
+	g := &group{machine: map[consensus.ID]int{}}
+	g.view = GroupView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, Silent: map[consensus.ID]time.Duration{}, Retiring: map[string]bool{}, Voters: voters}
+	for i := range voters {
+		m := g.member(consensus.ID(fmt.Sprint("r", i)), i)
+		m.Voter = true
+		g.view.Members[m.ID] = m
+		g.start(m.ID, i)
+	}
+	return g
+}
+
+func (g *group) member(id consensus.ID, machine int) consensus.Member {
+	return consensus.Member{ID: id, Address: fmt.Sprint("m", machine), Zone: fmt.Sprint("z", machine%3)}
+}
+
+func (g *group) start(id consensus.ID, machine int) {
+	g.view.Live = append(g.view.Live, g.member(id, machine))
+	g.view.Match[id] = g.view.Commit
+	g.view.Silent[id] = 0
+}
+
+func (g *group) stop(id consensus.ID, silent time.Duration) {
+	var live []consensus.Member
+	for _, m := range g.view.Live {
+		if m.ID != id {
+			live = append(live, m)
+		}
+	}
+	g.view.Live = live
+	g.view.Silent[id] = silent
+}
+
+// settle takes steps until nothing is left to do.
+func (g *group) settle(t Gomega) int {
+	for steps := 0; ; steps++ {
+		t.Expect(steps).To(BeNumerically("<", 40))
+		next, _, ok := g.view.Next()
+		if !ok {
+			return steps
+		}
+		t.Expect(g.view.Members.OneApart(next) || g.view.Members.Exchanges(next)).To(BeTrue())
+		t.Expect(next.IsVoter("r0")).To(BeTrue(), "the leader keeps its vote")
+		t.Expect(next.Voters()).To(BeNumerically(">=", min(g.view.Voters, g.view.Members.Voters())-0))
+		g.view.Members = next
+	}
+}
+
+func (g *group) voters() []consensus.ID {
+	var out []consensus.ID
+	for _, id := range g.view.Members.IDs() {
+		if g.view.Members.IsVoter(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func TestHealthyGroupIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(newGroup(3).settle(g)).To(BeZero())
+}
+
+func TestLostDiskIsReplacedAtItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	x := newGroup(3)
+	x.stop("r1", 0)
+	x.start("r1b", 1)
+	x.view.Match["r1b"] = 0
+	g.Expect(x.settle(g)).To(Equal(1), "a learner that lacks entries gets no vote")
+	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r1"), consensus.ID("r2")))
+	x.view.Match["r1b"] = x.view.Commit
+	x.settle(g)
+	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r1b"), consensus.ID("r2")))
+}
+
+func TestReplacedMachineTakesOverTheVote(t *testing.T) {
+	g := NewWithT(t)
+	x := newGroup(3)
+	x.stop("r2", voterDeadAfter+time.Millisecond)
+	x.start("n", 5)
+	x.settle(g)
+	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r1"), consensus.ID("n")))
+}
+
+func TestSilentVoterStaysWithoutAnother(t *testing.T) {
+	g := NewWithT(t)
+	x := newGroup(3)
+	x.stop("r2", time.Hour)
+	g.Expect(x.settle(g)).To(BeZero())
+}
+
+func TestEmptiedReplicaGivesItsVoteAway(t *testing.T) {
+	g := NewWithT(t)
+	x := newGroup(3)
+	x.start("n", 5)
+	x.settle(g)
+	g.Expect(x.voters()).To(HaveLen(3))
+	x.view.Retiring["m1"] = true
+	x.settle(g)
+	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r2"), consensus.ID("n")))
+	g.Expect(x.view.Members).NotTo(HaveKey(consensus.ID("r1")))
+}
+
+// Whatever is lost, added and wiped while the leader lives: repair ends, and
+// leaves as many live voters as there are live replicas, up to the wanted number.
+func TestRepairEndsWithLiveVoters(t *testing.T) {
+	testkit.FixSeed()
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		want := rapid.SampledFrom([]int{3, 5}).Draw(rt, "voters")
+		x := newGroup(want)
+		fresh := 0
+		for range rapid.IntRange(1, 12).Draw(rt, "events") {
+			machine := rapid.IntRange(1, 8).Draw(rt, "machine")
+			address := fmt.Sprint("m", machine)
+			for _, m := range x.view.Live {
+				if m.Address == address {
+					x.stop(m.ID, time.Minute)
+				}
+			}
+			if rapid.Bool().Draw(rt, "back with an empty disk") {
+				fresh++
+				x.start(consensus.ID(fmt.Sprint("n", fresh)), machine)
+			}
+			if rapid.Bool().Draw(rt, "repair") {
+				x.settle(g)
+			}
+		}
+		x.settle(g)
+		live := 0
+		for _, id := range x.voters() {
+			if x.view.live(id) {
+				live++
+			}
+		}
+		g.Expect(live).To(Equal(min(want, len(x.view.Live))))
+	})
+}
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -25,15 +25,24 @@
 	return cmp.Or(cmp.Compare(d.Incarnation, o.Incarnation), cmp.Compare(d.Seq, o.Seq))
 }
 
-// Entries returns the daemons that callers in zone should use: fresh and not
-// draining, the caller's zone first, then the least loaded.
+// Entries returns the daemons that callers in zone should use: those that take
+// callers and are not draining, the caller's zone first, then the least loaded.
+// Fresh ones are preferred; where none is, the others still serve open routes and
+// answers that are ready.
 func Entries(live []Daemon, zone string) []Daemon {
-	var out []Daemon
+	var out, stale []Daemon
 	for _, d := range live {
-		if d.Fresh && !d.Draining {
+		switch {
+		case d.Draining || d.CallerAddress == "":
+		case d.Fresh:
 			out = append(out, d)
+		default:
+			stale = append(stale, d)
 		}
 	}
+	if len(out) == 0 {
+		out = stale
+	}
 	far := func(d Daemon) int {
 		if d.Zone == zone {
 			return 0
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -109,12 +109,22 @@
 var _ = Describe("Entries", func() {
 	It("lists fresh daemons that stay, the caller's zone first, then the least loaded", func() {
 		ds := []Daemon{
-			{ID: "far", Zone: "b", Fresh: true},
-			{ID: "busy", Zone: "a", Fresh: true, InFlight: 3},
-			{ID: "idle", Zone: "a", Fresh: true},
-			{ID: "old", Zone: "a"},
-			{ID: "leaving", Zone: "a", Fresh: true, Draining: true},
+			{ID: "far", Zone: "b", Fresh: true, CallerAddress: "x"},
+			{ID: "busy", Zone: "a", Fresh: true, InFlight: 3, CallerAddress: "x"},
+			{ID: "idle", Zone: "a", Fresh: true, CallerAddress: "x"},
+			{ID: "old", Zone: "a", CallerAddress: "x"},
+			{ID: "leaving", Zone: "a", Fresh: true, Draining: true, CallerAddress: "x"},
+			{ID: "no entry", Zone: "a", Fresh: true},
 		}
 		Expect(ids(Entries(ds, "a"))).To(Equal([]string{"idle", "busy", "far"}))
 	})
+
+	It("lists the others while none is fresh, as when the control group has no quorum", func() {
+		ds := []Daemon{
+			{ID: "far", Zone: "b", CallerAddress: "x"},
+			{ID: "near", Zone: "a", CallerAddress: "x"},
+			{ID: "leaving", Zone: "a", Draining: true, CallerAddress: "x"},
+		}
+		Expect(ids(Entries(ds, "a"))).To(Equal([]string{"near", "far"}))
+	})
 })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,18 +247,10 @@
 // zone's where two or more are up, else all.
 func (n *Node) Entries(zone string) []string {
 	var near, all []string
-	for _, fresh := range []bool{true, false} {
-		for _, d := range n.gossip.Live() {
-			if d.CallerAddress == "" || d.Draining || fresh && !d.Fresh {
-				continue
-			}
-			all = append(all, d.CallerAddress)
-			if d.Zone == zone {
-				near = append(near, d.CallerAddress)
-			}
-		}
-		if len(all) > 0 {
-			break // stale entries are only better than none
+	for _, d := range member.Entries(n.gossip.Live(), zone) {
+		all = append(all, d.CallerAddress)
+		if d.Zone == zone {
+			near = append(near, d.CallerAddress)
 		}
 	}
 	if len(near) >= 2 {
@@ -267,6 +259,9 @@
 	return all
 }
 
+// Group returns the control group as this node last heard of it.
+func (n *Node) Group() consensus.Membership { return n.follower.Members() }
+
 // liveReplicas lists the replicas that run now.
 func (n *Node) liveReplicas() []consensus.Member {
 	var out []consensus.Member
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -42,6 +42,7 @@
 	UpstreamMoved     Code = 220
 	NoConfiguration   Code = 221
 	Stopped           Code = 222
+	NoEntry           Code = 223
 
 	StepUnknown    Code = 301
 	StepMoved      Code = 302
--- a/internal/result/info.go
+++ b/internal/result/info.go
@@ -49,6 +49,7 @@
 	{UpstreamMoved, "upstream-moved", NotRun, http.StatusServiceUnavailable, "Another upstream answers at the address; it did not run the request.", "Come back after Retry-After."},
 	{NoConfiguration, "no-configuration", NotRun, http.StatusServiceUnavailable, "This entry has no configuration yet.", "Use another entry, or come back after Retry-After."},
 	{Stopped, "stopped", Unknown, http.StatusBadGateway, "The work was stopped because its batch job ended.", "Nothing."},
+	{NoEntry, "no-entry", NotRun, http.StatusServiceUnavailable, "This daemon knows no entry that takes callers yet.", "Come back after Retry-After, or ask another daemon."},
 
 	{StepUnknown, "step-unknown", NotRun, http.StatusNotFound, "No such step.", "Open the step first."},
 	{StepMoved, "step-moved", NotRun, http.StatusConflict, "The owner of the step was lost or replaced.", "Open the step again under the same id."},
--- a/internal/routing/suite_test.go
+++ b/internal/routing/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/apricotstream/apricotstream/internal/testkit"
 )
 
-func TestRouting(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "routing")
-}
+func TestRouting(t *testing.T) { testkit.Run(t, "routing") }
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -53,17 +54,29 @@
 
 // addresses asks the known entries in turn for those to use.
 func (c *Caller) addresses(ctx context.Context) ([]string, error) {
-	var last error
-	for _, e := range c.Entries {
-		list, err := c.ask(ctx, e)
-		if err == nil && len(list) > 0 {
-			return list, nil
+	until := time.Now().Add(findTime)
+	for {
+		last := errors.New("no entries are given")
+		for _, e := range c.Entries {
+			list, err := c.ask(ctx, e)
+			if err == nil {
+				return list, nil
+			}
+			last = err
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			return nil, fmt.Errorf("no entry answers: %w", last)
 		}
-		last = err
+		time.Sleep(findPause)
 	}
-	return nil, fmt.Errorf("no entry answers: %w", last)
 }
 
+// Finding an entry: those that are starting say when to come back.
+const (
+	findTime  = 5 * time.Second
+	findPause = 200 * time.Millisecond
+)
+
 func (c *Caller) ask(ctx context.Context, entry string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -76,6 +89,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("entry %s answers %d", entry, resp.StatusCode)
+	}
 	var body struct {
 		Entries []struct {
 			Address string `json:"address"`
--- a/internal/weights/assign_test.go
+++ b/internal/weights/assign_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/apricotstream/apricotstream/internal/testkit"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -50,6 +51,7 @@
 // Whatever engines come and go: every engine has a model, none is without one
 // while engines suffice, and an engine keeps its model where shares allow it.
 func TestAssignmentIsStable(t *testing.T) {
+	testkit.FixSeed()
 	rapid.Check(t, func(rt *rapid.T) {
 		g := NewWithT(rt)
 		demand := map[string]float64{}
