Start entries with a configuration that no replica can prove yet

A replica that cannot prove its copy now gives it to a daemon that holds none, which serves with it and goes on asking.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	GOBIN=$(GOBIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
 lint:
-	@out="$$($(GOFUMPT) -l cmd internal)"; if [ -n "$$out" ]; then echo "gofumpt wants changes in:"; echo "$$out"; exit 1; fi
+	@out="$$($(GOFUMPT) -l cmd internal platform)"; if [ -n "$$out" ]; then echo "gofumpt wants changes in:"; echo "$$out"; exit 1; fi
 	$(GOLANGCI) run ./...
 
 unit:
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -107,6 +107,9 @@
 			f.log.Error("Sync answer refused.", "err", err.Error())
 			continue
 		}
+		if reply.Unproven {
+			continue
+		}
 		until := asked.Add(reply.Held - reply.Age + f.lease)
 		f.until.Store(&until)
 		return true
--- a/internal/control/follower_test.go
+++ b/internal/control/follower_test.go
@@ -101,3 +101,30 @@
 		})
 	}
 }
+
+// After a restart of everything no replica can prove that its copy is the newest
+// until a leader is elected. A daemon that holds nothing takes such a copy, but
+// does not rely on it, and goes on asking.
+func TestDaemonWithoutConfigurationTakesAnUnprovenOne(t *testing.T) {
+	g := NewWithT(t)
+	all, _ := history(3)
+	asked := 0
+	unproven := scripted(func(q SyncRequest) (SyncReply, error) {
+		asked++
+		return SyncReply{Cluster: "c", Config: all[2], Unproven: true}, nil
+	})
+	proven := scripted(func(q SyncRequest) (SyncReply, error) {
+		asked++
+		return SyncReply{Cluster: "c", Config: all[3]}, nil
+	})
+	f := NewFollower(func() []Source { return []Source{unproven} }, time.Second, log.New(io.Discard))
+	g.Expect(f.round(t.Context())).To(BeFalse())
+	g.Expect(f.Config().Version).To(Equal(uint64(2)))
+	g.Expect(f.Fresh()).To(BeFalse())
+	f = NewFollower(func() []Source { return []Source{unproven, proven} }, time.Second, log.New(io.Discard))
+	asked = 0
+	g.Expect(f.round(t.Context())).To(BeTrue())
+	g.Expect(asked).To(Equal(2))
+	g.Expect(f.Config().Version).To(Equal(uint64(3)))
+	g.Expect(f.Fresh()).To(BeTrue())
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -61,6 +61,9 @@
 	Members consensus.Membership `json:"members,omitempty"` // when it is not the one the asker knows
 	Held    time.Duration        `json:"held,omitempty"`    // nanoseconds
 	Age     time.Duration        `json:"age,omitempty"`     // nanoseconds
+	// Unproven is set when the replica cannot tell how old its copy is. Only a
+	// daemon that holds no configuration gets such an answer.
+	Unproven bool `json:"unproven,omitempty"`
 }
 
 // Change is one accepted change of the configuration.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -50,6 +50,9 @@
 	p, ok := r.node.ReadPoint()
 	st := r.node.Status()
 	if !ok || st.Applied < p.Index || now-p.AsOf > maxSyncAge {
+		if q.After == 0 && r.state.Config.Version > 0 {
+			return SyncReply{Cluster: r.cluster, Config: r.state.Config, Members: st.Members, Unproven: true}, nil
+		}
 		return SyncReply{}, result.Later(result.NotLeader, time.Second, "this replica has not heard from the leader lately")
 	}
 	reply := SyncReply{Cluster: r.cluster, Held: time.Since(arrived), Age: now - p.AsOf}
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -75,8 +75,10 @@
 
 // NewWeights returns the duty; Run must follow.
 func NewWeights(t *Term, p Published, upstreams func() []upstream.Announcement, h *weights.Holdings, e Engines, logger *log.Logger) *Weights {
-	return &Weights{term: t, published: p, upstreams: upstreams, holdings: h, engines: e, log: logger, planners: map[loadPlace]*weights.Planner{},
-		homes: map[string]weights.Assignment{}, ordered: map[loadPlace]time.Time{}}
+	return &Weights{
+		term: t, published: p, upstreams: upstreams, holdings: h, engines: e, log: logger, planners: map[loadPlace]*weights.Planner{},
+		homes: map[string]weights.Assignment{}, ordered: map[loadPlace]time.Time{},
+	}
 }
 
 // Run works until ctx ends.
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -16,10 +16,13 @@
 // pool implements batch.Pool.
 type pool struct{ n *Node }
 
-func (p pool) Known() []upstream.Announcement                     { return p.n.directory.Known() }
-func (p pool) Loading(id string) bool                             { return p.n.holdings.Loading(id) }
+func (p pool) Known() []upstream.Announcement { return p.n.directory.Known() }
+func (p pool) Loading(id string) bool { return p.n.holdings.Loading(id) }
+
 func (p pool) Versions(a upstream.Announcement) map[string]uint64 { return p.n.holdings.Versions(a) }
-func (p pool) Seen(id, model string, version uint64)              { p.n.holdings.Seen(id, model, version) }
+
+func (p pool) Seen(id, model string, version uint64) { p.n.holdings.Seen(id, model, version) }
+
 func (p pool) Slots(a upstream.Announcement) int {
 	if t := p.n.Table(); t != nil {
 		if s, ok := t.Config.Service(a.Service); ok && s.Engine != nil && s.Engine.Slots > 0 {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -62,13 +62,13 @@
 func (*trusting) Blocked(string) bool                { return false }
 func (t *trusting) Failed(*Request, string, Attempt) { t.failed++ }
 
-func serve(f *fleet, route routing.Route) (*Answer, error, *tally) {
+func serve(f *fleet, route routing.Route) (*Answer, *tally, error) {
 	count := &tally{}
 	p := New(log.New(io.Discard), "z", chooser.New(f), f, count, &trusting{})
 	q := &Request{ID: "r", Account: "one", Route: &route, Service: "s", Method: http.MethodPost, Target: "/", Deadline: time.Now().Add(1500 * time.Millisecond)}
 	a, err := p.Serve(context.Background(), q)
 	synctest.Wait()
-	return a, err, count
+	return a, count, err
 }
 
 func ok() (*Answer, error)                { return &Answer{Status: http.StatusOK}, nil }
@@ -94,52 +94,72 @@
 		status int
 		counts int
 	}{
-		{name: "at once", route: safe, sent: 1, status: 200, counts: 1,
-			answer: func(context.Context, string, int) (*Answer, error) { return ok() }},
-		{name: "a full upstream is passed over and counts as no run", route: safe, sent: 2, status: 200, counts: 1,
+		{
+			name: "at once", route: safe, sent: 1, status: 200, counts: 1,
+			answer: func(context.Context, string, int) (*Answer, error) { return ok() },
+		},
+		{
+			name: "a full upstream is passed over and counts as no run", route: safe, sent: 2, status: 200, counts: 1,
 			answer: func(_ context.Context, _ string, n int) (*Answer, error) {
 				if n == 1 {
 					return fail(result.UpstreamBusy)
 				}
 				return ok()
-			}},
-		{name: "an answer that was cut off is fetched again", route: safe, sent: 2, status: 200, counts: 2,
+			},
+		},
+		{
+			name: "an answer that was cut off is fetched again", route: safe, sent: 2, status: 200, counts: 2,
 			answer: func(_ context.Context, _ string, n int) (*Answer, error) {
 				if n == 1 {
 					return fail(result.AnswerCut)
 				}
 				return ok()
-			}},
-		{name: "no more runs than the route allows", route: safe, sent: 3, code: result.UpstreamFailed, counts: 3,
-			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamFailed) }},
-		{name: "a failure of the upstream itself is passed on after the last run", route: safe, sent: 3, status: 500, counts: 3,
-			answer: func(context.Context, string, int) (*Answer, error) { return &Answer{Status: 500}, nil }},
-		{name: "all full: refused as not run", route: safe, sent: maxRefusals, code: result.NoUpstream,
-			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamBusy) }},
-		{name: "a non-idempotent request that may have run is not sent again", route: once, sent: 1, code: result.UpstreamFailed, counts: 1,
-			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamFailed) }},
-		{name: "a non-idempotent request that did not run is", route: once, sent: 2, status: 200, counts: 1,
+			},
+		},
+		{
+			name: "no more runs than the route allows", route: safe, sent: 3, code: result.UpstreamFailed, counts: 3,
+			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamFailed) },
+		},
+		{
+			name: "a failure of the upstream itself is passed on after the last run", route: safe, sent: 3, status: 500, counts: 3,
+			answer: func(context.Context, string, int) (*Answer, error) { return &Answer{Status: 500}, nil },
+		},
+		{
+			name: "all full: refused as not run", route: safe, sent: maxRefusals, code: result.NoUpstream,
+			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamBusy) },
+		},
+		{
+			name: "a non-idempotent request that may have run is not sent again", route: once, sent: 1, code: result.UpstreamFailed, counts: 1,
+			answer: func(context.Context, string, int) (*Answer, error) { return fail(result.UpstreamFailed) },
+		},
+		{
+			name: "a non-idempotent request that did not run is", route: once, sent: 2, status: 200, counts: 1,
 			answer: func(_ context.Context, _ string, n int) (*Answer, error) {
 				if n == 1 {
 					return fail(result.UpstreamUnreached)
 				}
 				return ok()
-			}},
-		{name: "a silent upstream is hedged within the target", route: safe, sent: 2, status: 200, counts: 2,
+			},
+		},
+		{
+			name: "a silent upstream is hedged within the target", route: safe, sent: 2, status: 200, counts: 2,
 			answer: func(ctx context.Context, _ string, n int) (*Answer, error) {
 				if n == 1 {
 					return hang(ctx)
 				}
 				return ok()
-			}},
-		{name: "a non-idempotent request is never hedged", route: once, sent: 1, code: result.UpstreamTimeout, counts: 1,
-			answer: func(ctx context.Context, _ string, _ int) (*Answer, error) { return hang(ctx) }},
+			},
+		},
+		{
+			name: "a non-idempotent request is never hedged", route: once, sent: 1, code: result.UpstreamTimeout, counts: 1,
+			answer: func(ctx context.Context, _ string, _ int) (*Answer, error) { return hang(ctx) },
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				f := &fleet{n: 6, answer: c.answer}
-				a, err, count := serve(f, c.route)
+				a, count, err := serve(f, c.route)
 				g.Expect(result.CodeOf(err)).To(Equal(c.code))
 				if c.status != 0 {
 					g.Expect(a.Status).To(Equal(c.status))
@@ -169,7 +189,7 @@
 			time.Sleep(25 * time.Millisecond)
 			return ok()
 		}}
-		_, err, _ := serve(f, safe)
+		_, _, err := serve(f, safe)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(time.Since(began)).To(BeNumerically("<", safe.TargetLatency))
 	})
@@ -179,7 +199,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		began := time.Now()
-		_, err, _ := serve(&fleet{}, safe)
+		_, _, err := serve(&fleet{}, safe)
 		g.Expect(result.CodeOf(err)).To(Equal(result.NoUpstream))
 		g.Expect(result.From(err).RetryAfter).To(BeNumerically(">", 0))
 		g.Expect(time.Since(began)).To(BeZero())
