--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -17,6 +17,7 @@
 	MethodMembers   = "control.members"    // call: MembersRequest -> MembersReply
 	MethodReadBatch = "control.read_batch" // call: BatchReadRequest -> BatchReadReply
 	MethodRetire    = "control.retire"     // call: RetireRequest -> RetireReply
+	MethodSnapshot  = "control.snapshot"   // call: SnapshotPart -> SnapshotTaken
 )
 
 // StepNotice carries a message of the agreement core. A replica of another
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -66,6 +66,10 @@
 	changed chan struct{}   // closed when the configuration changes
 	retired map[string]bool // peer addresses of replicas to be emptied; replaced, never changed
 
+	snapshotsMu sync.Mutex
+	sending     map[string]bool         // peer addresses that a snapshot is being sent to
+	parts       map[consensus.ID][]byte // snapshots being received, by sender
+
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
 	config     atomic.Pointer[state.Config]
@@ -114,6 +118,7 @@
 		heard:      map[consensus.ID]string{},
 		changed:    make(chan struct{}),
 		batchWaits: map[string]chan struct{}{}, openBatches: make(chan struct{}),
+		sending: map[string]bool{}, parts: map[consensus.ID][]byte{},
 		done: make(chan struct{}),
 	}
 	r.node = consensus.New(consensus.Config{
@@ -254,15 +259,15 @@
 func (r *Replica) send(ms []consensus.Message) {
 	members := r.node.Status().Members
 	for _, m := range ms {
-		if m.Kind == consensus.MsgSnapshot {
-			s := r.disk.Snapshot()
-			m.Snapshot = &s
-		}
 		address := members[m.To].Address
 		if address == "" {
 			address = r.heard[m.To]
 		}
-		if address != "" {
+		switch {
+		case address == "":
+		case m.Kind == consensus.MsgSnapshot:
+			r.sendSnapshot(address, m)
+		default:
 			r.client.Notify(address, MethodStep, StepNotice{Cluster: r.cluster, Address: r.address, Message: m})
 		}
 	}
@@ -316,9 +321,9 @@
 // compact stores a snapshot once enough entries follow the last one.
 func (r *Replica) compact() error {
 	st := r.node.Status()
-	last := r.disk.Snapshot()
-	many := st.Applied >= last.Meta.Index+snapshotEntries && r.logged < largeSnapshot
-	large := r.logged >= max(snapshotBytes, 2*len(last.Data))
+	last, size := r.disk.Snapshot()
+	many := st.Applied >= last.Index+snapshotEntries && r.logged < largeSnapshot
+	large := r.logged >= max(snapshotBytes, 2*size)
 	if !many && !large {
 		return nil
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -23,6 +23,7 @@
 	peer.Handle(s, MethodMembers, r.Members)
 	peer.Handle(s, MethodReadBatch, r.ReadBatch)
 	peer.Handle(s, MethodRetire, r.Retire)
+	peer.Handle(s, MethodSnapshot, r.takeSnapshot)
 }
 
 // Step takes in a message of the agreement core. It is dropped when the loop
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -17,7 +17,7 @@
 type pool struct{ n *Node }
 
 func (p pool) Known() []upstream.Announcement { return p.n.directory.Known() }
-func (p pool) Loading(id string) bool { return p.n.holdings.Loading(id) }
+func (p pool) Loading(id string) bool         { return p.n.holdings.Loading(id) }
 
 func (p pool) Versions(a upstream.Announcement) map[string]uint64 { return p.n.holdings.Versions(a) }
 
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -93,7 +93,9 @@
 }
 
 // MarshalJSON implements json.Marshaler.
-func (l *Ledger) MarshalJSON() ([]byte, error) {
+func (l *Ledger) MarshalJSON() ([]byte, error) { return json.Marshal(l.image()) }
+
+func (l *Ledger) image() ledgerImage {
 	im := ledgerImage{
 		Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
 		LastWindow: l.LastWindow, LastEnd: l.LastEnd, Ops: l.Ops, OpOrder: l.OpOrder, History: l.History,
@@ -102,7 +104,7 @@
 	for _, id := range l.ClaimOrder {
 		im.Claims = append(im.Claims, l.Claims[id])
 	}
-	return json.Marshal(im)
+	return im
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,7 +32,11 @@
 
 // Encode returns a snapshot.
 func (s *State) Encode() ([]byte, error) {
-	return json.Marshal(s)
+	// The ledger's own marshaller would have the whole image copied once more.
+	return json.Marshal(struct {
+		Config *Config     `json:"config"`
+		Ledger ledgerImage `json:"ledger"`
+	}{s.Config, s.Ledger.image()})
 }
 
 // Apply executes c. Applying an operation again gives its first outcome; another
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -13,11 +13,12 @@
 
 // Disk is an open data folder. It is used by one goroutine.
 type Disk struct {
-	dir      string
-	log      *os.File
-	snapshot consensus.Snapshot
-	hard     consensus.HardState
-	failed   error // first failure; final
+	dir    string
+	log    *os.File
+	meta   consensus.SnapshotMeta // of the newest snapshot
+	size   int                    // of its data, in bytes
+	hard   consensus.HardState
+	failed error // first failure; final
 }
 
 // Loaded is the durable state found at opening.
@@ -54,7 +55,7 @@
 	if err := replay(logs, &l); err != nil {
 		return nil, l, err
 	}
-	d := &Disk{dir: dir, snapshot: l.Snapshot, hard: l.Hard}
+	d := &Disk{dir: dir, meta: l.Snapshot.Meta, size: len(l.Snapshot.Data), hard: l.Hard}
 	if err := d.openLog(); err != nil {
 		return nil, l, err
 	}
@@ -86,7 +87,7 @@
 	return filepath.Join(dir, fmt.Sprintf("log-%020d.wal", index))
 }
 
-func (d *Disk) logPath() string { return logPath(d.dir, d.snapshot.Meta.Index) }
+func (d *Disk) logPath() string { return logPath(d.dir, d.meta.Index) }
 
 func (d *Disk) openLog() error {
 	f, err := os.OpenFile(d.logPath(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -141,7 +142,7 @@
 	if err := writeSnapshot(d.dir, s); err != nil {
 		return err
 	}
-	d.snapshot = s
+	d.meta, d.size = s.Meta, len(s.Data)
 	if err := d.openLog(); err != nil {
 		return err
 	}
@@ -159,7 +160,7 @@
 		if err != nil {
 			return err
 		}
-		keep := fmt.Sprintf("%s%020d%s", kind[0], d.snapshot.Meta.Index, kind[1])
+		keep := fmt.Sprintf("%s%020d%s", kind[0], d.meta.Index, kind[1])
 		for _, p := range paths {
 			if filepath.Base(p) < keep {
 				if err := os.Remove(p); err != nil {
@@ -171,8 +172,15 @@
 	return nil
 }
 
-// Snapshot returns the newest stored snapshot.
-func (d *Disk) Snapshot() consensus.Snapshot { return d.snapshot }
+// Snapshot returns the place of the newest stored snapshot and the size of its
+// data in bytes.
+func (d *Disk) Snapshot() (consensus.SnapshotMeta, int) { return d.meta, d.size }
+
+// OpenSnapshot opens the file of the newest stored snapshot; DecodeSnapshot reads
+// its content. The caller closes it.
+func (d *Disk) OpenSnapshot() (*os.File, error) {
+	return os.Open(snapshotPath(d.dir, d.meta.Index))
+}
 
 // Close releases the folder.
 func (d *Disk) Close() error { return d.log.Close() }
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -1,10 +1,13 @@
 package storage
 
 import (
+	"bufio"
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -12,31 +15,74 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
+// checksumBytes is the size of the CRC-32C before a snapshot's JSON text.
+const checksumBytes = 4
+
 func snapshotPath(dir string, index uint64) string {
 	return filepath.Join(dir, fmt.Sprintf("snapshot-%020d.json", index))
 }
 
-// writeSnapshot stores s with a CRC-32C before the JSON text.
+// writeSnapshot stores s with a CRC-32C before the JSON text. The data is encoded
+// as it is written: a copy of a large state in memory would be as large again.
 func writeSnapshot(dir string, s consensus.Snapshot) error {
-	body, err := json.Marshal(s)
+	meta, err := json.Marshal(s.Meta)
 	if err != nil {
 		return err
 	}
-	b := binary.LittleEndian.AppendUint32(nil, crc32.Checksum(body, castagnoli))
-	return writeFile(snapshotPath(dir, s.Meta.Index), append(b, body...))
+	return replaceFile(snapshotPath(dir, s.Meta.Index), func(f *os.File) error {
+		if _, err := f.Write(make([]byte, checksumBytes)); err != nil {
+			return err
+		}
+		sum := crc32.New(castagnoli)
+		w := bufio.NewWriterSize(io.MultiWriter(f, sum), 64<<10)
+		if err := encodeSnapshot(w, meta, s.Data); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		if _, err := f.Seek(0, io.SeekStart); err != nil {
+			return err
+		}
+		_, err := f.Write(binary.LittleEndian.AppendUint32(nil, sum.Sum32()))
+		return err
+	})
+}
+
+// encodeSnapshot writes the JSON form of a consensus.Snapshot.
+func encodeSnapshot(w *bufio.Writer, meta, data []byte) error {
+	for _, s := range []string{`{"meta":`, string(meta), `,"data":"`} {
+		if _, err := w.WriteString(s); err != nil {
+			return err
+		}
+	}
+	e := base64.NewEncoder(base64.StdEncoding, w)
+	if _, err := e.Write(data); err != nil {
+		return err
+	}
+	if err := e.Close(); err != nil {
+		return err
+	}
+	_, err := w.WriteString(`"}`)
+	return err
 }
 
 func readSnapshot(path string) (consensus.Snapshot, error) {
-	var s consensus.Snapshot
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return s, err
+		return consensus.Snapshot{}, err
 	}
-	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.LittleEndian.Uint32(b) {
-		return s, result.New(result.DataCorrupt, "%s: checksum does not match", path)
+	return DecodeSnapshot(path, b)
+}
+
+// DecodeSnapshot reads the content of a snapshot file. name stands in errors.
+func DecodeSnapshot(name string, b []byte) (consensus.Snapshot, error) {
+	var s consensus.Snapshot
+	if len(b) < checksumBytes || crc32.Checksum(b[checksumBytes:], castagnoli) != binary.LittleEndian.Uint32(b) {
+		return s, result.New(result.DataCorrupt, "%s: checksum does not match", name)
 	}
-	if err := json.Unmarshal(b[4:], &s); err != nil {
-		return s, result.New(result.DataCorrupt, "%s: %v", path, err)
+	if err := json.Unmarshal(b[checksumBytes:], &s); err != nil {
+		return s, result.New(result.DataCorrupt, "%s: %v", name, err)
 	}
 	return s, nil
 }
