Save the text of long items for the next leader

Every 24 new events of an item are committed with the results. Retirement of a replica is replicated too, by identity, so that a new leader goes on with it.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -81,6 +82,13 @@
 	a.events = append(a.events, e)
 }
 
+// sofar returns the events so far.
+func (a *attempt) sofar() []Event {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.events)
+}
+
 // progress returns the events since the last call, and the time that the item
 // has run since. The first event is not counted: it comes after the prompt.
 func (a *attempt) progress(now time.Time) (int, time.Duration) {
--- a/internal/batch/committer.go
+++ b/internal/batch/committer.go
@@ -19,38 +19,52 @@
 	commitPause   = 50 * time.Millisecond
 )
 
+// entry is one thing to commit: a result, or text of an item that runs.
+type entry struct {
+	result   *state.BatchResult
+	progress *state.BatchProgress
+}
+
 // committer commits results in the order in which they became final.
 type committer struct {
 	replica Replica
 	log     *log.Logger
-	queue   chan state.BatchResult
+	queue   chan entry
 }
 
 func newCommitter(r Replica, logger *log.Logger) *committer {
-	return &committer{replica: r, log: logger, queue: make(chan state.BatchResult, 4096)}
+	return &committer{replica: r, log: logger, queue: make(chan entry, 4096)}
 }
 
-// add queues a result.
-func (c *committer) add(r state.BatchResult) { c.queue <- r }
+// add queues an entry.
+func (c *committer) add(e entry) { c.queue <- e }
 
 func (c *committer) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-c.queue:
+		case e := <-c.queue:
 			pause(ctx, gatherTime)
-			c.commit(ctx, c.gather(r))
+			c.commit(ctx, c.gather(e))
 		}
 	}
 }
 
-func (c *committer) gather(first state.BatchResult) []state.BatchResult {
-	out := []state.BatchResult{first}
-	for len(out) < maxResults {
+func (c *committer) gather(first entry) *state.BatchRecord {
+	out := &state.BatchRecord{}
+	take := func(e entry) {
+		if e.result != nil {
+			out.Results = append(out.Results, *e.result)
+		} else {
+			out.Progress = append(out.Progress, *e.progress)
+		}
+	}
+	take(first)
+	for len(out.Results)+len(out.Progress) < maxResults {
 		select {
-		case r := <-c.queue:
-			out = append(out, r)
+		case e := <-c.queue:
+			take(e)
 		default:
 			return out
 		}
@@ -60,15 +74,15 @@
 
 // commit tries until the results are recorded or the term ends: recording one
 // twice changes nothing.
-func (c *committer) commit(ctx context.Context, results []state.BatchResult) {
+func (c *committer) commit(ctx context.Context, record *state.BatchRecord) {
 	for ctx.Err() == nil {
 		try, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := c.replica.Propose(try, control.ProposeRequest{Relayed: true, Command: state.Command{BatchRecord: &state.BatchRecord{Results: results}}})
+		_, err := c.replica.Propose(try, control.ProposeRequest{Relayed: true, Command: state.Command{BatchRecord: record}})
 		cancel()
 		if err == nil {
 			return
 		}
-		c.log.Warn("Results not committed.", "results", len(results), "code", int(result.CodeOf(err)), "err", result.From(err).Message)
+		c.log.Warn("Results not committed.", "results", len(record.Results), "code", int(result.CodeOf(err)), "err", result.From(err).Message)
 		pause(ctx, commitPause)
 	}
 }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -26,6 +26,7 @@
 	phase    phase
 	events   []string // data of the events so far
 	lastID   int
+	saved    int      // events that the replicas hold
 	versions []uint64 // that produced events, in order of appearance
 	failures int      // answers of 500 in a row of runs
 	unscored int      // reward requests answered with 500
@@ -52,7 +53,9 @@
 			continue
 		}
 		j.left[spec.Group]++
-		j.items = append(j.items, &item{job: j, spec: spec})
+		it := &item{job: j, spec: spec}
+		it.adopt(open.Partial[spec.ID])
+		j.items = append(j.items, it)
 	}
 	return j
 }
@@ -74,7 +77,40 @@
 
 // restart drops the text, which no version bound allows any more.
 func (it *item) restart() {
-	it.events, it.versions, it.lastID = nil, nil, 0
+	it.events, it.versions, it.lastID, it.saved = nil, nil, 0, 0
+}
+
+// adopt goes on from the text that an earlier leader has saved, where its
+// versions satisfy the job.
+func (it *item) adopt(p state.Partial) {
+	it.events, it.versions = slices.Clone(p.Events), slices.Clone(p.Versions)
+	it.lastID, it.saved = p.LastID, len(p.Events)
+	if !it.sound() {
+		it.restart()
+	}
+}
+
+// saveEvery is how many new events of an item are worth a commit: with fewer, an
+// item ends, or is made again, about as soon.
+const saveEvery = 24
+
+// unsaved returns what a commit should add to the known text, given the events
+// of the attempt under way; nil when that is too little.
+func (it *item) unsaved(running []Event) *state.BatchProgress {
+	if len(it.events)+len(running)-it.saved < saveEvery || it.saved > len(it.events)+len(running) {
+		return nil
+	}
+	whole := item{job: it.job, events: slices.Clone(it.events), versions: slices.Clone(it.versions), lastID: it.lastID}
+	for _, e := range running {
+		whole.record(e)
+	}
+	if !whole.sound() {
+		return nil
+	}
+	p := &state.BatchProgress{Batch: it.job.batch.ID, Item: it.spec.ID, After: it.saved}
+	p.Events, p.LastID, p.Versions = whole.events[it.saved:], whole.lastID, whole.versions
+	it.saved = len(whole.events)
+	return p
 }
 
 // sound reports whether the versions of the text satisfy the job.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -21,10 +21,12 @@
 	leaveMargin = 500 * time.Millisecond
 )
 
-// OpenJob is a batch job to run, with the items that have a result.
+// OpenJob is a batch job to run, with the items that have a result and the text
+// that is known of others.
 type OpenJob struct {
-	Batch  *state.Batch
-	Listed map[string]bool
+	Batch   *state.Batch
+	Listed  map[string]bool
+	Partial map[string]state.Partial // known beginnings of texts, by item
 }
 
 // Engine is what the plan knows of an upstream.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -77,6 +77,7 @@
 		now := time.Now()
 		if now.Sub(paced) >= paceInterval {
 			s.learn(now)
+			s.save()
 			s.move(now)
 			paced = now
 		}
@@ -273,7 +274,7 @@
 	itemSeconds.Update(time.Since(it.job.batch.Accepted).Seconds())
 	r := state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Text: joinEvents(it.events), Versions: it.versions, Score: score}
 	s.plan.Finish(it)
-	s.commit.add(r)
+	s.commit.add(entry{result: &r})
 }
 
 func (s *session) abort(it *item, why string) {
@@ -283,7 +284,7 @@
 		a.stop(result.New(result.Stopped, "the item was given up"))
 	}
 	s.plan.Finish(it)
-	s.commit.add(state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Aborted: true})
+	s.commit.add(entry{result: &state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Aborted: true}})
 }
 
 func (s *session) expire(now time.Time) {
@@ -312,6 +313,15 @@
 	}
 }
 
+// save commits the text of long items, so that the next leader goes on from it.
+func (s *session) save() {
+	for it, a := range s.attempts {
+		if p := it.unsaved(a.sofar()); p != nil {
+			s.commit.add(entry{progress: p})
+		}
+	}
+}
+
 // move stops items on slow or leaving engines, so that they go on elsewhere
 // from their last event, as far as other engines have free slots.
 func (s *session) move(now time.Time) {
--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -42,6 +42,8 @@
 type OpenBatch struct {
 	Batch  *state.Batch
 	Listed map[string]bool // items with a result
+	// Partial is the known beginning of texts, by item.
+	Partial map[string]state.Partial
 }
 
 // ReadBatch reads at the leader, after everything committed before the call.
@@ -123,7 +125,11 @@
 			for i := range b.Results {
 				listed[b.Results[i].Item] = true
 			}
-			out = append(out, OpenBatch{Batch: b, Listed: listed})
+			partial := make(map[string]state.Partial, len(b.Partial))
+			for id, p := range b.Partial {
+				partial[id] = *p
+			}
+			out = append(out, OpenBatch{Batch: b, Listed: listed, Partial: partial})
 		}
 	})
 	return out, err
--- a/internal/control/grouping.go
+++ b/internal/control/grouping.go
@@ -25,7 +25,7 @@
 	Commit   uint64
 	Live     []consensus.Member             // replicas that run now, by their own account
 	Silent   map[consensus.ID]time.Duration // how long members have not been live
-	Retiring map[string]bool                // peer addresses of replicas to empty
+	Retiring map[consensus.ID]bool          // replicas to empty
 	Voters   int                            // wanted number of voters
 }
 
@@ -43,7 +43,7 @@
 // add takes a running replica in as a learner.
 func (v GroupView) add() (consensus.Membership, string, bool) {
 	for _, m := range v.Live {
-		if _, ok := v.Members[m.ID]; ok || v.Retiring[m.Address] {
+		if _, ok := v.Members[m.ID]; ok || v.Retiring[m.ID] {
 			continue
 		}
 		next := v.Members.Clone()
@@ -95,7 +95,7 @@
 	}
 	slices.SortStableFunc(learners, func(a, b consensus.Member) int { return zones[a.Zone] - zones[b.Zone] })
 	for _, l := range learners {
-		if v.Retiring[l.Address] {
+		if v.Retiring[l.ID] {
 			continue
 		}
 		l.Voter = true
@@ -140,7 +140,7 @@
 		if m.Voter || id == v.Self {
 			continue
 		}
-		if v.Silent[id] > learnerDeadAfter || v.Retiring[m.Address] {
+		if v.Silent[id] > learnerDeadAfter || v.Retiring[id] {
 			return v.without(id), "learner " + string(id) + " is gone", true
 		}
 	}
@@ -149,7 +149,7 @@
 
 // leaving reports whether the voter should give up its vote.
 func (v GroupView) leaving(id consensus.ID) bool {
-	return v.Silent[id] > voterDeadAfter || v.Retiring[v.Members[id].Address]
+	return v.Silent[id] > voterDeadAfter || v.Retiring[id]
 }
 
 func (v GroupView) live(id consensus.ID) bool {
--- a/internal/control/grouping_test.go
+++ b/internal/control/grouping_test.go
@@ -20,7 +20,7 @@
 
 func newGroup(voters int) *group {
 	g := &group{machine: map[consensus.ID]int{}}
-	g.view = GroupView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, Silent: map[consensus.ID]time.Duration{}, Retiring: map[string]bool{}, Voters: voters}
+	g.view = GroupView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, Silent: map[consensus.ID]time.Duration{}, Retiring: map[consensus.ID]bool{}, Voters: voters}
 	for i := range voters {
 		m := g.member(consensus.ID(fmt.Sprint("r", i)), i)
 		m.Voter = true
@@ -116,7 +116,7 @@
 	x.start("n", 5)
 	x.settle(g)
 	g.Expect(x.voters()).To(HaveLen(3))
-	x.view.Retiring["m1"] = true
+	x.view.Retiring["r1"] = true
 	x.settle(g)
 	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r2"), consensus.ID("n")))
 	g.Expect(x.view.Members).NotTo(HaveKey(consensus.ID("r1")))
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -63,8 +63,8 @@
 	batchWaitsMu sync.Mutex
 
 	mu      sync.Mutex
-	changed chan struct{}   // closed when the configuration changes
-	retired map[string]bool // peer addresses of replicas to be emptied; replaced, never changed
+	changed chan struct{}         // closed when the configuration changes
+	retired map[consensus.ID]bool // replicas to be emptied; replaced, never changed
 
 	snapshotsMu sync.Mutex
 	sending     map[string]bool         // peer addresses that a snapshot is being sent to
@@ -126,6 +126,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.leadership.Store(&Leadership{})
+	r.markRetired()
 	r.publish()
 	return r, l.Identity, nil
 }
@@ -253,6 +254,7 @@
 	r.changes, r.changeBytes = nil, nil
 	r.logged = 0
 	r.wakeAllBatches()
+	r.markRetired()
 	return nil
 }
 
@@ -283,6 +285,9 @@
 		before := r.state.Config.Version
 		o = r.state.Apply(c)
 		r.batchApplied(c)
+		if c.RetireMark != nil {
+			r.markRetired()
+		}
 		if v := r.state.Config.Version; v != before {
 			r.changes = append(r.changes, Change{Version: v, Command: c.Slim()})
 			r.changes = r.changes[max(0, len(r.changes)-changeHistory):]
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/state"
 )
 
 // RetireRequest asks that a replica be emptied, or how far that is.
@@ -23,7 +23,7 @@
 }
 
 // Retire empties a replica: it gives up its vote to another one and leaves the
-// group. Until that is done the leader refuses to take it back.
+// group, for good under its identity.
 func (r *Replica) Retire(ctx context.Context, q RetireRequest) (RetireReply, error) {
 	if err := r.checkCluster(q.Cluster); err != nil {
 		return RetireReply{}, err
@@ -34,37 +34,40 @@
 		relayed.Cluster, relayed.Relayed = r.cluster, true
 		return relay[RetireReply](ctx, r, q.Relayed, MethodRetire, relayed)
 	}
-	member := false
+	member := consensus.ID("")
 	remaining := 0
-	for _, m := range st.Members {
+	for id, m := range st.Members {
 		if m.Address == q.Address {
-			member = true
+			member = id
 		} else {
 			remaining++
 		}
 	}
-	if q.Start {
+	if q.Start && member != "" {
 		if remaining < q.Keep {
 			return RetireReply{}, result.New(result.MemberConflict, "too few replicas would remain")
 		}
-		r.retire(q.Address)
+		c := state.Command{RetireMark: &state.RetireMark{Replica: string(member)}}
+		if _, err := r.Propose(ctx, ProposeRequest{Relayed: true, Command: c}); err != nil {
+			return RetireReply{}, err
+		}
 	}
-	return RetireReply{Done: !member}, nil
+	return RetireReply{Done: member == ""}, nil
 }
 
-func (r *Replica) retire(address string) {
+// markRetired publishes the replicas to be emptied; it runs in the loop.
+func (r *Replica) markRetired() {
+	next := map[consensus.ID]bool{}
+	for id := range r.state.Ledger.Retired {
+		next[consensus.ID(id)] = true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := maps.Clone(r.retired)
-	if next == nil {
-		next = map[string]bool{}
-	}
-	next[address] = true
 	r.retired = next
 }
 
-// retiring returns the peer addresses of the replicas to be emptied.
-func (r *Replica) retiring() map[string]bool {
+// retiring returns the replicas to be emptied.
+func (r *Replica) retiring() map[consensus.ID]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.retired
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -28,6 +28,8 @@
 
 	Ended   bool          `json:"ended,omitempty"`
 	Results []BatchResult `json:"results,omitempty"` // in their final order
+	// Partial holds what is known of the text of items without a result.
+	Partial map[string]*Partial `json:"partial,omitempty"`
 
 	index  map[string]int // item by id
 	listed map[string]int // position of the result by item id
@@ -71,14 +73,32 @@
 	Score    string   `json:"score,omitempty"`
 }
 
+// Partial is the beginning of an item's text.
+type Partial struct {
+	Events   []string `json:"events"`   // data of the events so far; only ever appended to
+	LastID   int      `json:"last_id"`  // id of the last of them
+	Versions []uint64 `json:"versions"` // weight versions that produced them
+}
+
+// BatchProgress adds to the known text of an item. It has no effect unless After
+// events are known, or After is 0, which begins the text anew.
+type BatchProgress struct {
+	Batch string `json:"batch"`
+	Item  string `json:"item"`
+	After int    `json:"after"` // events known before
+	Partial
+}
+
 // BatchAccept takes a batch job over.
 type BatchAccept struct {
 	Batch Batch `json:"batch"`
 }
 
-// BatchRecord appends results; one that is listed already changes nothing.
+// BatchRecord appends results and known text; a result that is listed already
+// changes nothing.
 type BatchRecord struct {
-	Results []BatchResult `json:"results"`
+	Results  []BatchResult   `json:"results,omitempty"`
+	Progress []BatchProgress `json:"progress,omitempty"`
 }
 
 // BatchEnd ends a batch job.
@@ -126,7 +146,7 @@
 	}
 	b := c.Batch
 	b.Accepted = at
-	b.Results, b.Ended = nil, false
+	b.Results, b.Partial, b.Ended = nil, nil, false
 	b.reindex()
 	if len(b.index) != len(b.Items) || len(b.Items) == 0 {
 		return refuse(result.BodyMalformed, "a batch job needs items with different ids")
@@ -158,10 +178,34 @@
 		r.Batch = ""
 		b.listed[r.Item] = len(b.Results)
 		b.Results = append(b.Results, r)
+		delete(b.Partial, r.Item)
+	}
+	for i := range c.Progress {
+		s.batchProgress(&c.Progress[i])
 	}
 	return Outcome{}
 }
 
+func (s *State) batchProgress(p *BatchProgress) {
+	b := s.Ledger.Batches[p.Batch]
+	if b == nil || b.Ended || b.Listed(p.Item) {
+		return
+	}
+	if _, ok := b.Item(p.Item); !ok {
+		return
+	}
+	old := b.Partial[p.Item]
+	switch {
+	case p.After == 0:
+		if b.Partial == nil {
+			b.Partial = map[string]*Partial{}
+		}
+		b.Partial[p.Item] = &Partial{Events: p.Events, LastID: p.LastID, Versions: p.Versions}
+	case old != nil && len(old.Events) == p.After:
+		b.Partial[p.Item] = &Partial{Events: append(old.Events, p.Events...), LastID: p.LastID, Versions: p.Versions}
+	}
+}
+
 func (s *State) batchEnd(c *BatchEnd) Outcome {
 	b := s.Ledger.Batches[c.ID]
 	if b == nil {
@@ -171,5 +215,6 @@
 		return refuse(result.NotOwner, "the batch job belongs to another account")
 	}
 	b.Ended = true
+	b.Partial = nil
 	return Outcome{}
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -28,6 +28,7 @@
 	BatchRecord *BatchRecord `json:"batch_record,omitempty"`
 	BatchEnd    *BatchEnd    `json:"batch_end,omitempty"`
 	IntervalFix *IntervalFix `json:"interval_fix,omitempty"`
+	RetireMark  *RetireMark  `json:"retire_mark,omitempty"`
 
 	ClaimBegin  *ClaimBegin  `json:"claim_begin,omitempty"`
 	ClaimFinish *ClaimFinish `json:"claim_finish,omitempty"`
--- a/internal/state/interval.go
+++ b/internal/state/interval.go
@@ -34,3 +34,9 @@
 	}
 	return Outcome{Interval: &i}
 }
+
+// RetireMark says that a replica is to be emptied. It is not taken back into the
+// group under the same identity.
+type RetireMark struct {
+	Replica string `json:"replica"`
+}
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -23,6 +23,7 @@
 	Batches    map[string]*Batch
 	Intervals  map[uint64]Interval
 	Source     RoutingSource
+	Retired    map[string]bool // replicas to be emptied, by identity
 }
 
 // Edit is one accepted edit of a service document.
@@ -53,7 +54,7 @@
 		Windows: map[uint64]Window{},
 		Ops:     map[string]Operation{},
 		History: map[string][]Edit{},
-		Batches: map[string]*Batch{}, Intervals: map[uint64]Interval{},
+		Batches: map[string]*Batch{}, Intervals: map[uint64]Interval{}, Retired: map[string]bool{},
 	}
 }
 
@@ -90,6 +91,7 @@
 	Batches    map[string]*Batch      `json:"batches,omitempty"`
 	Intervals  map[uint64]Interval    `json:"intervals,omitempty"`
 	Source     RoutingSource          `json:"routing_source"`
+	Retired    map[string]bool        `json:"retired,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -99,7 +101,7 @@
 	im := ledgerImage{
 		Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
 		LastWindow: l.LastWindow, LastEnd: l.LastEnd, Ops: l.Ops, OpOrder: l.OpOrder, History: l.History,
-		Batches: l.Batches, Intervals: l.Intervals, Source: l.Source,
+		Batches: l.Batches, Intervals: l.Intervals, Source: l.Source, Retired: l.Retired,
 	}
 	for _, id := range l.ClaimOrder {
 		im.Claims = append(im.Claims, l.Claims[id])
@@ -113,7 +115,7 @@
 	im := ledgerImage{
 		Steps: fresh.Steps, Orders: fresh.Orders, Sources: fresh.Sources,
 		Windows: fresh.Windows, Ops: fresh.Ops, History: fresh.History,
-		Batches: fresh.Batches, Intervals: fresh.Intervals,
+		Batches: fresh.Batches, Intervals: fresh.Intervals, Retired: fresh.Retired,
 	}
 	if err := json.Unmarshal(b, &im); err != nil {
 		return err
@@ -121,7 +123,7 @@
 	*l = Ledger{
 		Claims: fresh.Claims, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
 		Windows: im.Windows, LastWindow: im.LastWindow, LastEnd: im.LastEnd, Ops: im.Ops, OpOrder: im.OpOrder, History: im.History,
-		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source,
+		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source, Retired: im.Retired,
 	}
 	for _, b := range l.Batches {
 		b.reindex()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -94,6 +94,9 @@
 		return s.batchEnd(c.BatchEnd)
 	case c.IntervalFix != nil:
 		return s.intervalFix(c.IntervalFix, c.At)
+	case c.RetireMark != nil:
+		s.Ledger.Retired[c.RetireMark.Replica] = true
+		return Outcome{}
 	case c.WindowReported != nil:
 		return s.windowReported(c.WindowReported)
 	}
