--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -89,6 +89,7 @@
 	if changed {
 		w.mu.Lock()
 		w.planners = map[loadPlace]*weights.Planner{}
+		w.homes = map[string]weights.Assignment{}
 		w.mu.Unlock()
 	}
 	if !ok {
@@ -101,7 +102,7 @@
 			goOn[loadPlace{service, model}] = ok
 		}
 	}
-	w.assign(goOn)
+	w.assign(goOn, versions)
 	// The model that waited longest comes first: all share the store.
 	places := slices.SortedFunc(maps.Keys(goOn), func(a, b loadPlace) int {
 		return cmp.Or(w.ordered[a].Compare(w.ordered[b]), cmp.Compare(a.model, b.model))
@@ -115,7 +116,7 @@
 }
 
 // assign divides the engines of each service among its models.
-func (w *Weights) assign(places map[loadPlace]bool) {
+func (w *Weights) assign(places map[loadPlace]bool, published map[string]uint64) {
 	demand := map[string]map[string]float64{}
 	all := w.published.Demand()
 	for at := range places {
@@ -131,6 +132,13 @@
 				engines = append(engines, u)
 			}
 		}
+		if w.homes[service] == nil {
+			held := map[string]map[string]uint64{}
+			for _, u := range engines {
+				held[u.ID] = w.holdings.Versions(u)
+			}
+			w.homes[service] = weights.Inferred(held, published)
+		}
 		w.homes[service] = weights.Assign(w.homes[service], engines, models)
 	}
 }
--- a/internal/weights/assign.go
+++ b/internal/weights/assign.go
@@ -60,18 +60,44 @@
 	return out
 }
 
-// shares divides n engines by demand: one each first, as far as they go, then
-// the next one to the model that has the fewest for its demand.
+// Inferred reads from what the engines hold which models they have followed so
+// far: the one whose held version lags least behind the published one. An engine
+// that fits several models equally is left out. A new leader begins with it.
+func Inferred(held map[string]map[string]uint64, published map[string]uint64) Assignment {
+	out := Assignment{}
+	for id, versions := range held {
+		best, least, unique := "", uint64(0), false
+		for model, v := range versions {
+			newest, ok := published[model]
+			if !ok {
+				continue
+			}
+			lag := newest - min(v, newest)
+			switch {
+			case best == "" || lag < least:
+				best, least, unique = model, lag, true
+			case lag == least:
+				unique = false
+			}
+		}
+		if unique {
+			out[id] = best
+		}
+	}
+	return out
+}
+
+// shares divides n engines by demand: to each model half of an equal share first,
+// so that the loss of an engine leaves it another, as far as they go; then the next
+// one to the model that has the fewest for its demand.
 func shares(models []string, demand map[string]float64, n int) map[string]int {
 	quota := map[string]int{}
 	order := slices.Clone(models)
 	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(demand[b], demand[a]) })
+	least := max(1, min((n+2*len(models)-1)/(2*len(models)), n/len(models)))
 	for _, m := range order {
-		if n == 0 {
-			return quota
-		}
-		quota[m]++
-		n--
+		quota[m] = min(least, n)
+		n -= quota[m]
 	}
 	for ; n > 0; n-- {
 		best := order[0]
