--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 		fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
+	p.CommandHandler = execute
 	_, err := p.ParseArgs(args)
 	if err == nil {
 		return ExitOK
@@ -51,6 +52,17 @@
 	return fail(errOut, err)
 }
 
+// execute runs a command; words that it has no use for are refused.
+func execute(c flags.Commander, rest []string) error {
+	if c == nil {
+		return nil
+	}
+	if len(rest) > 0 {
+		return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected word %q; see --help of the command", rest[0])}
+	}
+	return c.Execute(nil)
+}
+
 func fail(w io.Writer, err error) int {
 	e := result.From(err)
 	i := e.Code.Info()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -77,3 +77,14 @@
 		}
 	})
 })
+
+var _ = DescribeTable("Words that a command has no use for are refused before anything is done",
+	func(args ...string) {
+		code, _, errOut := run(args...)
+		Expect(code).To(Equal(ExitUsage))
+		Expect(errOut).To(ContainSubstring(`unexpected word "extra"`))
+	},
+	Entry("of a plain command", "version", "extra"),
+	Entry("of a subcommand", "key", "create", "--entry", "127.0.0.1:1", "--account", "one", "extra"),
+	Entry("behind an argument", "codes", "213", "extra"),
+)
