--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -43,4 +43,7 @@
 	// Score returns the signature of the answer. SampleFailed means that an
 	// upstream answered with a failure of its own.
 	Score(ctx context.Context, r *state.Reward, deadline time.Time) (string, error)
+	// MaxFailures is how many answers with failures the route of the request
+	// allows before it may be given up.
+	MaxFailures(r *state.Reward) int
 }
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -259,7 +259,7 @@
 	s.log.Info("Reward request failed.", "item", it.spec.ID, "batch", it.job.batch.ID, "reward", it.spec.Reward.ID, "code", int(result.CodeOf(x.err)), "err", result.From(x.err).Message)
 	if result.CodeOf(x.err) == result.SampleFailed {
 		it.unscored++
-		if it.unscored >= max(1, it.job.batch.MaxAttempts) {
+		if it.unscored >= max(1, it.job.batch.MaxAttempts, s.scorer.MaxFailures(it.spec.Reward)) {
 			s.abort(it, "its reward request failed at every attempt")
 			return
 		}
