--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,12 +89,13 @@
 		e := result.From(err)
 		requests(e.Code.Info().Name).Inc()
 		p.log.Warn("Request failed.", "request", q.ID, "route", route, "service", q.Service, "account", q.Account,
-			"code", int(e.Code), "class", e.Code.Info().Class, "runs", r.runs, "refused", r.refused, "hedged", r.hedged, "tried", r.tried, "ms", took.Milliseconds(), "err", e.Message)
+			"code", int(e.Code), "class", e.Code.Info().Class, "runs", r.runs, "refused", r.refused, "hedged", r.hedged, "tried", r.tried, "routing", q.Routing,
+			"ms", took.Milliseconds(), "left_ms", time.Until(q.Deadline).Milliseconds(), "err", e.Message)
 		return
 	}
 	requests("answered").Inc()
 	p.log.Info("Request answered.", "request", q.ID, "route", route, "account", q.Account, "upstream", answer.From.ID,
-		"status", answer.Status, "runs", r.runs, "refused", r.refused, "hedged", r.hedged, "ms", took.Milliseconds())
+		"status", answer.Status, "runs", r.runs, "refused", r.refused, "hedged", r.hedged, "routing", q.Routing, "ms", took.Milliseconds())
 }
 
 // succeeded reports whether an answer is final even where another run could
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -22,6 +22,7 @@
 	Header   http.Header // passed on; without the caller's key and hop-by-hop fields
 	Body     []byte
 	Deadline time.Time // when the caller or the route gives up
+	Routing  uint64    // version of the routing configuration that it was routed by
 	// Background marks work nobody waits for at the other end of a connection.
 	Background bool
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -81,7 +82,7 @@
 				hedges.Inc()
 			}
 		case <-ctx.Done():
-			return nil, r.expired()
+			return nil, r.expired(ctx)
 		}
 	}
 	return r.giveUp()
@@ -127,7 +128,7 @@
 	}
 	if ctx.Err() != nil {
 		r.remember(a)
-		return nil, r.expired(), true
+		return nil, r.expired(ctx), true
 	}
 	if mayHaveRun(a.Err) {
 		r.runs++
@@ -185,7 +186,10 @@
 }
 
 // expired is the answer when the deadline has passed or the caller has gone.
-func (r *run) expired() error {
+func (r *run) expired(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result.New(result.UpstreamTimeout, "the caller has gone")
+	}
 	if r.inFlight == 0 && r.runs == 0 {
 		return result.Later(result.DeadlineUnmet, comeBack, "no upstream took the request in time")
 	}
