--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,13 @@
 	n.spawn(func() { n.followTable(ctx) })
 	n.spawn(func() { n.gossip.Run(ctx) })
 	n.spawn(func() { n.quarantine.Run(ctx) })
-	n.spawn(func() { periodic.Every(ctx, expireInterval, n.directory.Expire) })
+	watch := newWatch(n)
+	n.spawn(func() {
+		periodic.Every(ctx, expireInterval, func() {
+			n.directory.Expire()
+			watch.look()
+		})
+	})
 	n.spawn(func() { n.catchUp(ctx) })
 	n.spawn(func() { periodic.Every(ctx, pullInterval, func() { n.pull(ctx) }) })
 	if n.cfg.CallerAddress != "" && n.cfg.UsageInterval > 0 {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -20,6 +20,14 @@
 	Err    error
 }
 
+// status is the upstream's status; 0 without an answer.
+func (a Attempt) status() int {
+	if a.Answer == nil {
+		return 0
+	}
+	return a.Answer.Status
+}
+
 // run is the state of one request while it is served. One goroutine owns it.
 type run struct {
 	p           *Proxy
@@ -139,6 +147,8 @@
 		r.refused++
 	}
 	r.remember(a)
+	r.p.log.Info("Attempt failed.", "request", r.q.ID, "upstream", a.To.ID, "incarnation", a.To.Incarnation, "silent", a.To.Silent,
+		"status", a.status(), "code", int(result.CodeOf(a.Err)), "ms", time.Since(a.Began).Milliseconds(), "left_ms", time.Until(r.q.Deadline).Milliseconds())
 	if r.p.suspects.Blocked(r.fingerprint) {
 		return nil, result.New(result.QuarantinedNow, "the request crashed upstreams"), true
 	}
