--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
 // Lease returns the current right to act as the leader.
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := setUserTimeout(raw, userTimeout); err != nil {
+	if err := sockopt.SetUserTimeout(raw, userTimeout); err != nil {
 		return nil, err
 	}
 	return fencedConn{Conn: c, raw: raw, lease: lease, term: term, send: writeNonblocking}, nil
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
 // Timing of connections between daemons.
@@ -31,7 +33,7 @@
 // DialFrom returns the Dialer of a daemon: its connections come from the IP of
 // its own peer address.
 func DialFrom(peerAddress string) Dialer {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: sockopt.UserTimeout(userTimeout)}
 	if a, err := netip.ParseAddrPort(peerAddress); err == nil {
 		d.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
 	}
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -3,11 +3,9 @@
 import (
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-	"golang.org/x/sys/unix"
 )
 
 // Detection of connections that have gone silent without a reset.
@@ -23,18 +21,6 @@
 // keepAlive finds a dead connection on which nothing is sent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // heardConn remembers when bytes last arrived.
 type heardConn struct {
 	net.Conn
