--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -48,6 +48,7 @@
 	members atomic.Pointer[consensus.Membership]
 	until   atomic.Pointer[time.Time]
 	cluster string // of the first answer; used by Run only
+	proven  bool   // some answer was proven to be the newest; used by Run only
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -112,6 +113,7 @@
 		}
 		until := asked.Add(reply.Held - reply.Age + f.lease)
 		f.until.Store(&until)
+		f.proven = true
 		return true
 	}
 	return false
@@ -120,7 +122,7 @@
 func (f *Follower) ask(ctx context.Context, s Source) (SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	return s.Sync(ctx, SyncRequest{After: f.Config().Version, Group: groupHash(f.Members())})
+	return s.Sync(ctx, SyncRequest{After: f.Config().Version, Group: groupHash(f.Members()), Unproven: !f.proven})
 }
 
 // take brings the configuration forward; it never goes back.
--- a/internal/control/follower_test.go
+++ b/internal/control/follower_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/testkit"
 )
@@ -128,3 +129,25 @@
 	g.Expect(f.Config().Version).To(Equal(uint64(3)))
 	g.Expect(f.Fresh()).To(BeTrue())
 }
+
+// The replica that answers first may have missed changes that another one holds.
+// Until one can prove its copy, the newest of all is taken, and never an older one
+// after that.
+func TestNewestOfSeveralUnprovenConfigurationsIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	all, _ := history(3)
+	replica := func(version int) Source {
+		return scripted(func(q SyncRequest) (SyncReply, error) {
+			if !q.Unproven || uint64(version) <= q.After {
+				return SyncReply{}, result.New(result.NotLeader, "no leader")
+			}
+			return SyncReply{Cluster: "c", Config: all[version], Unproven: true}, nil
+		})
+	}
+	f := NewFollower(func() []Source { return []Source{replica(1), replica(3), replica(2)} }, time.Second, log.New(io.Discard))
+	g.Expect(f.round(t.Context())).To(BeFalse())
+	g.Expect(f.Config().Version).To(Equal(uint64(3)))
+	g.Expect(f.round(t.Context())).To(BeFalse())
+	g.Expect(f.Config().Version).To(Equal(uint64(3)))
+	g.Expect(f.Fresh()).To(BeFalse())
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -51,6 +51,9 @@
 type SyncRequest struct {
 	After uint64 `json:"after"`
 	Group uint64 `json:"group,omitempty"` // hash of the membership that the asker knows
+	// Unproven is set while the asker has no configuration that was proven to be
+	// the newest: any newer one is of use to it.
+	Unproven bool `json:"unproven,omitempty"`
 }
 
 // SyncReply brings a configuration up to date with everything committed before
@@ -62,8 +65,8 @@
 	Members consensus.Membership `json:"members,omitempty"` // when it is not the one the asker knows
 	Held    time.Duration        `json:"held,omitempty"`    // nanoseconds
 	Age     time.Duration        `json:"age,omitempty"`     // nanoseconds
-	// Unproven is set when the replica cannot tell how old its copy is. Only a
-	// daemon that holds no configuration gets such an answer.
+	// Unproven is set when the replica cannot tell how old its copy is. Only an
+	// asker that has no proven one gets such an answer.
 	Unproven bool `json:"unproven,omitempty"`
 }
 
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -27,7 +27,7 @@
 	r.mu.Lock()
 	changed := r.changed
 	r.mu.Unlock()
-	if r.config.Load().Version <= q.After {
+	if !q.Unproven && r.config.Load().Version <= q.After {
 		select {
 		case <-changed:
 		case <-time.After(syncWait):
@@ -50,7 +50,7 @@
 	p, ok := r.node.ReadPoint()
 	st := r.node.Status()
 	if !ok || st.Applied < p.Index || now-p.AsOf > maxSyncAge {
-		if q.After == 0 && r.state.Config.Version > 0 {
+		if q.Unproven && r.state.Config.Version > q.After {
 			return SyncReply{Cluster: r.cluster, Config: r.state.Config, Members: st.Members, Unproven: true}, nil
 		}
 		return SyncReply{}, result.Later(result.NotLeader, time.Second, "this replica has not heard from the leader lately")
