Wait in the demo until every daemon is fresh

The list of entries names live daemons also while none is fresh, so its length no longer tells that the control group has a leader; make demo went on too early and failed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -52,7 +52,7 @@
 voters=(--voter entry-1=127.0.1.1:7070@qc-est-a --voter entry-2=127.0.1.2:7070@qc-est-b --voter entry-3=127.0.1.3:7070@qc-est-c)
 for i in 1 2 3; do op init --config entry-$i.ini --operator-key-file operator.key "${voters[@]}"; done
 for i in 1 2 3 4 5 6; do start entry-$i "$bin/apricotstream" serve --config entry-$i.ini; done
-all_fresh() { [ "$(op entries | wc -l)" -eq 6 ]; }
+all_fresh() { [ "$(op status 2>/dev/null | grep -c '^daemon .* fresh true')" -eq 6 ]; }
 until_ok 15 all_fresh
 op status
 
