Split the replica's file; list the sources to follow in one place

Moves compaction and the report of roles to files of their own, and gives the two lists of sources that were the same one function. No change of behaviour; a test's bound loses a subtraction of 0.

--- a/internal/control/grouping_test.go
+++ b/internal/control/grouping_test.go
@@ -61,7 +61,7 @@
 		}
 		t.Expect(g.view.Members.OneApart(next) || g.view.Members.Exchanges(next)).To(BeTrue())
 		t.Expect(next.IsVoter("r0")).To(BeTrue(), "the leader keeps its vote")
-		t.Expect(next.Voters()).To(BeNumerically(">=", min(g.view.Voters, g.view.Members.Voters())-0))
+		t.Expect(next.Voters()).To(BeNumerically(">=", min(g.view.Voters, g.view.Members.Voters())))
 		g.view.Members = next
 	}
 }
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -19,3 +19,16 @@
 	r.Health.Mark(r.Address, answered(err))
 	return reply, err
 }
+
+// AllSources lists what to follow, best first: the local replica, when there is
+// one, and those at addresses, the ones that did not answer lately last.
+func AllSources(local *Replica, client *peer.Client, addresses []string, health *Health) []Source {
+	var out []Source
+	if local != nil {
+		out = append(out, local)
+	}
+	for _, a := range health.Order(addresses) {
+		out = append(out, Remote{Client: client, Address: a, Health: health})
+	}
+	return out
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -309,47 +309,6 @@
 	return nil
 }
 
-// trimChanges drops the oldest changes beyond the bounds; followers that need
-// them get the whole configuration.
-func (r *Replica) trimChanges() {
-	r.changeBytes = r.changeBytes[max(0, len(r.changeBytes)-len(r.changes)):]
-	sum := 0
-	for _, n := range r.changeBytes {
-		sum += n
-	}
-	for len(r.changes) > 1 && sum > changeHistoryBytes {
-		sum -= r.changeBytes[0]
-		r.changes, r.changeBytes = r.changes[1:], r.changeBytes[1:]
-	}
-}
-
-// compact stores a snapshot once enough entries follow the last one.
-func (r *Replica) compact() error {
-	st := r.node.Status()
-	last, size := r.disk.Snapshot()
-	many := st.Applied >= last.Index+snapshotEntries && r.logged < largeSnapshot
-	large := r.logged >= max(snapshotBytes, 2*size)
-	if !many && !large {
-		return nil
-	}
-	term, ok := r.node.TermAt(st.Applied)
-	if !ok {
-		return nil
-	}
-	data, err := r.state.Encode()
-	if err != nil {
-		return err
-	}
-	meta := consensus.SnapshotMeta{Index: st.Applied, Term: term, Members: r.node.MembersAt(st.Applied)}
-	tail := r.node.EntriesAfter(st.Applied)
-	if err := r.disk.Save(consensus.Snapshot{Meta: meta, Data: data}, tail); err != nil {
-		return err
-	}
-	r.node.Compact(meta)
-	r.logged = 0
-	return nil
-}
-
 // publish makes the loop's view readable and wakes those who wait for it.
 func (r *Replica) publish() {
 	st := r.node.Status()
@@ -379,15 +338,6 @@
 	}
 }
 
-// reportRole logs a change of role, term or leader.
-func (r *Replica) reportRole(old, now *consensus.Status) {
-	if old != nil && old.Role == now.Role && old.Term == now.Term && old.Leader == now.Leader {
-		return
-	}
-	r.log.Info("Role in the control group.", "id", now.ID, "role", now.Role, "term", now.Term, "leader", now.Leader,
-		"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members))
-}
-
 // errOverwritten answers a proposal that another leader's entry replaced.
 func errOverwritten() error {
 	return result.Later(result.NotLeader, time.Second, "another leader's entry took its place")
--- a/internal/daemon/find.go
+++ b/internal/daemon/find.go
@@ -47,14 +47,7 @@
 }
 
 func (d *Daemon) sources() []control.Source {
-	var out []control.Source
-	if d.replica != nil {
-		out = append(out, d.replica)
-	}
-	for _, a := range d.health.Order(d.replicaAddresses()) {
-		out = append(out, control.Remote{Client: d.client, Address: a, Health: d.health})
-	}
-	return out
+	return control.AllSources(d.replica, d.client, d.replicaAddresses(), d.health)
 }
 
 // grantors are the replicas to ask for shares of limits, this one included.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -59,14 +59,7 @@
 
 // sources lists the replicas to follow, best first.
 func (n *Node) sources() []control.Source {
-	var out []control.Source
-	if n.replica != nil {
-		out = append(out, n.replica)
-	}
-	for _, a := range n.health.Order(n.replicaAddresses()) {
-		out = append(out, control.Remote{Client: n.client, Address: a, Health: n.health})
-	}
-	return out
+	return control.AllSources(n.replica, n.client, n.replicaAddresses(), n.health)
 }
 
 // catchUp learns of upstreams from every replica that answers, until one does:
