Give every model its turn at a busy weight store

Cause: loads that had ended were only taken off the count of streams when their own model was planned. Change: ended loads of all models are taken off before any is planned. After: each at least a quarter.

--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -107,8 +107,9 @@
 	places := slices.SortedFunc(maps.Keys(goOn), func(a, b loadPlace) int {
 		return cmp.Or(w.ordered[a].Compare(w.ordered[b]), cmp.Compare(a.model, b.model))
 	})
+	views := w.observe(places)
 	for _, at := range places {
-		for _, s := range w.plan(at, versions[at.model]) {
+		for _, s := range w.plan(at, views[at], versions[at.model]) {
 			w.ordered[at] = time.Now()
 			go w.load(ctx, f, at, s, goOn[at])
 		}
@@ -143,42 +144,71 @@
 	}
 }
 
+// observe returns the engines that follow each place, and frees the streams of the
+// loads that have ended: otherwise a model with running loads would always be
+// the first to find a free stream.
+func (w *Weights) observe(places []loadPlace) map[loadPlace][]upstream.Announcement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	views := map[loadPlace][]upstream.Announcement{}
+	for _, at := range places {
+		if w.planners[at] == nil {
+			w.planners[at] = weights.NewPlanner(loadLimits)
+		}
+		views[at] = w.followers(at)
+		w.planners[at].Observe(now, views[at])
+	}
+	return views
+}
+
+// followers returns the engines that load the new versions of a model, each with
+// the version that it holds.
+func (w *Weights) followers(at loadPlace) []upstream.Announcement {
+	var out []upstream.Announcement
+	for _, u := range w.upstreams() {
+		if u.Service != at.service || w.homes[at.service][u.ID] != at.model {
+			continue
+		}
+		held, ok := w.holdings.Versions(u)[at.model]
+		if !ok {
+			continue
+		}
+		u.Version = held
+		out = append(out, u)
+	}
+	return out
+}
+
 // plan returns the loads to order now. All models of a service share the streams
 // of the store, and an engine carries out one order at a time.
-func (w *Weights) plan(at loadPlace, version uint64) []weights.Swap {
+func (w *Weights) plan(at loadPlace, followers []upstream.Announcement, version uint64) []weights.Swap {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.planners[at]
-	if p == nil {
-		p = weights.NewPlanner(loadLimits)
-		w.planners[at] = p
-	}
 	elsewhere := 0
-	busy := func(string) bool { return false }
+	var others []*weights.Planner
 	for other, q := range w.planners {
 		if other.service == at.service && other != at {
 			elsewhere += q.Loads()
-			before := busy
-			busy = func(id string) bool { return before(id) || q.Busy(id) }
+			others = append(others, q)
 		}
 	}
-	var view []upstream.Announcement
-	engines := 0
+	idle := slices.DeleteFunc(slices.Clone(followers), func(u upstream.Announcement) bool {
+		return slices.ContainsFunc(others, func(q *weights.Planner) bool { return q.Busy(u.ID) })
+	})
+	p := w.planners[at]
+	p.SetStreams(max(minStreams, int(engineShare*float64(w.engineCount(at.service)))) - elsewhere)
+	return p.Plan(time.Now(), idle, version)
+}
+
+func (w *Weights) engineCount(service string) int {
+	n := 0
 	for _, u := range w.upstreams() {
-		if u.Service != at.service {
-			continue
+		if u.Service == service {
+			n++
 		}
-		engines++
-		versions := w.holdings.Versions(u)
-		held, ok := versions[at.model]
-		if home := w.homes[at.service][u.ID]; !ok || busy(u.ID) || home != at.model {
-			continue
-		}
-		u.Version = held
-		view = append(view, u)
 	}
-	p.SetStreams(max(minStreams, int(engineShare*float64(engines))) - elsewhere)
-	return p.Plan(time.Now(), view, version)
+	return n
 }
 
 // load orders one engine and follows the load to its end.
--- /dev/null
+++ b/internal/duty/weights_test.go
@@ -0,0 +1,99 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/upstream"
+	"github.com/apricotstream/apricotstream/internal/weights"
+)
+
+// fleet is a group of engines that load every ordered version in loadTime.
+type fleet struct {
+	loadTime time.Duration
+
+	mu      sync.Mutex
+	engines map[string]*Report
+	loaded  map[string]int // loads by model
+}
+
+func (f *fleet) Order(_ context.Context, _ Fence, to upstream.Announcement, o Order) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[to.ID]
+	e.Busy, e.Orders = true, e.Orders+1
+	time.AfterFunc(f.loadTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.Busy, e.Versions[o.Model] = false, o.Version
+		f.loaded[o.Model]++
+	})
+	return true, nil
+}
+
+func (f *fleet) Report(_ context.Context, to upstream.Announcement) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := *f.engines[to.ID]
+	r.Versions = maps.Clone(r.Versions)
+	return r, nil
+}
+
+// steadyVersions publishes a version of every model each period.
+type steadyVersions struct {
+	models []string
+	period time.Duration
+	began  time.Time
+}
+
+func (s steadyVersions) ModelVersions() map[string]uint64 {
+	out := map[string]uint64{}
+	for _, m := range s.models {
+		out[m] = 1 + uint64(time.Since(s.began)/s.period)
+	}
+	return out
+}
+
+func (steadyVersions) Services(string) map[string]bool { return map[string]bool{"engines": true} }
+func (steadyVersions) Demand() map[string]float64      { return nil }
+
+// Several trainers publish faster than the weight store can serve them all: each
+// model gets its share of the loads, whichever of them keeps the store busy.
+func TestModelsShareAStoreThatIsAlwaysBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
+		published := steadyVersions{[]string{"a", "b", "c"}, 2 * time.Second, time.Now()}
+		var engines []upstream.Announcement
+		for i := range 9 {
+			e := upstream.Announcement{ID: fmt.Sprintf("engine%d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
+			engines = append(engines, e)
+			f.engines[e.ID] = &Report{Versions: map[string]uint64{"a": 1, "b": 1, "c": 1}}
+		}
+		term := uint64(1)
+		w := NewWeights(NewTerm(leading(&term), "me", 0), published, func() []upstream.Announcement { return engines },
+			weights.NewHoldings(), f, log.New(io.Discard))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		w.Run(ctx)
+		time.Sleep(maxLoad)
+
+		total := 0
+		for _, n := range f.loaded {
+			total += n
+		}
+		g.Expect(total).To(BeNumerically(">", 80))
+		for _, m := range published.models {
+			g.Expect(f.loaded[m]).To(BeNumerically(">=", total/4), "%s: %v", m, f.loaded)
+		}
+	})
+}
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -81,7 +81,7 @@
 
 // Plan returns the swaps to order now, so that every upstream comes to run want.
 func (p *Planner) Plan(now time.Time, live []upstream.Announcement, want uint64) []Swap {
-	p.observe(now, live)
+	p.Observe(now, live)
 	r := newRoom(live, p.loads, p.limits.Keep)
 	s := p.sources(live, want)
 	var out []Swap
@@ -105,10 +105,10 @@
 	p.loads[u.ID] = load{u.Incarnation, version, source, now, now.Add(timeout)}
 }
 
-// observe ends the loads that the announcements show as done, that have run out
+// Observe ends the loads that the announcements show as done, that have run out
 // of time, or whose upstream is gone. Loads ordered by an earlier leader are
 // taken over.
-func (p *Planner) observe(now time.Time, live []upstream.Announcement) {
+func (p *Planner) Observe(now time.Time, live []upstream.Announcement) {
 	seen := map[string]upstream.Announcement{}
 	for _, u := range live {
 		seen[u.ID] = u
