--- a/internal/rollout/carried.go
+++ b/internal/rollout/carried.go
@@ -2,9 +2,9 @@
 
 import "encoding/json"
 
-// Carried is a request on its way between daemons. It travels as text, for the
-// protocol between them decodes objects and sorts their keys, which would make
-// another content of the same prompt.
+// Carried is a request forwarded between daemons. It is encoded as a JSON string
+// because the peer protocol re-encodes objects with sorted keys, which would
+// change the fingerprint of the prompt.
 type Carried struct{ StepRequest }
 
 // MarshalJSON implements json.Marshaler.
--- a/internal/rollout/deliver.go
+++ b/internal/rollout/deliver.go
@@ -9,7 +9,7 @@
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
-// take delivers the positions after the cursor, waiting for some to come.
+// take returns the positions after the cursor, waiting until there are any.
 func (r *run) take(ctx context.Context, q TakeRequest) (Batch, error) {
 	began := time.Now()
 	defer func() { trainerWait.Update(time.Since(began).Seconds()) }()
@@ -35,9 +35,9 @@
 	}
 }
 
-// batch returns what can be sent now. Whatever it sends was committed in the
-// step's present epoch, and was within the staleness bound at a place in the
-// control log after the trainer asked.
+// batch returns what can be sent now. Everything in it was committed in the
+// step's current epoch, and was within the staleness bound at a log index
+// that is later than the trainer's request.
 func (r *run) batch(ctx context.Context, q TakeRequest) (Batch, error) {
 	r.delivering.Lock()
 	defer r.delivering.Unlock()
@@ -66,7 +66,7 @@
 	return b, nil
 }
 
-// confirm takes the trainer's cursor.
+// confirm advances the step to the trainer's cursor.
 func (r *run) confirm(q TakeRequest) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,8 +94,8 @@
 	return r.stream.Done()
 }
 
-// resend sends committed positions again. A frozen owner may have lost the step
-// meanwhile, so it asks the control log first.
+// resend returns committed positions again. It checks ownership in the control
+// log first, since an owner that was suspended may have lost the step.
 func (r *run) resend(ctx context.Context, limit int) ([]Sample, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -124,13 +124,14 @@
 	r.mu.Unlock()
 	if dropped > 0 {
 		droppedStale.Add(dropped)
-		r.update(func(*Stream) {}) // their slots wait anew
+		r.update(func(*Stream) {}) // their slots are generated again
 	}
 	if len(c.Slots) == 0 {
 		return nil, nil
 	}
 	c.ID, c.Epoch = r.id, r.current().Epoch
-	// The commit outlives the trainer's request: its positions stand either way.
+	// The commit is not cancelled with the trainer's request: the log may already
+	// hold its positions.
 	out, err := r.m.propose(context.WithoutCancel(ctx), state.Command{StepCommit: &c})
 	if err != nil {
 		return nil, err
@@ -141,7 +142,7 @@
 	return samples, err
 }
 
-// finish records that the trainer holds everything.
+// finish records that the trainer has received every position.
 func (r *run) finish(ctx context.Context, cursor int) error {
 	c := state.StepAck{ID: r.id, Epoch: r.current().Epoch, Cursor: cursor}
 	if _, err := r.m.propose(ctx, state.Command{StepAck: &c}); err != nil {
@@ -151,8 +152,8 @@
 	return nil
 }
 
-// lost ends the run when its step has another owner, and tells the trainer to
-// open the step again where that helps.
+// lost ends the run when another daemon owns its step, and returns the error
+// that makes the trainer open the step again where that helps.
 func (r *run) lost(err error) error {
 	switch result.CodeOf(err) {
 	case result.StepMoved, result.StepUnknown:
--- a/internal/rollout/doc.go
+++ b/internal/rollout/doc.go
@@ -3,8 +3,7 @@
 // that produced it.
 //
 // Stream is the plain state machine of one step. Manager runs the steps that
-// this daemon owns. A position is committed in the control log before its first
-// sending; the trainer's cursor confirms it. When an owner is lost the trainer
-// opens the step again at another entry, and positions behind its cursor become
-// void there.
+// this daemon owns. A position is committed in the control log before it is first
+// sent, and acknowledged by the trainer's cursor. When an owner fails, the trainer
+// reopens the step at another entry, which voids the positions after its cursor.
 package rollout
--- a/internal/rollout/draft.go
+++ b/internal/rollout/draft.go
@@ -10,10 +10,10 @@
 // what an upstream announced.
 type draft struct {
 	sample Sample
-	part   int // tokens of the present upstream
+	part   int // tokens of the current upstream
 }
 
-// begin starts the part of an upstream.
+// begin starts the segment list of a new upstream.
 func (d *draft) begin(upstream, requestID string) {
 	d.dropIdle()
 	d.part = 0
@@ -21,14 +21,14 @@
 	d.sample.Upstreams = append(d.sample.Upstreams, upstream)
 }
 
-// dropIdle forgets the present upstream when no token came from it.
+// dropIdle removes the current upstream if it has produced no token.
 func (d *draft) dropIdle() {
 	if n := len(d.sample.Upstreams); n > 0 && d.part == 0 {
 		d.sample.Upstreams = d.sample.Upstreams[:n-1]
 	}
 }
 
-// take appends a chunk.
+// take appends a chunk of the current upstream.
 func (d *draft) take(c engine.Chunk) error {
 	if err := d.sample.add(c.Text(), c.Tokens(), c.WeightVersion); err != nil {
 		return err
@@ -40,7 +40,7 @@
 	return nil
 }
 
-// upstream is the one that was begun last; empty before any.
+// upstream returns the upstream begun last; empty before the first.
 func (d *draft) upstream() string {
 	if len(d.sample.Upstreams) == 0 {
 		return ""
--- a/internal/rollout/generate.go
+++ b/internal/rollout/generate.go
@@ -19,18 +19,18 @@
 )
 
 const (
-	// rolloutPriority puts samples behind callers that wait.
+	// rolloutPriority ranks samples below interactive requests.
 	rolloutPriority = 8
-	// maxParts bounds the upstreams that one sample goes through.
+	// maxParts bounds the number of upstreams that one sample uses.
 	maxParts = 8
 )
 
 // maxSeed bounds seeds, so that every JSON reader keeps them exact.
 const maxSeed = 1 << 53
 
-// seedOf returns the seed of a step's slot. It is the same whenever the slot is
-// generated anew: a long sample that grew too old must not get the chance to
-// come back shorter.
+// seedOf returns the seed of a step's slot. A slot that is generated again uses
+// the same seed: drawing another one after a long sample became stale would bias
+// the samples towards short ones.
 func seedOf(step string, slot int) int64 {
 	return int64(xxhash.Sum64String(fmt.Sprintf("%s/%d", step, slot))%(maxSeed-1)) + 1
 }
@@ -40,8 +40,8 @@
 	Run(ctx context.Context, job dispatch.Job, consume dispatch.Consumer) error
 }
 
-// generation is one sample on its way through upstreams: when one fails or is
-// too slow, the next goes on from the tokens that are there.
+// generation produces one sample. When an upstream fails or is too slow, another
+// one continues from the tokens generated so far.
 type generation struct {
 	runner  Runner
 	request engine.CompletionRequest
@@ -71,8 +71,8 @@
 	return Sample{}, err
 }
 
-// resumable reports whether another upstream may go on after err, and makes
-// sure that it is another one.
+// resumable reports whether another upstream may continue after err, and excludes
+// the present one from the next choice.
 func (g *generation) resumable(err error) bool {
 	switch result.CodeOf(err) {
 	case result.SampleMoved:
@@ -93,7 +93,7 @@
 	return g.draft.sample.OldestVersion() >= g.allowed()
 }
 
-// part runs the sample at one upstream, from its tokens so far.
+// part runs the sample at one upstream, starting after the tokens generated so far.
 func (g *generation) part(ctx context.Context) error {
 	job, err := g.job()
 	if err != nil {
@@ -124,8 +124,8 @@
 	return g.draft.take(c)
 }
 
-// job asks for the rest of the sample. The fingerprint is that of the whole, so
-// that a request which crashes upstreams is known also when it is resumed.
+// job returns the request for the rest of the sample. Its fingerprint is that of
+// the whole request, so that quarantine also recognizes a resumed one.
 func (g *generation) job() (dispatch.Job, error) {
 	q := g.request
 	q.Seed = 0
--- a/internal/rollout/handover.go
+++ b/internal/rollout/handover.go
@@ -14,27 +14,27 @@
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
-// errHandedOver ends the requests that wait at an owner which gave its step away.
+// errHandedOver ends the requests that wait at an owner after it handed its step over.
 var errHandedOver = errors.New("rollout: the step was handed over")
 
 // adoptTimeout bounds one try to hand a step over.
 const adoptTimeout = 5 * time.Second
 
-// Transfer is a step on its way from an owner that shuts down to the next: with
-// it the trainer goes on without opening the step again.
+// Transfer carries a step from an owner that shuts down to the next one, so that
+// the trainer need not reopen it.
 type Transfer struct {
 	Step    state.Step `json:"step"`
 	Request Carried    `json:"request"`
 	Acked   int        `json:"acked"`
-	Bodies  []Body     `json:"bodies"` // not confirmed by the trainer
+	Bodies  []Body     `json:"bodies"` // not acknowledged by the trainer
 }
 
 // Adopted answers a transfer.
 type Adopted struct{}
 
-// HandOver gives every step to one of the daemons at addresses and takes no new
-// ones. It returns the steps that nobody took: those stay until the daemon ends,
-// then their trainers open them again.
+// HandOver transfers every step to one of the daemons at addresses and accepts no
+// new ones. It returns the steps that no daemon accepted; they run until this
+// daemon exits, and their trainers then reopen them.
 func (m *Manager) HandOver(ctx context.Context, addresses []string) []string {
 	m.mu.Lock()
 	m.draining = true
@@ -73,7 +73,7 @@
 	return false
 }
 
-// handOver gives the step away with send. No position is committed meanwhile.
+// handOver transfers the step with send. No position is committed during it.
 func (r *run) handOver(send func(Transfer) error) error {
 	r.delivering.Lock()
 	defer r.delivering.Unlock()
@@ -89,7 +89,7 @@
 	return nil
 }
 
-// adopt takes a step over with its bodies.
+// adopt takes over a step and its bodies from the previous owner.
 func (m *Manager) adopt(ctx context.Context, t Transfer) (Adopted, error) {
 	if m.isDraining() {
 		return Adopted{}, result.New(result.Draining, "this entry takes no new steps")
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -37,8 +37,8 @@
 
 // Manager runs the steps that this daemon owns.
 type Manager struct {
-	// MaxMoves bounds how often one sample moves to a faster upstream; 0 moves
-	// none. Set it before the first step.
+	// MaxMoves bounds how often one sample moves to a faster upstream; 0 disables
+	// moves. Set it before the first step.
 	MaxMoves int
 
 	log    *log.Logger
@@ -84,8 +84,8 @@
 
 func (q OpenRequest) step() string { return StepID(q.Account, q.Request.ID) }
 
-// Open opens a step for an account. A step that is open stays with its owner
-// while that answers; else this daemon takes it over.
+// Open opens a step for an account. An open step remains with its owner as long
+// as the owner answers; otherwise this daemon takes it over.
 func (m *Manager) Open(ctx context.Context, account string, svc state.Service, q StepRequest) (*state.Step, error) {
 	if q.ID == "" || q.PerGroup < 1 || q.total() < 1 || q.total() > maxSamples || q.Cursor < 0 || q.Attempt < 1 {
 		return nil, result.New(result.BodyMalformed, "a step needs an id, groups, samples_per_group, a cursor and an attempt from 1; at most %d samples", maxSamples)
@@ -105,7 +105,7 @@
 	return m.openHere(ctx, open)
 }
 
-// openElsewhere passes the opening to the owner of the step; nil when there is
+// openElsewhere forwards the opening to the owner of the step; nil when there is
 // none, or it does not answer.
 func (m *Manager) openElsewhere(ctx context.Context, q OpenRequest) (*state.Step, error) {
 	reply, err := m.commit.Query(ctx, control.QueryRequest{Step: q.step()})
@@ -127,7 +127,7 @@
 	return nil, nil
 }
 
-// reopen answers an entry that passes an opening on.
+// reopen handles an opening that another entry forwarded.
 func (m *Manager) reopen(ctx context.Context, q OpenRequest) (*state.Step, error) {
 	if m.find(q.step()) == nil {
 		return nil, result.New(result.StepMoved, "the step does not run here")
@@ -152,7 +152,7 @@
 	return out.Step, nil
 }
 
-// propose commits c; an outcome that is not OK is an error.
+// propose commits c; it returns an error unless the outcome is OK.
 func (m *Manager) propose(ctx context.Context, c state.Command) (state.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -181,8 +181,8 @@
 	}
 }
 
-// Take returns the samples after the cursor, from the owner of the step,
-// waiting for some to come.
+// Take returns the samples after the cursor from the owner of the step, waiting
+// until there are any.
 func (m *Manager) Take(ctx context.Context, q TakeRequest) (Batch, error) {
 	q.Wait = min(max(q.Wait, 0), maxWait)
 	if r := m.find(q.Step); r != nil {
--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -9,7 +9,7 @@
 // Limits of moving stragglers.
 const (
 	paceWindow  = 500 * time.Millisecond
-	slowWindows = 2    // windows in a row that make a straggler
+	slowWindows = 2    // consecutive slow windows that make a straggler
 	slowFactor  = 4    // a straggler runs this many times slower than its peers
 	peersNeeded = 4    // rates that make a comparison
 	maxMoves    = 2    // of one sample
@@ -17,22 +17,22 @@
 	peersKept   = 64
 )
 
-// progress of one sample at its present upstream.
+// progress of one sample at its current upstream.
 type progress struct {
 	began  time.Time
-	first  time.Time // token; zero before it
+	first  time.Time // arrival of the first token; zero before it
 	prefix int       // tokens of earlier upstreams
 	tokens int
 
-	window      time.Time // begin of the present window
-	windowBegan int       // tokens at that time
-	slow        int       // windows in a row
+	window      time.Time // start of the current window
+	windowBegan int       // tokens at that start
+	slow        int       // consecutive slow windows
 }
 
 // Pace finds the stragglers of a step: samples that run far slower than the
-// step's others, or wait far longer for their first token. It looks at the rate
-// alone, never at how long a sample is or may become, so that moving one teaches
-// the trainer nothing about lengths. It is a plain state machine.
+// others, or wait far longer for their first token. It uses rates only, never
+// the length of a sample, so that moves do not bias the lengths that the trainer
+// sees. It is a plain state machine.
 type Pace struct {
 	maxMoves int
 	running  map[int]*progress // by slot
@@ -40,7 +40,7 @@
 	rates    []float64         // tokens a second, of the latest windows of all samples
 	waits    []float64         // seconds to the first token, of the latest samples
 	total    int               // tokens generated
-	reread   int               // tokens that moves make an upstream read again
+	reread   int               // tokens that moved samples made an upstream process again
 }
 
 // NewPace returns a Pace that lets each sample move at most moves times.
@@ -48,30 +48,31 @@
 	return &Pace{maxMoves: moves, running: map[int]*progress{}, moves: map[int]int{}}
 }
 
-// Began tells that a sample runs at an upstream, after prefix tokens.
-func (p *Pace) Began(now time.Time, slot, prefix int) {
+// StartSample records that a sample runs at an upstream, continuing after prefix
+// tokens.
+func (p *Pace) StartSample(now time.Time, slot, prefix int) {
 	p.running[slot] = &progress{began: now, prefix: prefix, window: now}
 }
 
-// Grew tells of new tokens.
-func (p *Pace) Grew(now time.Time, slot, tokens int) {
-	x := p.running[slot]
-	if x == nil || tokens == 0 {
+// RecordTokens adds newly generated tokens to a sample.
+func (p *Pace) RecordTokens(now time.Time, slot, tokens int) {
+	sample := p.running[slot]
+	if sample == nil || tokens == 0 {
 		return
 	}
-	if x.first.IsZero() {
-		x.first, x.window, x.slow = now, now, 0
-		p.waits = keep(p.waits, now.Sub(x.began).Seconds())
+	if sample.first.IsZero() {
+		sample.first, sample.window, sample.slow = now, now, 0
+		p.waits = keep(p.waits, now.Sub(sample.began).Seconds())
 	}
-	x.tokens += tokens
+	sample.tokens += tokens
 	p.total += tokens
 }
 
-// Ended tells that the sample no longer runs at its upstream.
-func (p *Pace) Ended(now time.Time, slot int) {
-	x := p.running[slot]
-	if x != nil && now.After(x.first) && !x.first.IsZero() {
-		p.rates = keep(p.rates, float64(x.tokens)/now.Sub(x.first).Seconds())
+// EndSample records that a sample no longer runs at its upstream.
+func (p *Pace) EndSample(now time.Time, slot int) {
+	sample := p.running[slot]
+	if sample != nil && now.After(sample.first) && !sample.first.IsZero() {
+		p.rates = keep(p.rates, float64(sample.tokens)/now.Sub(sample.first).Seconds())
 	}
 	delete(p.running, slot)
 }
@@ -79,11 +80,11 @@
 // Stragglers returns the slots to move now, within the budget.
 func (p *Pace) Stragglers(now time.Time) []int {
 	var out []int
-	for slot, x := range p.running {
-		if now.Sub(x.window) >= paceWindow {
-			p.judge(now, x)
+	for slot, sample := range p.running {
+		if now.Sub(sample.window) >= paceWindow {
+			p.judge(now, sample)
 		}
-		if x.slow >= slowWindows && p.mayMove(slot, x) {
+		if sample.slow >= slowWindows && p.mayMove(slot, sample) {
 			out = append(out, slot)
 		}
 	}
@@ -91,40 +92,40 @@
 		return cmp.Or(cmp.Compare(p.running[a].prefix+p.running[a].tokens, p.running[b].prefix+p.running[b].tokens), cmp.Compare(a, b))
 	})
 	for i, slot := range out {
-		x := p.running[slot]
-		if !p.mayMove(slot, x) {
+		sample := p.running[slot]
+		if !p.mayMove(slot, sample) {
 			return out[:i]
 		}
-		x.slow = 0
+		sample.slow = 0
 		p.moves[slot]++
-		p.reread += x.prefix + x.tokens
+		p.reread += sample.prefix + sample.tokens
 	}
 	return out
 }
 
-// judge ends the present window of x.
-func (p *Pace) judge(now time.Time, x *progress) {
+// judge ends the current window of a sample.
+func (p *Pace) judge(now time.Time, sample *progress) {
 	slow := false
-	if x.first.IsZero() {
+	if sample.first.IsZero() {
 		typical, ok := median(p.waits)
-		slow = ok && now.Sub(x.began).Seconds() > slowFactor*typical
+		slow = ok && now.Sub(sample.began).Seconds() > slowFactor*typical
 	} else {
-		rate := float64(x.tokens-x.windowBegan) / now.Sub(x.window).Seconds()
+		rate := float64(sample.tokens-sample.windowBegan) / now.Sub(sample.window).Seconds()
 		typical, ok := median(p.rates)
 		slow = ok && rate < typical/slowFactor
 		p.rates = keep(p.rates, rate)
 	}
-	x.window = now
-	x.windowBegan = x.tokens
+	sample.window = now
+	sample.windowBegan = sample.tokens
 	if !slow {
-		x.slow = 0
+		sample.slow = 0
 		return
 	}
-	x.slow++
+	sample.slow++
 }
 
-func (p *Pace) mayMove(slot int, x *progress) bool {
-	cost := x.prefix + x.tokens
+func (p *Pace) mayMove(slot int, sample *progress) bool {
+	cost := sample.prefix + sample.tokens
 	return p.moves[slot] < p.maxMoves && float64(p.reread+cost) <= moveShare*float64(p.total)
 }
 
--- a/internal/rollout/pace_test.go
+++ b/internal/rollout/pace_test.go
@@ -15,7 +15,7 @@
 	began := time.Unix(0, 0)
 	out := map[int]time.Duration{}
 	for slot := range 8 {
-		p.Began(began, slot, prefix)
+		p.StartSample(began, slot, prefix)
 		prefix = 0
 	}
 	for at := tick; at <= length; at += tick {
@@ -25,7 +25,7 @@
 			if slot == 0 {
 				rate = slow
 			}
-			p.Grew(now, slot, rate/10)
+			p.RecordTokens(now, slot, rate/10)
 		}
 		for _, slot := range p.Stragglers(now) {
 			out[slot] = at
--- a/internal/rollout/request.go
+++ b/internal/rollout/request.go
@@ -12,12 +12,11 @@
 	Messages json.RawMessage `json:"messages"`
 }
 
-// StepRequest opens a step, or opens it again after its owner was lost or the
-// trainer was.
+// StepRequest opens a step, or reopens it after its owner or its trainer failed.
 type StepRequest struct {
 	ID        string  `json:"id"`      // chosen by the trainer, unique within its account
 	Attempt   uint64  `json:"attempt"` // from 1; grows with each opening of the step
-	Cursor    int     `json:"cursor"`  // last position the trainer holds
+	Cursor    int     `json:"cursor"`  // last position that the trainer received
 	PerGroup  int     `json:"samples_per_group"`
 	MaxTokens int     `json:"max_tokens"`
 	Groups    []Group `json:"groups"`
@@ -26,7 +25,7 @@
 // total is the number of samples wanted.
 func (q StepRequest) total() int { return q.PerGroup * len(q.Groups) }
 
-// hash names the content of a step, which no opening may change.
+// hash identifies the content of a step, which reopening must not change.
 func (q StepRequest) hash() (string, error) {
 	q.Cursor = 0
 	q.Attempt = 0
@@ -51,6 +50,6 @@
 type Batch struct {
 	Samples []Sample `json:"samples"`
 	Attempt uint64   `json:"attempt"` // of the opening; a trainer drops batches of older ones
-	Cursor  int      `json:"cursor"`  // to be sent as after= next time
+	Cursor  int      `json:"cursor"`  // the next request's after= parameter
 	Done    bool     `json:"done"`    // every sample of the step is at or before Cursor
 }
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -17,14 +17,14 @@
 	retryWait   = 200 * time.Millisecond
 	paceTick    = 250 * time.Millisecond
 	// attendedFor is how long after a trainer's request stale samples are still
-	// generated anew ahead of the next one.
+	// regenerated in advance of the next one.
 	attendedFor = time.Minute
 	// unattendedTTL is how long a step runs without a request of its trainer.
 	unattendedTTL = time.Hour
 )
 
-// run is a step at its owner: the stream behind a lock, and the goroutines that
-// generate and deliver.
+// run is a step at its owner: the stream with its lock, and the goroutines that
+// generate and deliver samples.
 type run struct {
 	m       *Manager
 	id      string
@@ -62,7 +62,7 @@
 	return r
 }
 
-// update changes the stream and wakes those who wait.
+// update changes the stream and wakes the waiting requests.
 func (r *run) update(f func(*Stream)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -83,7 +83,7 @@
 	return r.step
 }
 
-// rewind follows a newer opening of the step.
+// rewind applies a newer opening of the step.
 func (r *run) rewind(s state.Step) {
 	r.delivering.Lock()
 	defer r.delivering.Unlock()
@@ -98,13 +98,13 @@
 	})
 }
 
-// allowed is the oldest weight version within the bound as far as this daemon
-// knows. It saves work; what decides is the control log.
+// allowed returns the oldest weight version within the bound according to this
+// daemon's snapshot. It avoids useless work; the control log decides.
 func (r *run) allowed() uint64 {
 	return r.m.view.Config().OldestAllowed(r.current().Service)
 }
 
-// loop keeps samples being generated until the step has ended or is lost.
+// loop generates samples until the step has ended or has another owner.
 func (r *run) loop() {
 	defer r.m.drop(r)
 	defer r.cancel()
@@ -127,8 +127,8 @@
 	}
 }
 
-// tidy drops stale samples while the trainer is there; false when it has been
-// away for too long.
+// tidy drops stale samples while the trainer is active; false when the trainer
+// has sent no request for too long.
 func (r *run) tidy() bool {
 	allowed := r.allowed()
 	r.mu.Lock()
@@ -204,18 +204,18 @@
 		},
 		began: func(prefix int, move context.CancelCauseFunc) {
 			r.pacing(func(now time.Time) {
-				r.pace.Began(now, slot, prefix)
+				r.pace.StartSample(now, slot, prefix)
 				r.move[slot] = move
 			})
 		},
 		grew: func(n int) {
-			r.pacing(func(now time.Time) { r.pace.Grew(now, slot, n) })
+			r.pacing(func(now time.Time) { r.pace.RecordTokens(now, slot, n) })
 			if r.proven(slot) {
 				r.update(func(*Stream) {}) // the others of the group may start
 			}
 		},
 		left:  func(upstream string) { r.pacing(func(now time.Time) { r.slow.moved(now, upstream) }) },
-		ended: func() { r.pacing(func(now time.Time) { r.pace.Ended(now, slot) }) },
+		ended: func() { r.pacing(func(now time.Time) { r.pace.EndSample(now, slot) }) },
 	}
 }
 
@@ -231,8 +231,8 @@
 	f(time.Now())
 }
 
-// moveStragglers makes slow samples go on elsewhere. The slow upstream is left
-// at once: to wait which of two ends first would favour short samples.
+// moveStragglers continues slow samples at other upstreams. The slow upstream is
+// cancelled at once: racing the two would favour short samples.
 func (r *run) moveStragglers() {
 	r.pacing(func(now time.Time) {
 		for _, slot := range r.pace.Stragglers(now) {
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -16,7 +16,7 @@
 type Sample struct {
 	Position  int         `json:"position"` // from 1
 	Void      bool        `json:"void,omitempty"`
-	Failed    result.Code `json:"failed,omitempty"` // why the sample will never come; it has no text then
+	Failed    result.Code `json:"failed,omitempty"` // why the sample cannot be generated; it has no text then
 	Group     int         `json:"group"`
 	Index     int         `json:"index"` // within the group
 	Text      string      `json:"text,omitempty"`
@@ -25,8 +25,8 @@
 	RequestID string      `json:"request_id,omitempty"`
 }
 
-// OldestVersion is the oldest version that produced any of the sample. One that
-// failed never grows too old.
+// OldestVersion returns the oldest version that produced any part of the sample.
+// A failed sample never becomes stale.
 func (s Sample) OldestVersion() uint64 {
 	if s.Failed != result.OK {
 		return math.MaxUint64
--- a/internal/rollout/stream.go
+++ b/internal/rollout/stream.go
@@ -25,25 +25,25 @@
 
 // position of the step's stream.
 type position struct {
-	Body // empty when void, or confirmed by the trainer
+	Body // empty when void, or acknowledged by the trainer
 	void bool
 }
 
-// Stream is the plain state machine of one step at its owner. A position is in
-// it once its commit is known; from then on its sample may have been sent, so
-// only an opening by the trainer can take it back.
+// Stream is the plain state machine of one step at its owner. It contains the
+// positions known to be committed; their samples may have been sent, so only a
+// reopening by the trainer can revoke them.
 type Stream struct {
 	perGroup  int
 	slots     []slotState
-	proven    []bool // by group: its prompt has given a token somewhere
+	proven    []bool // by group: an upstream has generated a token for its prompt
 	ready     []Body // by completion
-	pending   []Body // proposed; whether they are committed is not known
+	pending   []Body // proposed; outcome not known yet
 	positions []position
 	acked     int
 }
 
 // NewStream starts a step of total samples from the committed positions, whose
-// slots are given, VoidSlot for void ones. The trainer holds those up to cursor;
+// slots are given, VoidSlot for void ones. The trainer has received those up to cursor;
 // the later ones that are not void must be given by Restore.
 func NewStream(total, perGroup int, placed []int, cursor int) *Stream {
 	s := &Stream{perGroup: perGroup, slots: make([]slotState, total), proven: make([]bool, total/perGroup), acked: cursor}
@@ -65,12 +65,12 @@
 	}
 }
 
-// Next hands out a slot to generate; false when none waits. One sample of a group
-// goes first: a prompt that crashes upstreams must not meet as many of them at
+// Next returns a slot to generate; false when none waits. One sample of a group
+// runs first: a prompt that crashes upstreams would otherwise crash as many at
 // once as its group has samples.
 func (s *Stream) Next() (int, bool) {
-	for i, x := range s.slots {
-		if x == slotWaiting && s.mayStart(i) {
+	for i, state := range s.slots {
+		if state == slotWaiting && s.mayStart(i) {
 			s.slots[i] = slotRunning
 			return i, true
 		}
@@ -86,8 +86,8 @@
 	return !slices.Contains(s.slots[group*s.perGroup:(group+1)*s.perGroup], slotRunning)
 }
 
-// Proven tells that the prompt of a slot has given a token; true when that is
-// news.
+// Proven records that an upstream generated a token for the prompt of a slot; true
+// on the first call for its group.
 func (s *Stream) Proven(slot int) bool {
 	group := slot / s.perGroup
 	news := !s.proven[group]
@@ -95,14 +95,14 @@
 	return news
 }
 
-// Failed puts a slot back.
+// Failed makes a slot wait again.
 func (s *Stream) Failed(slot int) {
 	if s.slots[slot] == slotRunning {
 		s.slots[slot] = slotWaiting
 	}
 }
 
-// Finished takes the generated sample of a slot.
+// Finished stores the generated sample of a slot.
 func (s *Stream) Finished(slot int, sample Sample) {
 	if s.slots[slot] != slotRunning {
 		return
@@ -120,7 +120,7 @@
 }
 
 // DropStale drops the samples without a position that are older than allowed;
-// their slots wait anew. It returns how many.
+// their slots wait again. It returns their number.
 func (s *Stream) DropStale(allowed uint64) int {
 	var keep []Body
 	for _, b := range s.ready {
@@ -136,7 +136,7 @@
 }
 
 // Propose returns the next positions to commit, at most limit: those proposed
-// before, unchanged, while the fate of that proposal is not known. Slots is
+// before, unchanged, while the outcome of that proposal is unknown. Slots is
 // empty when nothing is ready.
 func (s *Stream) Propose(limit int) state.StepCommit {
 	if len(s.pending) == 0 {
@@ -152,8 +152,8 @@
 	return c
 }
 
-// Committed takes the slots that the log gave to the proposed positions. A
-// sample that was too old there has a void position; its slot waits anew.
+// Committed applies the slots that the log assigned to the proposed positions. A
+// sample that was stale at that index has a void position; its slot waits again.
 func (s *Stream) Committed(slots []int) {
 	bodies := map[int]Sample{}
 	for _, b := range s.pending {
@@ -164,13 +164,13 @@
 	s.append(slots, bodies)
 }
 
-// Ack takes the trainer's cursor; false when it lies outside the stream.
+// Ack applies the trainer's cursor; false when it lies outside the stream.
 func (s *Stream) Ack(cursor int) bool {
 	if cursor < s.acked || cursor > len(s.positions) {
 		return false
 	}
 	for i := s.acked; i < cursor; i++ {
-		s.positions[i].Sample = Sample{} // the trainer has it
+		s.positions[i].Sample = Sample{} // the trainer has received it
 	}
 	s.acked = cursor
 	return true
@@ -178,8 +178,8 @@
 
 // Sent returns the committed positions after the cursor, at most limit. They
 // may have been sent before. It fails with StaleVersion when one has become
-// older than allowed: the trainer must open the step again, which takes back
-// what it does not hold.
+// older than allowed: the trainer must reopen the step, which revokes the
+// positions that it has not received.
 func (s *Stream) Sent(limit int, allowed uint64) ([]Sample, error) {
 	var out []Sample
 	for i := s.acked; i < len(s.positions) && len(out) < limit; i++ {
@@ -196,17 +196,17 @@
 	return out, nil
 }
 
-// Done reports whether every sample is placed and confirmed.
+// Done reports whether every sample is placed and acknowledged.
 func (s *Stream) Done() bool {
 	if s.acked != len(s.positions) {
 		return false
 	}
-	return !slices.ContainsFunc(s.slots, func(x slotState) bool { return x != slotPlaced })
+	return !slices.ContainsFunc(s.slots, func(state slotState) bool { return state != slotPlaced })
 }
 
-// Rewind follows an opening of the step by its trainer, which holds the
-// positions up to cursor. placed are the slots of all positions after it. The samples that the
-// trainer does not hold are ready again.
+// Rewind applies a reopening by the trainer, which has received the positions up
+// to cursor. placed are the slots of all positions after it. Samples that the
+// trainer has not received are ready again.
 func (s *Stream) Rewind(placed []int, cursor int) {
 	var free []Body
 	for _, p := range s.positions[min(cursor, len(s.positions)):] {
@@ -217,8 +217,8 @@
 	free = append(free, s.pending...)
 	s.pending = nil
 	s.positions = nil
-	for i, x := range s.slots {
-		if x == slotPlaced {
+	for i, state := range s.slots {
+		if state == slotPlaced {
 			s.slots[i] = slotWaiting
 		}
 	}
@@ -236,7 +236,7 @@
 	}
 }
 
-// Bodies returns the samples that the trainer has not confirmed.
+// Bodies returns the samples that the trainer has not acknowledged.
 func (s *Stream) Bodies() []Body {
 	var out []Body
 	for _, p := range s.positions[s.acked:] {
@@ -248,7 +248,7 @@
 	return append(out, s.ready...)
 }
 
-// Restore gives a new stream the bodies of an earlier owner. Those without a
+// Restore adds the bodies of an earlier owner to a new stream. Those without a
 // position are ready.
 func (s *Stream) Restore(bodies []Body) {
 	placed := map[int]int{} // index by slot
