--- a/internal/cli/account.go
+++ b/internal/cli/account.go
@@ -121,7 +121,7 @@
 	}
 	return c.print(c.o.out, out, func() {
 		for _, k := range out {
-			holder, state := k.Account, "in force"
+			holder, state := k.Account, "active"
 			if k.Operator {
 				holder = "(operator)"
 			}
--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -14,7 +14,7 @@
 
 func serviceCommands(o *options) []sub {
 	return []sub{
-		{"put", "Put a service document in force", "hint-model.ini", &servicePut{o: o}},
+		{"put", "Activate a service document", "hint-model.ini", &servicePut{o: o}},
 		{"get", "Print a service document", "hint-model", &serviceGet{o: o}},
 		{"list", "List service documents", "", &serviceList{o: o}},
 		{"history", "List the accepted edits of a document", "hint-model", &serviceHistory{o: o}},
@@ -50,7 +50,7 @@
 	if err := c.do(http.MethodPut, path, b, &out); err != nil {
 		return err
 	}
-	return c.print(c.o.out, out, func() { fmt.Fprintf(c.o.out, "service %s in force, version %d\n", doc.Name, out.Version) })
+	return c.print(c.o.out, out, func() { fmt.Fprintf(c.o.out, "service %s active, version %d\n", doc.Name, out.Version) })
 }
 
 func (c *servicePut) nextVersion(name string) (uint64, error) {
--- a/internal/result/class.go
+++ b/internal/result/class.go
@@ -4,7 +4,7 @@
 type Class string
 
 const (
-	// NotRun promises that no upstream received any byte of the request.
+	// NotRun guarantees that no upstream received any byte of the request.
 	NotRun Class = "not run"
 	// Ran means the request was executed and its outcome is known.
 	Ran Class = "ran"
--- a/scripts/reference.sh
+++ b/scripts/reference.sh
@@ -36,7 +36,7 @@
 	cat <<'T'
 # Service documents
 
-One INI document for each service, owned by the service's team, put in force by
+One INI document for each service, owned by the service's team, activated by
 `apricotstream service put FILE` while traffic runs. A document is accepted
 whole or refused whole. Of operators racing under one version number one wins;
 the other is told (code 402). `apricotstream check --service FILE` needs no daemon.
