--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -20,7 +20,7 @@
 	// DefaultMaxAppendBytes is how much data one message carries, beside its last
 	// entry: a slow link must pass it within a heartbeat interval.
 	DefaultMaxAppendBytes = 256 << 10
-	// DefaultWindowBytes is how much data may be under way to one replica.
+	// DefaultWindowBytes is how much data may be in flight to one replica.
 	DefaultWindowBytes = 1 << 20
 	// DefaultSnapshotRetry is when a snapshot that was not acknowledged is sent
 	// again: a large one takes a good second to be read and stored.
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -84,20 +84,19 @@
 	n.appendOwn(EntryNoop, nil)
 }
 
-// promised reports whether a lease of some leader may rest on this replica.
-func (n *Node) promised() bool {
+// leaseMayHold reports whether the lease of some leader may depend on this replica.
+func (n *Node) leaseMayHold() bool {
 	return n.now < n.heardLeader+n.cfg.Election
 }
 
-// stepVoteRequest answers also when this replica does not know itself as a
-// voter: the entry that made it one may not have reached it, and the candidate
+// stepVoteRequest answers even when this replica is not a voter in its own log: the entry that made it one may not have reached it, and the candidate
 // may need its vote.
 func (n *Node) stepVoteRequest(m Message) {
 	reply := MsgVoteReply
 	if m.Kind == MsgPreVote {
 		reply = MsgPreVoteReply
 	}
-	if n.promised() || n.role == Leader {
+	if n.leaseMayHold() || n.role == Leader {
 		n.send(Message{Kind: reply, To: m.From, Term: n.term, Reject: true})
 		return
 	}
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return
 	}
-	// The first committed entry stands at index 2.
+	// The first committed entry has index 2.
 	before := slices.IndexFunc(s.when, func(at float64) bool { return at >= r.realAt(p.AsOf) })
 	if before < 0 {
 		before = len(s.when)
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// log holds the entries after a snapshot. entries[0] stands at index first.
+// log holds the entries after a snapshot. entries[0] has index first.
 type log struct {
 	snapshot SnapshotMeta
 	entries  []Entry
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -1,6 +1,6 @@
 package consensus
 
-// MessageKind tells messages apart.
+// MessageKind is the type of a message.
 type MessageKind uint8
 
 const (
@@ -20,8 +20,8 @@
 	MsgSnapshot
 )
 
-// Message travels between replicas, many times a second: its names on
-// the wire are short.
+// Message is exchanged between replicas many times a second; its wire names are
+// short for that reason.
 type Message struct {
 	Kind MessageKind `json:"k"`
 	From ID          `json:"f"`
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -35,7 +35,7 @@
 	ErrNotCaughtUp = errors.New("consensus: the learner has not caught up")
 )
 
-// progress is what the leader knows of one replica.
+// progress is the leader's view of one replica.
 type progress struct {
 	match uint64 // highest index known durable there
 	next  uint64 // next index to send
@@ -44,10 +44,10 @@
 	life  uint32 // of its process then
 
 	// probing is set after a rejection until an append matches: one append at a
-	// time is under way then, so that rejections do not multiply.
+	// time is in flight then, so that rejections do not multiply.
 	probing bool
 	probed  Time // sending time of the newest probe
-	// snapshot is the index of a snapshot under way; 0: none.
+	// snapshot is the index of a snapshot in flight; 0: none.
 	snapshot   uint64
 	snapshotAt Time // its sending time
 }
@@ -68,7 +68,7 @@
 	members Membership
 
 	now         Time
-	heardLeader Time // the promise: no vote before heardLeader + Election
+	heardLeader Time // no vote is granted before heardLeader + Election
 	electAt     Time
 	ledSince    Time // start of the own leadership
 	beatAt      Time
@@ -97,7 +97,7 @@
 		commit:  max(cfg.Hard.Commit, cfg.Snapshot.Index),
 		applied: cfg.Snapshot.Index,
 		now:     cfg.Now,
-		// A restart keeps the promise that an earlier run may have given.
+		// An earlier run may have acknowledged a heartbeat just before the restart.
 		heardLeader: cfg.Now,
 	}
 	n.life = n.rnd.Uint32()
@@ -111,7 +111,7 @@
 	return n
 }
 
-// Tick moves the clock to now, which never goes back.
+// Tick advances the clock to now, which must not decrease.
 func (n *Node) Tick(now Time) {
 	n.now = max(n.now, now)
 	if n.role == Leader {
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// Ready is the work that a step left for the caller; see the package contract.
+// Ready is the outstanding work of the caller; see the package contract.
 type Ready struct {
 	HardState *HardState // nil when unchanged
 	Entries   []Entry    // to append durably; they replace any at the same index
@@ -39,7 +39,7 @@
 	return r
 }
 
-// Advance tells that the work of r is done.
+// Advance reports that the work of r is done.
 func (n *Node) Advance(r Ready) {
 	if k := len(r.Entries); k > 0 {
 		n.log.stable = max(n.log.stable, r.Entries[k-1].Index)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -172,7 +172,7 @@
 }
 
 // keepTail reports whether the log already holds the prefix that a snapshot
-// stands for. Entries after it may have been acknowledged and must stay.
+// covers. Entries after it may have been acknowledged and must stay.
 func (n *Node) keepTail(meta SnapshotMeta) bool {
 	t, ok := n.log.term(meta.Index)
 	return ok && t == meta.Term
@@ -189,8 +189,8 @@
 }
 
 // sendAppend sends what id lacks. A snapshot message goes out without data;
-// the caller fills it in from storage. While a snapshot is under way, or more
-// entries than a window are, only heartbeats go out; while probing, one append
+// the caller fills it in from storage. While a snapshot or more
+// entries than a window are in flight, only heartbeats go out; while probing, one append
 // per heartbeat interval unless a reply has come.
 func (n *Node) sendAppend(id ID) {
 	p := n.progress[id]
--- a/internal/consensus/rule_test.go
+++ b/internal/consensus/rule_test.go
@@ -87,8 +87,8 @@
 	return false
 }
 
-// A replica that restarts may have promised a lease just before.
-func TestRestartKeepsThePromise(t *testing.T) {
+// A replica may have acknowledged a heartbeat just before its restart.
+func TestRestartedReplicaWaitsForAnEarlierLease(t *testing.T) {
 	g := NewWithT(t)
 	n := restarted(HardState{Term: 1, Commit: 1})
 	start := n.now
@@ -97,7 +97,7 @@
 }
 
 // A leader that steps down may have work under way under its lease.
-func TestFormerLeaderKeepsThePromise(t *testing.T) {
+func TestFormerLeaderWaitsForItsLease(t *testing.T) {
 	g := NewWithT(t)
 	n := restarted(HardState{Term: 1, Commit: 1})
 	elected(n)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -9,7 +9,7 @@
 // Time is a monotonic reading since an arbitrary origin of one process.
 type Time = time.Duration
 
-// EntryKind tells what an entry carries.
+// EntryKind is the kind of payload of an entry.
 type EntryKind uint8
 
 const (
