--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -23,7 +23,7 @@
 
 const eventStream = "text/event-stream"
 
-// headerUpstream tells the caller who served it.
+// headerUpstream names the upstream that served the request.
 const headerUpstream = "X-Upstream"
 
 // pass hands an upstream's answer on to the caller.
@@ -73,7 +73,7 @@
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
 }
 
-// streamTokens checks a buffered stream of an engine as if it were passed on,
+// streamTokens checks a buffered stream of an engine as if it were forwarded,
 // and counts its tokens.
 func streamTokens(resp *http.Response, a *state.Answer) (int64, error) {
 	id := resp.Header.Get(forward.HeaderRequestID)
@@ -96,7 +96,7 @@
 	return err
 }
 
-// marked refuses an answer whose end cannot be told from a cut.
+// marked rejects a response whose end cannot be distinguished from a cut.
 func marked(resp *http.Response) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return result.New(result.AnswerCut, "the answer has neither length nor end marker")
@@ -136,7 +136,7 @@
 	return int64(c.Usage.CompletionTokens)
 }
 
-// passStream passes the events of a completion on, each checked for its
+// passStream forwards the events of a completion, each checked for its
 // request. A stream that fails after its first event ends with an error event
 // and without the end marker, so it cannot pass for complete.
 func (x *call) passStream(resp *http.Response) error {
--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -16,7 +16,7 @@
 const freshRetry = time.Second
 
 // authenticate returns the key that came with the request. The entry must be
-// fresh: otherwise it cannot know that the key still holds.
+// fresh: otherwise the key may have been revoked meanwhile.
 func (g *Gateway) authenticate(r *http.Request) (state.Key, error) {
 	if !g.View.Fresh() {
 		return state.Key{}, result.Later(result.NotFresh, freshRetry, "this entry cannot check keys now")
@@ -59,7 +59,7 @@
 	return k, nil
 }
 
-// operatorsOnly lets only operator keys through.
+// operatorsOnly accepts operator keys only.
 func (g *Gateway) operatorsOnly(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		k, err := g.authenticate(c.Request())
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -10,7 +10,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// entryList tells callers which addresses to use.
+// entryList answers with the addresses that callers should use.
 type entryList struct {
 	Entries []entryAddress `json:"entries"` // best first
 	TTLMS   int64          `json:"ttl_ms"`  // ask again after this
@@ -21,7 +21,7 @@
 	Zone    string `json:"zone"`
 }
 
-// entriesRetry is advised while no entry is known: daemons find each other within
+// entriesRetry is the Retry-After while no entry is known: daemons find each other within
 // a gossip period or two.
 const entriesRetry = 500 * time.Millisecond
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,11 +8,11 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// eventBuffer is the largest piece of a plain service's stream passed on at
+// eventBuffer is the largest piece of a plain service's stream forwarded at
 // once, in bytes.
 const eventBuffer = 32 << 10
 
-// passEvents passes the stream of a plain service on as it comes. Its events
+// passEvents forwards the stream of a plain service as it arrives. Its events
 // are the service's own, so its end marker is that of the transfer.
 func (x *call) passEvents(resp *http.Response) error {
 	if err := marked(resp); err != nil {
--- a/internal/gateway/leak.go
+++ b/internal/gateway/leak.go
@@ -12,7 +12,7 @@
 
 // carriesKey reports whether s holds something that looks like a key, also
 // under several rounds of percent-encoding. What cannot be decoded further is
-// judged as it stands.
+// checked without unescaping it.
 func carriesKey(s string) bool {
 	for range maxDecoding {
 		if strings.Contains(strings.ToLower(s), account.Prefix) {
