--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,11 +18,11 @@
 	Priority int       // 0 is served first; from BackgroundPriority on it yields to callers
 }
 
-// BackgroundPriority is the first priority of work that nobody waits for at a
+// BackgroundPriority is the first priority of work that no caller waits for at a
 // screen or a gate: rollouts.
 const BackgroundPriority = 8
 
-// Admitter lets requests through. Done must be called once with the true cost;
+// Admitter admits requests. Done must be called once with the true cost;
 // 0 or less keeps the estimate.
 type Admitter interface {
 	Admit(ctx context.Context, t Ticket) (done func(cost float64), err error)
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -8,13 +8,13 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// Slots tells how many requests of a service this entry may have in flight,
-// given those it has now. 0 means that no upstream is there.
+// Slots returns how many requests of a service this entry may have in flight,
+// given the current number. 0 means that the service has no upstream.
 type Slots interface {
 	Slots(service string, inFlight int) int
 }
 
-// noSlotRetry is advised when no upstream is there.
+// noSlotRetry is the Retry-After when the service has no upstream.
 const noSlotRetry = time.Second
 
 // Fair runs a Queue for each service.
--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// settle drops idle flows; when all are idle, their tags tell nothing any more.
+// settle drops idle flows; when all are idle, their tags have no meaning left.
 func (l *level) settle() {
 	oldest := math.Inf(1)
 	for _, f := range l.flows {
--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -9,7 +9,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// Refused counts a refusal by account and code, and passes it on.
+// Refused counts a refusal by account and code, and returns it.
 func Refused(t Ticket, err error) error {
 	name := fmt.Sprintf(`apricotstream_refusals_total{service=%q,account=%q,code="%d"}`, t.Service, t.Account, result.CodeOf(err))
 	metrics.GetOrCreateCounter(name).Inc()
