--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -13,12 +13,12 @@
 // Timing of gossip.
 const (
 	period       = 500 * time.Millisecond // one probe each
-	changeCheck  = 100 * time.Millisecond // how soon a change of the own state is told
+	changeCheck  = 100 * time.Millisecond // delay after which a change of the own state is sent
 	probeTimeout = 400 * time.Millisecond
 	helpTimeout  = 700 * time.Millisecond
 	helpers      = 2
 	// seedEvery is the number of periods between tries of a seed that is not
-	// known to be up: two halves that dropped each other find together again.
+	// known to be up: two halves that dropped each other merge again.
 	seedEvery = 10
 )
 
@@ -69,8 +69,8 @@
 	})
 }
 
-// round starts one probe, and tries the seeds when asked to or when nobody is
-// known.
+// round starts one probe, and tries the seeds when asked to or when no other
+// daemon is known.
 func (g *Gossip) round(ctx context.Context, seeds bool) {
 	g.mu.Lock()
 	g.table.Expire(time.Now())
@@ -84,7 +84,7 @@
 	}
 }
 
-// Beat tells all others at once when the own state has changed.
+// Beat notifies all others at once when the own state has changed.
 func (g *Gossip) Beat() {
 	d := g.self()
 	g.mu.Lock()
@@ -165,7 +165,7 @@
 	return true
 }
 
-// pull takes over what the daemon at address knows.
+// pull merges the table of the daemon at address.
 func (g *Gossip) pull(ctx context.Context, address string) {
 	reply, err := peer.Call[TableReply](ctx, g.client, address, MethodTable, g.ownPing())
 	if err != nil {
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -21,12 +21,12 @@
 	Address string `json:"address"`
 }
 
-// PingForReply tells whether it answered.
+// PingForReply reports whether the probed daemon answered.
 type PingForReply struct {
 	Answered bool `json:"answered"`
 }
 
-// TableReply holds every description known.
+// TableReply holds all known descriptions.
 type TableReply struct {
 	Daemons []Daemon `json:"daemons"`
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -18,7 +18,7 @@
 	goneTime = time.Minute
 )
 
-// entry is what the table knows of another daemon.
+// entry is the record of another daemon.
 type entry struct {
 	daemon    Daemon
 	suspectAt time.Time // zero: not suspected
@@ -38,7 +38,7 @@
 	round  []string // ids still to be probed in this round
 }
 
-// NewTable returns a table that knows only self.
+// NewTable returns a table that contains only self.
 func NewTable(self Daemon) *Table {
 	return &Table{self: self, others: map[string]*entry{}, gone: map[string]grave{}}
 }
@@ -47,7 +47,7 @@
 func (t *Table) Self() Daemon { return t.self }
 
 // SetSelf updates the own description and reports whether the others must be
-// told: not for a change of load alone.
+// notified: not for a change of load alone.
 func (t *Table) SetSelf(d Daemon) bool {
 	d.Seq = t.self.Seq
 	old := t.self
@@ -167,7 +167,7 @@
 	return out
 }
 
-// Hash is equal on daemons that know the same descriptions.
+// Hash is equal on daemons that hold the same descriptions.
 func (t *Table) Hash() uint64 {
 	var sum uint64
 	for _, d := range t.Live() {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -64,7 +64,7 @@
 		Expect(t.Suspect(epoch, old)).To(BeFalse())
 	})
 
-	It("tells of a change, not of load alone", func() {
+	It("notifies of a change, not of load alone", func() {
 		d := daemon("a", 0)
 		d.InFlight = 7
 		Expect(t.SetSelf(d)).To(BeFalse())
