--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -18,7 +18,7 @@
 	Version       uint64  `json:"version,omitempty"`        // weight version loaded; 0 for a plain service
 	Loading       uint64  `json:"loading,omitempty"`        // weight version being loaded
 	LoadingFrom   string  `json:"loading_from,omitempty"`   // address of the upstream it loads from; empty: the weight store
-	SharesWeights bool    `json:"shares_weights,omitempty"` // passes its version on to other upstreams
+	SharesWeights bool    `json:"shares_weights,omitempty"` // serves its version to other upstreams
 	Concurrency   int     `json:"concurrency"`              // requests it runs at once
 	Running       int     `json:"running"`
 	Waiting       int     `json:"waiting"`
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,13 +11,13 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// Methods by which daemons compare and confirm what they know of upstreams.
+// Methods by which daemons compare and acknowledge announcements.
 const (
 	MethodTable   = "upstream.table"   // call: TableRequest -> TableReply
 	MethodConfirm = "upstream.confirm" // call: Announcement -> Confirmed
 )
 
-// TableRequest asks for all announcements unless the asker knows the same.
+// TableRequest asks for all announcements unless the asker holds the same ones.
 type TableRequest struct {
 	Hash uint64 `json:"hash"`
 }
@@ -61,7 +61,7 @@
 	return h.Sum64()
 }
 
-// Pull takes over what the daemon at address knows and this one does not.
+// Pull merges the announcements of the daemon at address.
 func (d *Directory) Pull(ctx context.Context, c *peer.Client, address string) error {
 	d.mu.Lock()
 	q := TableRequest{Hash: d.hash()}
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -46,7 +46,8 @@
 // Reached trusts a again.
 func (h *Health) Reached(a Announcement) { delete(h.byID, a.ID) }
 
-// Try tells that a is tried after its ejection: nobody else tries it meanwhile.
+// Try reserves the first request to a after its ejection; no other request tries
+// it meanwhile.
 func (h *Health) Try(now time.Time, a Announcement) {
 	if c := h.byID[a.ID]; c != nil && c.incarnation == a.Incarnation && !now.Before(c.until) {
 		c.until = now.Add(firstEjection)
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -13,7 +13,7 @@
 type known struct {
 	a      Announcement
 	until  time.Time
-	spread time.Time // when the daemons last told each other
+	spread time.Time // when the daemons last notified each other
 }
 
 // Registry is a plain state machine over announcements; the caller provides
@@ -50,14 +50,14 @@
 	return true
 }
 
-// Due reports whether a is worth telling the other daemons: it changes more than
-// the load, or what they know will run out. Call it before Take.
+// Due reports whether the other daemons need a: it changes more than the load, or
+// their record is about to expire. Call it before Take.
 func (r *Registry) Due(now time.Time, a Announcement) bool {
 	old, ok := r.byID[a.ID]
 	return !ok || !old.a.same(a) || now.Sub(old.spread) >= time.Duration(spreadPart*float64(a.ttl()))
 }
 
-// Spread records that all daemons have been told of the upstream.
+// Spread records that all daemons were notified of the upstream.
 func (r *Registry) Spread(now time.Time, id string) {
 	if k, ok := r.byID[id]; ok {
 		k.spread = now
