--- a/internal/strictini/decode.go
+++ b/internal/strictini/decode.go
@@ -41,7 +41,7 @@
 	name := s.Name()
 	if name == ini.DefaultSection {
 		for _, k := range s.Keys() {
-			d.add(place{key: k.Name()}, result.SettingUnknown, "key %s stands before any section", k.Name())
+			d.add(place{key: k.Name()}, result.SettingUnknown, "key %s precedes any section", k.Name())
 		}
 		return
 	}
--- a/internal/strictini/lines.go
+++ b/internal/strictini/lines.go
@@ -7,7 +7,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// place is where a section (empty key) or a key stands.
+// place identifies a section (empty key) or a key.
 type place struct{ section, key string }
 
 // lineIndex finds the lines of sections and keys, which the INI library drops.
@@ -33,7 +33,7 @@
 			at.key = strings.TrimSpace(name)
 		}
 		if prev, ok := ix.first[at]; ok {
-			msg := fmt.Sprintf("[%s] %s stands already on line %d", at.section, at.key, prev)
+			msg := fmt.Sprintf("[%s] %s is already set on line %d", at.section, at.key, prev)
 			ix.repeated = append(ix.repeated, Problem{File: file, Line: i + 1, Code: result.SettingRepeated, Message: msg})
 			continue
 		}
--- a/internal/strictini/markdown.go
+++ b/internal/strictini/markdown.go
@@ -7,7 +7,7 @@
 
 // Described is a section with its documentation.
 type Described struct {
-	Name    string // as it stands in the file; NAME where a name is to be set
+	Name    string // as in the file; NAME where a name is to be set
 	Help    string
 	Section *Section
 }
