--- a/internal/dispatch/background.go
+++ b/internal/dispatch/background.go
@@ -8,7 +8,7 @@
 	"github.com/apricotstream/apricotstream/internal/engine"
 )
 
-// Background runs jobs that nobody waits for, rollouts first of all: each is
+// Background runs jobs that no caller waits for, rollouts first of all: each is
 // admitted behind the callers of its service.
 type Background struct {
 	Admission  admission.Admitter
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -4,7 +4,7 @@
 const (
 	// retryShare is the part of a retry that every request earns.
 	retryShare = 0.2
-	// retryReserve bounds what is saved up, in retries, and is there at the
+	// retryReserve bounds the saved-up budget, in retries; it is available at the
 	// start, so that a service with little traffic can retry too.
 	retryReserve = 10
 )
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	MinVersion  uint64
 	Idempotent  bool                        // may run twice
 	Exclude     []string                    // upstreams that must not run it
-	Started     func(upstream.Announcement) // told before each sending; may be nil
+	Started     func(upstream.Announcement) // called before each attempt; may be nil
 	Out         forward.Outgoing
 }
 
@@ -81,7 +81,7 @@
 	}
 }
 
-// Run runs job and hands the answer to consume. The error's class tells whether
+// Run runs job and hands the answer to consume. The error's class says whether
 // the job may have run, over all attempts. A job that may be sent again by its
 // caller is given up with the time to come back.
 func (d *Dispatcher) Run(ctx context.Context, job Job, consume Consumer) error {
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -64,7 +64,7 @@
 	})
 }
 
-// refuses reports whether nobody listens at address any more.
+// refuses reports whether connections to address are refused.
 func refuses(address string) bool {
 	c, err := net.DialTimeout("tcp", address, probeTimeout)
 	if err == nil {
