--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,4 +1,4 @@
-// Package forward sends one request to one upstream and tells truthfully
+// Package forward sends one request to one upstream and reports
 // whether it may have run. Outgoing headers are built from an allow list; no
 // header of the caller is copied, so no key can leak.
 package forward
