--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -64,7 +64,7 @@
 }
 
 // Release ends a request at u. What became of a request that its caller ended
-// tells nothing about u.
+// says nothing about u.
 func (c *Chooser) Release(ctx context.Context, u upstream.Announcement, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
