--- a/internal/capacity/backoff.go
+++ b/internal/capacity/backoff.go
@@ -14,8 +14,8 @@
 	maxPause   = 5 * time.Minute
 )
 
-// backoff tells from a service's orders until when each place is not asked
-// again. The orders are committed, so a new leader goes on where the old one was.
+// backoff derives from a service's orders until when each place is not asked
+// again. The orders are committed, so a new leader continues where the old one stopped.
 func backoff(orders []state.Order) map[place]time.Time {
 	bySeq := slices.Clone(orders)
 	slices.SortFunc(bySeq, func(a, b state.Order) int { return cmp.Compare(a.Seq, b.Seq) })
