--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -13,7 +13,7 @@
 // announceInterval is the time between announcements.
 const announceInterval = 500 * time.Millisecond
 
-// Announcer tells entries of an upstream, one entry after the other.
+// Announcer announces an upstream to one entry after the other.
 type Announcer struct {
 	Entries []string
 	Current func() upstream.Announcement
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -22,7 +22,7 @@
 	Entries []string // to ask first
 	Zone    string
 	Key     string
-	// Opened is told of the entry that opened a step.
+	// Opened is called with the entry that opened a step.
 	Opened func(entry string)
 
 	client  http.Client
@@ -160,7 +160,7 @@
 	return r, err
 }
 
-// streamError is the coded error that a stream ended with, when it tells one.
+// streamError is the coded error that a stream ended with, when it carries one.
 func streamError(err error, seen []byte) error {
 	_, event, found := bytes.Cut(seen, []byte("event: error\ndata: "))
 	if err == nil || !found {
--- a/internal/standin/die.go
+++ b/internal/standin/die.go
@@ -3,7 +3,7 @@
 import "net/http"
 
 // Die ends the upstream as the death of its process would: its address refuses
-// connections, those that are open are cut and nobody is told. Call it once,
+// connections, those that are open are cut without notice. Call it once,
 // while it serves.
 func (u *Upstream) Die() {
 	close(u.dead)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -93,7 +93,7 @@
 		if i == total/2 && every(e.CutEvery, n) {
 			panic(http.ErrAbortHandler)
 		}
-		// The text tells the version too, so that tests can check the labels.
+		// The text contains the version, so that tests can check the labels.
 		v := e.version.Load()
 		c := engine.Chunk{ID: id, WeightVersion: v, Choices: []engine.Choice{{Delta: engine.Delta{Content: fmt.Sprintf("t%d@%d ", i, v)}}}}
 		b, _ := json.Marshal(c)
--- a/internal/standin/load_addresses.go
+++ b/internal/standin/load_addresses.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// addressTTL is how long a load keeps the addresses it was told.
+// addressTTL is how long a load keeps the addresses that it received.
 const addressTTL = time.Second
 
 // addressList holds the entries that the system names, in turn: the callers of
--- a/internal/standin/load_tally.go
+++ b/internal/standin/load_tally.go
@@ -9,7 +9,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// maxLatency is the longest latency told apart.
+// maxLatency is the upper end of the latency histogram.
 const maxLatency = 5 * time.Minute
 
 // outcome is how one request ended.
--- a/internal/standin/misbehaviour.go
+++ b/internal/standin/misbehaviour.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// discard is an answer that nobody gets.
+// discard drops a response instead of sending it.
 type discard struct{ header http.Header }
 
 // Header implements http.ResponseWriter.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,7 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/fenced"
 )
 
-// Platform takes orders for upstreams and starts engine stand-ins for them in
+// Platform accepts orders for upstreams and starts engine stand-ins for them in
 // its own process.
 type Platform struct {
 	Options Options // of the upstreams it starts; ID, Service, Zone and Class are set
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -10,7 +10,7 @@
 	"github.com/apricotstream/apricotstream/internal/usage"
 )
 
-// Receiver takes usage windows and notes every broken promise it sees.
+// Receiver accepts usage windows and records every violated guarantee.
 type Receiver struct {
 	// IgnoreFencing takes reports with an old fencing number; they are noted.
 	IgnoreFencing bool
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -46,7 +46,7 @@
 	prefixes    prefixCache
 	// Crash ends the upstream as a crash would; the process by default.
 	Crash func()
-	// Ran is told the body of every request that runs; nil for nobody.
+	// Ran is called with the body of every request that runs; may be nil.
 	Ran func(body string)
 
 	dead chan struct{} // closed by Die
