--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -17,7 +17,7 @@
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
-// busyRetry is advised while the first sending still runs.
+// busyRetry is the Retry-After while the first attempt still runs.
 const busyRetry = time.Second
 
 // commitTimeout bounds one wait for the quorum.
@@ -43,7 +43,7 @@
 }
 
 // New returns a Runner. incarnation is never used again after this process;
-// alive tells whether the entry of another owner still runs, as far as known.
+// alive reports whether the entry of another owner is believed to run.
 func New(log control.Log, incarnation string, alive func(owner string) bool) *Runner {
 	return &Runner{log: log, incarnation: incarnation, alive: alive, recorder: &recorder{log: log}, active: map[string]bool{}}
 }
@@ -66,8 +66,8 @@
 	return r.work(ctx, id, owner, run)
 }
 
-// work runs a claimed request to its end, whatever becomes of its caller: once
-// it is sent, only its answer tells a resend what happened. A caller whose ctx
+// work runs a claimed request to its end, even if its caller leaves: once
+// it is sent, only its answer shows a resend what happened. A caller whose ctx
 // is cancelled is answered at once; the deadline ends the work itself.
 func (r *Runner) work(ctx context.Context, id state.ClaimID, owner string, run Run) (*state.Answer, error) {
 	var answer *state.Answer
@@ -95,7 +95,7 @@
 			if !deadlinePassed(ctx) {
 				return nil, context.Cause(ctx)
 			}
-			cancelled = nil // the work ends by itself now
+			cancelled = nil // the work now ends at its deadline
 		}
 	}
 }
@@ -116,7 +116,7 @@
 // Wait returns when all ends are recorded, or with the error of ctx.
 func (r *Runner) Wait(ctx context.Context) error { return r.recorder.wait(ctx) }
 
-// ending tells what is to be recorded of a run.
+// ending returns the record of a run's end.
 func ending(id state.ClaimID, owner string, answer *state.Answer, runErr error) state.ClaimFinish {
 	end := state.ClaimFinish{ID: id, Owner: owner}
 	switch {
--- a/internal/claim/recorder.go
+++ b/internal/claim/recorder.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// try reports whether the log has decided on end, be it by refusing it.
+// try reports whether the log has decided on end, by recording or by refusing it.
 func (r *recorder) try(end state.ClaimFinish) bool {
 	_, err := commit(context.Background(), r.log, state.Command{ClaimFinish: &end})
 	return err == nil
