--- a/internal/picker/class.go
+++ b/internal/picker/class.go
@@ -2,7 +2,7 @@
 
 import "github.com/apricotstream/apricotstream/internal/upstream"
 
-// class sends work that may be repeated to cheap upstreams while they have room,
+// class prefers cheap upstreams with free slots for repeatable work,
 // and all other work to regular ones.
 type class struct{}
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -1,5 +1,5 @@
 // Package picker chooses the upstream for a request in named steps: Filter drops
-// who must not run it, Preference narrows the rest while anybody is left, Scorer
+// who must not run it, Preference narrows the rest while any are left, Scorer
 // rates them, Picker takes one.
 // All steps are pure; the random source is passed in.
 package picker
@@ -11,7 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
-// Request is what the steps may look at.
+// Request is the input of the steps.
 type Request struct {
 	Service    string
 	Zone       string // of the entry
@@ -22,7 +22,7 @@
 	Ends       time.Time // deadline; zero for none
 }
 
-// Candidate is an upstream with what this entry knows of it.
+// Candidate is an upstream with this entry's observations of it.
 type Candidate struct {
 	Upstream upstream.Announcement
 	InFlight int     // requests of this entry that run there now
--- a/internal/picker/preference.go
+++ b/internal/picker/preference.go
@@ -1,6 +1,6 @@
 package picker
 
-// Preference narrows the choice; one that would leave nobody is passed over.
+// Preference narrows the choice; one that would leave no candidate is skipped.
 // Preferences apply in their order.
 type Preference interface {
 	Narrow(q Request, cs []Candidate) []Candidate
--- a/internal/picker/recent.go
+++ b/internal/picker/recent.go
@@ -1,7 +1,7 @@
 package picker
 
-// recent prefers upstreams whose announcements still hold. One that has gone
-// silent may only be cut off from the daemons that take announcements.
+// recent prefers upstreams whose announcements have not expired. A silent one may
+// merely be partitioned from the daemons that receive announcements.
 type recent struct{}
 
 // Narrow implements Preference.
