--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -30,7 +30,7 @@
 // Add counts requests and tokens.
 func (c *Counter) Add(account, service string, requests, tokens int64) {
 	if account == "" {
-		return // open routes belong to nobody
+		return // open routes belong to no account
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -60,7 +60,7 @@
 	return d
 }
 
-// Committed tells that the delta last returned is in the log.
+// Committed reports that the delta last returned is in the log.
 func (c *Counter) Committed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/usage/window.go
+++ b/internal/usage/window.go
@@ -6,13 +6,13 @@
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
-// maxUnreported bounds the closed windows that wait for the receiver. While so
-// many wait, the open window only grows longer; nothing is lost.
+// maxUnreported bounds the closed windows that wait for the receiver. At the
+// bound the open window is extended instead; nothing is lost.
 const maxUnreported = 256
 
 // NextClose returns the command that closes the next window once its time has
-// come; false before. windows are the closed windows known, by id. A window is
-// never shorter than nothing and begins where the last one ended, so after an
+// come; false before. windows are the closed windows known, by id. A window
+// begins where the last one ended and never has a negative length; after an
 // outage, or behind a clock that was ahead, one long window covers the gap.
 func NextClose(now time.Time, windows []state.Window, length time.Duration) (state.WindowClose, bool) {
 	c := state.WindowClose{ID: 1, Start: now.Truncate(length).Add(-length), End: now.Truncate(length)}
