--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -29,7 +29,7 @@
 	Partial map[string]state.Partial // known beginnings of texts, by item
 }
 
-// Engine is what the plan knows of an upstream.
+// Engine is the plan's view of an upstream.
 type Engine struct {
 	Upstream upstream.Announcement
 	Slots    int
@@ -40,7 +40,7 @@
 	Slowness float64           // time per event beside the median; 1: nothing known
 }
 
-// Start tells to run an item on an engine.
+// Start is the decision to run an item on an engine.
 type Start struct {
 	item   *item
 	Engine upstream.Announcement
--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -1,5 +1,5 @@
 // Package clock reads a monotonic clock that goes on while the machine is
-// suspended. Leases are measured on it: the runtime's own monotonic clock stands
+// suspended. Leases are measured on it: the runtime's own monotonic clock stops
 // still during a suspension, which would stretch a lease.
 package clock
 
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -75,7 +75,7 @@
 	return out, readable(err)
 }
 
-// Retire empties a replica, or tells how far that is.
+// Retire empties a replica and reports the progress.
 func (p *Proposer) Retire(ctx context.Context, q RetireRequest) (RetireReply, error) {
 	return try(ctx, p, MethodRetire, q, (*Replica).Retire)
 }
@@ -129,7 +129,7 @@
 		select {
 		case <-ctx.Done():
 			if unknown {
-				return none, result.Later(result.CommitUnknown, comeBack, "the change may or may not be in force")
+				return none, result.Later(result.CommitUnknown, comeBack, "the change may or may not be active")
 			}
 			return none, result.Later(result.NoQuorum, comeBack, "the control log did not answer in time")
 		case <-time.After(retryPause):
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -17,7 +17,7 @@
 	Keep    int    `json:"keep,omitempty"` // replicas that must remain
 }
 
-// RetireReply tells how far the emptying is.
+// RetireReply reports the progress of the emptying.
 type RetireReply struct {
 	Done bool `json:"done"`
 }
--- a/internal/daemon/duty_orders.go
+++ b/internal/daemon/duty_orders.go
@@ -88,7 +88,7 @@
 	return out.Order, err
 }
 
-// deliver tells the platform what it has to know of o; false when it did not
+// deliver sends the platform what it has to know of o; false when it did not
 // answer.
 func (x *orderDuty) deliver(ctx context.Context, o state.Order) bool {
 	var err error
--- a/internal/duty/outside.go
+++ b/internal/duty/outside.go
@@ -12,7 +12,7 @@
 	Token  uint64
 }
 
-// Order tells an engine to load a version of a model's weights.
+// Order instructs an engine to load a version of a model's weights.
 type Order struct {
 	Model    string
 	Version  uint64
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -11,7 +11,7 @@
 // interval between looks at what a duty has to do.
 const interval = 100 * time.Millisecond
 
-// Term tells whether this process may act, and since when.
+// Term decides whether this process may act as the leader.
 type Term struct {
 	leadership func() control.Leadership
 	guard      time.Duration // a new leader waits so long: acts of its predecessor are over by then
@@ -25,8 +25,8 @@
 	return &Term{leadership: leadership, holder: holder, guard: guard}
 }
 
-// fence returns the right to act; false when there is none. changed tells that
-// the leadership is another one than at the last call.
+// fence returns the right to act; false when there is none. changed reports
+// that the leadership differs from that of the last call.
 func (t *Term) fence(now time.Time) (f Fence, changed, ok bool) {
 	l := t.leadership()
 	if !l.Valid() {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -93,7 +93,7 @@
 	peer.HandleNotice(n.server, methodTally, n.usage.Take)
 }
 
-// sendTally tells all replicas what this entry has counted: the leader among
+// sendTally sends the counts of this entry to all replicas: the leader among
 // them uses it, and the next one must know it too.
 func (n *Node) sendTally() {
 	t := n.counter.Tally()
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -114,7 +114,7 @@
 	return n.proposer.ReadBatch(ctx, q)
 }
 
-// Retire empties the replica of the daemon called id, or tells how far that is.
+// Retire empties the replica of the daemon called id, and reports the progress.
 func (n *Node) Retire(ctx context.Context, id string, start bool) (done bool, err error) {
 	address := ""
 	for _, d := range n.gossip.Live() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,7 +19,7 @@
 	// no number.
 	defaultAttempts = 2
 	// maxRefusals is how many upstreams may refuse a request before it is
-	// refused: all of them are full then, as far as a sample tells.
+	// refused: a sample of them found all full.
 	maxRefusals = 4
 	// hedgeShare is the part of the route's target latency after which a second
 	// upstream is tried: enough is left for it to answer in time.
@@ -68,7 +68,7 @@
 	retries = metrics.NewCounter("apricotstream_retries_total")
 )
 
-// Serve runs q and returns the answer, or an error whose code tells whether q
+// Serve runs q and returns the answer, or an error whose code says whether q
 // may have run. The caller must close a stream.
 func (p *Proxy) Serve(ctx context.Context, q *Request) (*Answer, error) {
 	began := time.Now()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -38,7 +38,7 @@
 
 // Upstreams sends one request to one upstream.
 type Upstreams interface {
-	// Send returns the answer, or an error whose code tells whether the request
+	// Send returns the answer, or an error whose code says whether the request
 	// may have run there: UpstreamUnreached when nothing was sent, UpstreamBusy
 	// and UpstreamMoved when the upstream says that it did not run it;
 	// UpstreamFailed, AnswerCut, AnswerCrossed or UpstreamTimeout otherwise.
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -68,7 +68,7 @@
 	ID string `json:"id"`
 }
 
-// ServicePut puts a service document in force. Version must be the current
+// ServicePut activates a service document. Version must be the current
 // version plus one: of operators racing under equal numbers one wins.
 type ServicePut struct {
 	Name    string `json:"name"`
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -23,7 +23,7 @@
 	Withdrawn bool   `json:"withdrawn,omitempty"`
 }
 
-// Service is one service document in force.
+// Service is one active service document.
 type Service struct {
 	Name    string            `json:"name"`
 	Version uint64            `json:"version"` // counts this document's accepted edits
--- a/internal/state/order.go
+++ b/internal/state/order.go
@@ -48,7 +48,7 @@
 	Service string     `json:"service"`
 	Zone    string     `json:"zone"`
 	Class   string     `json:"class"`
-	Price   float64    `json:"price"` // money an hour, of the document in force when it was committed
+	Price   float64    `json:"price"` // money an hour, of the document active when it was committed
 	State   OrderState `json:"state"`
 	Detail  string     `json:"detail,omitempty"`
 	At      time.Time  `json:"at"`
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -75,7 +75,7 @@
 	return DecodeSnapshot(path, b)
 }
 
-// DecodeSnapshot reads the content of a snapshot file. name stands in errors.
+// DecodeSnapshot reads the content of a snapshot file. name is used in errors.
 func DecodeSnapshot(name string, b []byte) (consensus.Snapshot, error) {
 	var s consensus.Snapshot
 	if len(b) < checksumBytes || crc32.Checksum(b[checksumBytes:], castagnoli) != binary.LittleEndian.Uint32(b) {
--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -248,7 +248,7 @@
 	return strings.TrimSpace(string(b))
 }
 
-// document puts a service document in force.
+// document activates a service document.
 func (c *cluster) document(text string) {
 	f := c.path("document.ini")
 	c.g.Expect(os.WriteFile(f, []byte(text), 0o600)).To(Succeed())
--- a/internal/systest/failover_bench_test.go
+++ b/internal/systest/failover_bench_test.go
@@ -42,7 +42,7 @@
 }
 
 // BenchmarkFailover kills the leader and edits at once: the time until the edit
-// is accepted, and until it is in force on the five entries left.
+// is accepted, and until it is active on the five entries left.
 func BenchmarkFailover(b *testing.B) {
 	c := newCluster(b, "")
 	var accepted, everywhere []time.Duration
@@ -60,7 +60,7 @@
 	report(b, "everywhere", everywhere)
 }
 
-// BenchmarkInForce edits a healthy system: the time until the edit is in force
+// BenchmarkInForce edits a healthy system: the time until the edit is active
 // on all six entries.
 func BenchmarkInForce(b *testing.B) {
 	c := newCluster(b, "")
--- a/internal/systest/history_test.go
+++ b/internal/systest/history_test.go
@@ -39,7 +39,7 @@
 	text    string
 }
 
-// itemState is a document with its version, or a key: 0 none, 1 in force, 2
+// itemState is a document with its version, or a key: 0 none, 1 active, 2
 // withdrawn.
 type itemState struct {
 	version uint64
--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -16,7 +16,7 @@
 	sinkLines = 2048
 	// maxLine cuts longer lines, in bytes.
 	maxLine = 2048
-	// dropReport is the pause between lines that tell of dropped ones.
+	// dropReport is the interval between log lines that report dropped ones.
 	dropReport = time.Second
 )
 
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// Failed tells that an upstream refused its order or did not load in time.
+// Failed records that an upstream refused its order or did not load in time.
 func (p *Planner) Failed(now time.Time, id string) {
 	l, ok := p.loads[id]
 	if !ok {
