Tie test daemons to their run; state the cost rule once

Cause: the harness ends daemons by clean-up, which a panic outside the test goroutine and a timeout skip. The rule for an unmeasured cost has one function, and the hint service's document one copy.

--- a/internal/admission/metrics.go
+++ b/internal/admission/metrics.go
@@ -23,14 +23,11 @@
 	metrics.GetOrCreateHistogram(name).Update(d.Seconds())
 }
 
-// served counts what an account has used, in tokens; a cost of 0 or less means
-// that the estimate stands.
+// served counts what an account has used, in tokens.
 func served(t Ticket, cost float64) {
-	if cost <= 0 {
-		cost = t.Cost
-	}
+	used, _ := actualCost(cost, t.Cost)
 	name := fmt.Sprintf(`apricotstream_account_tokens_total{service=%q,account=%q}`, t.Service, t.Account)
-	metrics.GetOrCreateFloatCounter(name).Add(cost)
+	metrics.GetOrCreateFloatCounter(name).Add(used)
 }
 
 // queueLength shows how many requests of a service wait here.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -156,18 +156,17 @@
 	return true
 }
 
-// Done ends an admitted request with its true cost; 0 or less keeps the
-// estimate. Call it once.
+// Done ends an admitted request with its measured cost, see actualCost. Call it
+// once.
 func (q *Queue) Done(now time.Time, r *Request, cost float64) {
 	l := q.level(r.Priority)
 	q.inFlight--
-	over := 0.0
-	if cost > 0 {
-		over = cost - r.Cost
+	used, measured := actualCost(cost, r.Cost)
+	if measured {
 		q.pace.take(r.Cost, now.Sub(r.began))
 	}
 	if f := l.flows[r.Account]; f != nil {
-		l.done(f, over)
+		l.done(f, used-r.Cost)
 	}
 	if q.Waiting() == 0 && q.inFlight == 0 {
 		q.callers.settle()
--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -172,7 +172,7 @@
 	log, err := os.OpenFile(c.path(fmt.Sprintf("d%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	c.g.Expect(err).NotTo(HaveOccurred())
 	defer log.Close()
-	cmd := exec.Command(binary, "serve", "--config", c.config(i))
+	cmd := tied(exec.Command(binary, "serve", "--config", c.config(i)))
 	cmd.Stdout, cmd.Stderr = log, log
 	c.g.Expect(cmd.Start()).To(Succeed())
 	c.proc[i] = cmd
--- a/internal/systest/fence_test.go
+++ b/internal/systest/fence_test.go
@@ -27,15 +27,7 @@
 	return "http://" + address
 }
 
-const orderingDocument = `[service]
-name = hint
-kind = model
-owner = owner
-
-[route:chat]
-path = /v1/chat/completions
-idempotent = true
-
+const orderingDocument = hintDocument + `
 [capacity]
 zones = a, b, c
 floor = 1
