Cover late founders, exchanged votes and emptying in the random schedules

The ten thousand schedules now form the group with founders that start late, give the vote of a lost disk to its successor at the same address, and empty replicas on request. Replicas had no addresses there, so that the core took any swap of two votes for such an exchange.

--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -47,7 +47,8 @@
 		s.cut[[2]ID{r.id, o}], s.cut[[2]ID{o, r.id}] = true, arg%3 > 0
 	}},
 	{"compact", func(s *schedule, r *replica, _ int) { s.compact(r) }},
-	{"lose disk", func(s *schedule, r *replica, _ int) { s.lose(r) }},
+	{"lose disk", func(s *schedule, r *replica, arg int) { s.lose(r, arg%3 == 0) }},
+	{"retire", func(s *schedule, r *replica, _ int) { s.retire(r) }},
 	{"change members", func(s *schedule, r *replica, arg int) { s.flip(r, arg%4 == 0) }},
 	{"rough", func(s *schedule, _ *replica, arg int) { s.loss, s.delay = float64(arg%5)/10, 2+arg%maxDelay }},
 	{"calm", func(s *schedule, _ *replica, _ int) { s.loss, s.delay = 0, 2 }},
@@ -69,6 +70,7 @@
 	g := NewWithT(rt)
 	seed := rapid.Uint64().Draw(rt, "seed")*shards + shard
 	s := newSchedule(seed, 3, 2)
+	s.formLate(seed)
 	// Rapid prefers small numbers; mixing spreads the faults evenly.
 	for _, x := range rapid.SliceOfN(rapid.Uint64(), 15, 30).Draw(rt, "faults") {
 		if x == 0 {
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -41,11 +41,13 @@
 // replica is one identity with its disk and its drifting clock.
 type replica struct {
 	id       ID
+	address  string
 	node     *Node // nil while down
 	disk     disk
 	rate     float64
 	offset   Time
 	lost     bool
+	retiring bool // to be emptied
 	frozen   bool
 	deaf     bool // receives nothing
 	mute     bool // sends nothing
@@ -95,16 +97,16 @@
 	members := Membership{}
 	for i := range voters + learners {
 		id := ID(fmt.Sprint("v", i))
-		members[id] = Member{ID: id, Voter: i < voters}
+		members[id] = Member{ID: id, Address: string(id), Voter: i < voters}
 	}
 	for _, id := range members.IDs() {
-		s.add(id, disk{hard: HardState{Term: 1, Commit: 1}, snapshot: Snapshot{Meta: SnapshotMeta{Index: 1, Term: 1, Members: members}}})
+		s.add(id, string(id), disk{hard: HardState{Term: 1, Commit: 1}, snapshot: Snapshot{Meta: SnapshotMeta{Index: 1, Term: 1, Members: members}}})
 	}
 	return s
 }
 
-func (s *schedule) add(id ID, d disk) {
-	r := &replica{id: id, disk: d, rate: 0.9 + 0.2*s.rnd.Float64(), offset: Time(s.rnd.Int64N(1e9))}
+func (s *schedule) add(id ID, address string, d disk) {
+	r := &replica{id: id, address: address, disk: d, rate: 0.9 + 0.2*s.rnd.Float64(), offset: Time(s.rnd.Int64N(1e9))}
 	s.replicas[id] = r
 	s.order = append(s.order, id)
 	s.restart(r)
@@ -258,8 +260,8 @@
 }
 
 // lose takes a voter's disk for good, once no other loss waits for repair. A
-// new identity takes its place.
-func (s *schedule) lose(r *replica) {
+// new identity takes its place, at the same address or at another one.
+func (s *schedule) lose(r *replica, moved bool) {
 	l := s.leader()
 	if l == nil || r.lost {
 		return
@@ -271,12 +273,41 @@
 			}
 		}
 	}
+	s.wipe(r)
+	address := r.address
+	if moved {
+		address = fmt.Sprint("m", s.joined)
+	}
+	s.join(address)
+}
+
+// wipe ends a replica for good.
+func (s *schedule) wipe(r *replica) {
 	s.crash(r)
 	r.lost = true
 	r.disk = disk{}
+}
+
+// join starts an empty replica under a new identity.
+func (s *schedule) join(address string) {
 	id := ID(fmt.Sprint("n", s.joined))
 	s.joined++
-	s.add(id, disk{snapshot: Snapshot{Meta: SnapshotMeta{Members: Membership{}}}})
+	s.add(id, address, disk{snapshot: Snapshot{Meta: SnapshotMeta{Members: Membership{}}}})
+}
+
+// retire asks for one replica to be emptied, while no other one is; an empty one
+// joins at another address.
+func (s *schedule) retire(r *replica) {
+	for _, other := range s.replicas {
+		if other.retiring && !other.lost {
+			return
+		}
+	}
+	if r.lost || s.leader() == nil {
+		return
+	}
+	r.retiring = true
+	s.join(fmt.Sprint("e", s.joined))
 }
 
 // operate repairs the membership by one step, as an operator does.
@@ -285,17 +316,22 @@
 	if l == nil {
 		return
 	}
+	s.empty(l)
 	next := l.node.members.Clone()
 	for _, id := range s.order {
 		r := s.replicas[id]
 		m, in := next[id]
+		heir := s.heir(next, r)
 		switch {
-		case r.lost && in && next.Voters() > 3:
+		case r.lost && m.Voter && heir != nil && s.rnd.IntN(2) == 0:
 			delete(next, id)
-		case !r.lost && !in:
-			next[id] = Member{ID: id}
-		case !r.lost && in && !m.Voter:
-			next[id] = Member{ID: id, Voter: true}
+			next[heir.id] = Member{ID: heir.id, Address: heir.address, Voter: true}
+		case (r.lost || r.retiring) && in && (!m.Voter || next.Voters() > 3):
+			delete(next, id)
+		case !r.lost && !r.retiring && !in:
+			next[id] = Member{ID: id, Address: r.address}
+		case !r.lost && !r.retiring && in && !m.Voter:
+			next[id] = Member{ID: id, Address: r.address, Voter: true}
 		default:
 			continue
 		}
@@ -305,8 +341,32 @@
 	s.work(l)
 }
 
-// flip asks for a change of one or two replicas between voter and learner; more
-// than one must be refused. At least three voters stay.
+// heir returns the learner at the address of a lost replica, if there is one.
+func (s *schedule) heir(m Membership, lost *replica) *replica {
+	for _, id := range s.order {
+		x, in := m[id]
+		if r := s.replicas[id]; in && !x.Voter && !r.lost && lost.lost && r.address == lost.address {
+			return r
+		}
+	}
+	return nil
+}
+
+// empty wipes the replica that has left the committed membership on request.
+func (s *schedule) empty(l *replica) {
+	committed := l.node.MembersAt(l.node.commit)
+	for _, id := range s.order {
+		r := s.replicas[id]
+		_, in := committed[id]
+		_, proposed := l.node.members[id]
+		if r.retiring && !r.lost && !in && !proposed {
+			s.wipe(r)
+		}
+	}
+}
+
+// flip asks for a change of one or two replicas between voter and learner; two
+// must be refused: nobody lost a disk. At least three voters stay.
 func (s *schedule) flip(r *replica, two bool) {
 	for _, id := range s.order {
 		l := s.replicas[id]
@@ -321,7 +381,10 @@
 		if next.Voters() < 3 {
 			continue
 		}
-		_, _, _ = l.node.ProposeMembers(l.clock(s.real), next)
+		apart := l.node.members.OneApart(next)
+		if _, _, err := l.node.ProposeMembers(l.clock(s.real), next); err == nil && !apart {
+			s.fail("%s changed two votes at once", l.id)
+		}
 		s.work(l)
 	}
 }
@@ -388,3 +451,13 @@
 	}
 	return out
 }
+
+// formLate lets some founders start later than the others, as when a group forms
+// from machines that do not boot at the same time.
+func (s *schedule) formLate(seed uint64) {
+	for i, id := range s.order {
+		if seed>>i&1 == 1 {
+			s.crash(s.replicas[id])
+		}
+	}
+}
