Explain a request, batch job or item from log files

apricotstream explain ID FILE... prints the id's lines, those of the requests made for it and the changes of state around them. Lines carry the date, in UTC; serve logs to standard output as key=value pairs through the sink that never blocks, as platform does.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -89,6 +89,7 @@
 		{"status", "Show the system as an entry sees it", "Example:\n  apricotstream status --entry 10.0.1.1:8080 --key-file operator.key", &statusCommand{o: o}},
 		{"entries", "List the addresses that callers should use", "Example:\n  apricotstream entries --entry 10.0.1.1:8080 --zone zone-a", &entriesCommand{o: o}},
 		{"trace", "Show the spans of a request", "Every response carries the request id as X-Request-Id. Example:\n  apricotstream trace 3f0c...", &traceCommand{o: o}},
+		{"explain", "Show what happened to a request, batch job or item from log files", "Prints the lines of the id and of the requests made for it, and the changes of state around them. Example:\n  apricotstream explain 3f0c... /var/log/apricotstream/*.log", &explainCommand{o: o}},
 		{"codes", "List the numbered result codes", "Example:\n  apricotstream codes 213", &codesCommand{o: o}},
 		{"reference", "Describe every key of settings or service documents", "Example:\n  apricotstream reference service", &referenceCommand{o: o}},
 		{"completion", "Print the completion script for bash", "Example:\n  source <(apricotstream completion)", &completionCommand{o: o}},
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -30,7 +30,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := daemon.New(ctx, set, telemetry.NewLogger(os.Stderr, set.LogLevel))
+	logger, flush := telemetry.StartLogger(os.Stdout, set.LogLevel)
+	defer flush()
+	d, err := daemon.New(ctx, set, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -66,7 +66,7 @@
 		if n := s.dropped.Load(); n > 0 && time.Since(reported) >= dropReport {
 			reported = time.Now()
 			s.dropped.Add(-n)
-			_, _ = fmt.Fprintf(s.out, "log lines dropped=%d\n", n)
+			_, _ = fmt.Fprintf(s.out, "time=%s level=warn msg=\"Log lines dropped.\" lines=%d\n", reported.UTC().Format(timeFormat), n)
 		}
 	}
 }
