--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
 // conn is a connection to an upstream that carries one request at a time.
@@ -26,7 +28,7 @@
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, network, address)
+	c, err := sockopt.DropOnClose(d.DialContext)(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
