Encode a notice once and decode it in one pass

Cause: the JSON-RPC library encodes each object three times and decodes it four times, for every receiver anew. Change: notices have a fixed form within JSON-RPC 2.0 that a stream of our own writes and reads; those waiting share one write, those to many daemons one encoding.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -99,11 +99,13 @@
 // Broadcast sends a notice to every other daemon that is up.
 func (g *Gossip) Broadcast(method string, params any) {
 	own := g.self().PeerAddress
+	var others []string
 	for _, d := range g.Live() {
 		if d.PeerAddress != own {
-			g.client.Notify(d.PeerAddress, method, params)
+			others = append(others, d.PeerAddress)
 		}
 	}
+	g.client.NotifyAll(others, method, params)
 }
 
 func (g *Gossip) take(d Daemon) {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -100,9 +100,11 @@
 	if len(t.Intervals) == 0 {
 		return
 	}
+	var replicas []string
 	for _, d := range n.gossip.Live() {
 		if d.Replica != "" {
-			n.client.Notify(d.PeerAddress, methodTally, t)
+			replicas = append(replicas, d.PeerAddress)
 		}
 	}
+	n.client.NotifyAll(replicas, methodTally, t)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -65,13 +66,14 @@
 
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
+	stream  *stream    // below conn
 	heard   *heardConn // below conn
 	retryAt time.Time
 }
 
 type notice struct {
 	method string
-	params any
+	params func() ([]byte, error) // JSON
 }
 
 // quiet drops the library's own log lines: a lost connection is no news here.
@@ -95,8 +97,8 @@
 	return l
 }
 
-// connect returns a working connection, or ErrUnreached.
-func (l *link) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+// connect returns a working connection with its stream, or ErrUnreached.
+func (l *link) connect(ctx context.Context) (*jsonrpc2.Conn, *stream, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil {
@@ -104,23 +106,23 @@
 		case <-l.conn.DisconnectNotify():
 			l.conn = nil
 		default:
-			return l.conn, nil
+			return l.conn, l.stream, nil
 		}
 	}
 	if time.Now().Before(l.retryAt) {
-		return nil, fmt.Errorf("%w: %s", ErrUnreached, l.address)
+		return nil, nil, fmt.Errorf("%w: %s", ErrUnreached, l.address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := l.dial(ctx, l.address)
 	if err != nil {
 		l.retryAt = time.Now().Add(redialPause)
-		return nil, fmt.Errorf("%w: %v", ErrUnreached, err)
+		return nil, nil, fmt.Errorf("%w: %v", ErrUnreached, err)
 	}
 	l.heard = &heardConn{Conn: nc}
-	stream := jsonrpc2.NewBufferedStream(l.heard, jsonrpc2.VSCodeObjectCodec{})
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, discard{}, quiet)
-	return l.conn, nil
+	l.stream = newStream(l.heard, nil)
+	l.conn = jsonrpc2.NewConn(context.Background(), l.stream, discard{}, quiet)
+	return l.conn, l.stream, nil
 }
 
 func (l *link) drop(conn *jsonrpc2.Conn) {
@@ -138,22 +140,46 @@
 		case <-l.stop:
 			return
 		case n := <-l.notices:
-			conn, err := l.connect(context.Background())
+			conn, s, err := l.connect(context.Background())
 			if err != nil {
 				continue
 			}
-			if err := conn.Notify(context.Background(), n.method, n.params); err != nil {
+			if err := l.sendWaiting(s, n); err != nil {
 				l.drop(conn)
 			}
 		}
 	}
 }
 
+// sendWaiting sends n and the notices that wait behind it.
+func (l *link) sendWaiting(s *stream, n notice) error {
+	for {
+		params, err := n.params()
+		if err != nil {
+			return err
+		}
+		s.writeNotice(n.method, params)
+		select {
+		case n = <-l.notices:
+		default:
+			return s.flush()
+		}
+	}
+}
+
 // Notify sends a notice without waiting; it may be lost.
 func (c *Client) Notify(address, method string, params any) {
-	select {
-	case c.link(address).notices <- notice{method, params}:
-	default:
+	c.NotifyAll([]string{address}, method, params)
+}
+
+// NotifyAll is Notify to many daemons; the notice is encoded once.
+func (c *Client) NotifyAll(addresses []string, method string, params any) {
+	n := notice{method, sync.OnceValues(func() ([]byte, error) { return json.Marshal(params) })}
+	for _, a := range addresses {
+		select {
+		case c.link(a).notices <- n:
+		default:
+		}
 	}
 }
 
@@ -162,7 +188,7 @@
 func Call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
 	var r R
 	l := c.link(address)
-	conn, err := l.connect(ctx)
+	conn, _, err := l.connect(ctx)
 	if err != nil {
 		return r, err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -73,8 +73,7 @@
 		c.Close()
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
-	conn := jsonrpc2.NewConn(ctx, stream, s, quiet)
+	conn := jsonrpc2.NewConn(ctx, newStream(c, s.takeNotice), s, quiet)
 	s.conns[conn] = struct{}{}
 	go func() {
 		<-conn.DisconnectNotify()
@@ -91,14 +90,20 @@
 		params = *req.Params
 	}
 	if req.Notif {
-		if f := s.notices[req.Method]; f != nil {
-			f(params)
-		}
+		s.takeNotice(req.Method, params)
 		return
 	}
 	go s.answer(ctx, conn, req, params)
 }
 
+// takeNotice handles a notice; one that nobody handles is ignored. params is not
+// kept.
+func (s *Server) takeNotice(method string, params json.RawMessage) {
+	if f := s.notices[method]; f != nil {
+		f(params)
+	}
+}
+
 func (s *Server) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, params json.RawMessage) {
 	f := s.calls[req.Method]
 	if f == nil {
--- /dev/null
+++ b/internal/peer/stream_test.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// bytesConn is a connection that yields some bytes and then ends.
+type bytesConn struct {
+	net.Conn
+	in io.Reader
+}
+
+func (c bytesConn) Read(b []byte) (int, error) { return c.in.Read(b) }
+func (c bytesConn) Close() error               { return nil }
+
+func frames(objects ...string) string {
+	var out strings.Builder
+	for _, o := range objects {
+		fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", len(o), o)
+	}
+	return out.String()
+}
+
+// Notices are handled in their order and before the call that follows, be they in
+// the usual form or in another that JSON-RPC allows.
+func TestNoticesOfAnyFormAreHandledInOrder(t *testing.T) {
+	g := NewWithT(t)
+	var got []string
+	in := frames(`{"jsonrpc":"2.0","method":"a","params":{"n":1}}`, `{"params":{"n":2},"method":"a","jsonrpc":"2.0"}`, `{"jsonrpc":"2.0","method":"a","params":{"n":3}}`)
+	s := NewServer()
+	HandleNotice(s, "a", func(p struct{ N int }) { got = append(got, fmt.Sprint(p.N)) })
+	done := jsonrpc2.NewConn(context.Background(), newStream(bytesConn{in: strings.NewReader(in)}, s.takeNotice), s, quiet)
+	<-done.DisconnectNotify()
+	g.Expect(got).To(Equal([]string{"1", "2", "3"}))
+}
+
+// One notice to many daemons is encoded once, and arrives as it was when it was
+// sent; notices and calls share a connection.
+func TestNoticesAndCallsShareAConnection(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	s := NewServer()
+	heard := make(chan string, 100)
+	HandleNotice(s, "news", func(e echo) { heard <- e.Text })
+	Handle(s, "echo", func(_ context.Context, e echo) (echo, error) { return e, nil })
+	defer s.Close()
+	go s.Serve(context.Background(), l)
+	c := NewClient(DialFrom("127.0.0.1:1"))
+	defer c.Close()
+	a := l.Addr().String()
+	long := strings.Repeat("\"\\\n", 50_000)
+	for i := range 20 {
+		c.NotifyAll([]string{a, a}, "news", echo{fmt.Sprint(i, long)})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		r, err := Call[echo](ctx, c, a, "echo", echo{long})
+		cancel()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Text).To(Equal(long))
+	}
+	for i := range 20 {
+		for range 2 {
+			g.Eventually(heard, "2s").Should(Receive(Equal(fmt.Sprint(i, long))))
+		}
+	}
+}
+
+// Whatever another program sends, the reader ends with an error or an object, and
+// allocates no more than what has arrived.
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte(frames(`{"jsonrpc":"2.0","method":"a","params":{}}`, `{"id":1,"result":null}`)))
+	f.Add([]byte("Content-Length: 2147483647\r\n\r\n{"))
+	f.Add([]byte("content-length: -1\r\n\r\n"))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		s := newStream(bytesConn{in: bytes.NewReader(b)}, func(string, json.RawMessage) {})
+		for {
+			var v json.RawMessage
+			if s.ReadObject(&v) != nil {
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkNotice is what a heartbeat with one result costs its sender and its
+// receiver.
+func BenchmarkNotice(b *testing.B) {
+	near, far := net.Pipe()
+	seen := make(chan struct{}, 1)
+	s := NewServer()
+	HandleNotice(s, "n", func(echo) { seen <- struct{}{} })
+	jsonrpc2.NewConn(context.Background(), newStream(far, s.takeNotice), s, quiet)
+	c := NewClient(func(context.Context, string) (net.Conn, error) { return near, nil })
+	defer c.Close()
+	text := strings.Repeat("x", 1000)
+	for b.Loop() {
+		c.Notify("a", "n", echo{text})
+		<-seen
+	}
+}
