--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -45,6 +45,7 @@
 	node    *consensus.Node
 	state   *state.State
 	start   time.Duration // on the boot clock
+	watch   stopwatch
 
 	inbox     chan StepNotice
 	proposals chan *proposal
@@ -141,6 +142,7 @@
 	defer r.leadership.Store(&Leadership{})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	r.watch.last = clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -154,14 +156,18 @@
 		case f := <-r.tasks:
 			f()
 		}
+		r.watch.end(phaseWait)
 		r.drain()
 		r.node.Tick(r.now())
+		r.watch.end(phaseTake)
 		if err := r.work(); err != nil {
 			r.log.Error("Data folder failed. Replica stops.", "err", err.Error())
 			r.failWaiting()
 			return err
 		}
 		r.publish()
+		r.watch.end(phaseTake)
+		r.watch.report(r.log)
 	}
 }
 
@@ -229,16 +235,20 @@
 		if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
 			return err
 		}
+		r.watch.end(phaseStore)
 		r.send(rd.Messages)
+		r.watch.end(phaseSend)
 		for _, e := range rd.Committed {
 			if err := r.apply(e); err != nil {
 				return err
 			}
 		}
 		r.node.Advance(rd)
+		r.watch.end(phaseApply)
 		if err := r.compact(); err != nil {
 			return err
 		}
+		r.watch.end(phaseCompact)
 	}
 }
 
--- /dev/null
+++ b/internal/state/codec_test.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// loaded is a state with as many open batch jobs as a busy region has.
+func loaded() *State {
+	s := New()
+	for j := range 30 {
+		b := Batch{ID: fmt.Sprint("job", j), Account: "one", Keep: time.Hour}
+		for i := range 90 {
+			b.Items = append(b.Items, BatchItem{ID: fmt.Sprint("item", i), Path: "/run/1", Body: []byte(strings.Repeat("\"x\"\n", 250)), Group: fmt.Sprint(i / 8)})
+		}
+		s.Apply(Command{At: time.Unix(1e9, 7), BatchAccept: &BatchAccept{Batch: b}})
+		for i := range 60 {
+			s.Apply(Command{BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: b.ID, Item: fmt.Sprint("item", i), Text: strings.Repeat("token \xff\n", 60), Versions: []uint64{3, 4}, Score: "0.5"}}}})
+		}
+	}
+	return s
+}
+
+// An upstream's text need not be valid UTF-8: a command that could not be read
+// after its commit would stop every replica.
+func TestTextsOfAnyBytesSurviveTheLogAndSnapshots(t *testing.T) {
+	g := NewWithT(t)
+	text := string([]byte{0, 0xff, 0xc0, '\n', '"', '{'})
+	c := Command{At: time.Unix(1e9, 7).UTC(), BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: "b", Item: "i", Text: text}}}}
+	b, err := c.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(DecodeCommand(b)).To(Equal(c))
+
+	s := loaded()
+	b, err = s.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Ledger.Batches["job7"].Results).To(Equal(s.Ledger.Batches["job7"].Results))
+	g.Expect(again.Ledger.Batches["job7"].Accepted).To(BeTemporally("==", time.Unix(1e9, 7)))
+	g.Expect(again.Encode()).To(Equal(b), "the encoding is deterministic")
+}
+
+// Data folders of versions that wrote JSON are read.
+func TestJSONOfEarlierVersionsIsRead(t *testing.T) {
+	g := NewWithT(t)
+	c := Command{At: time.Unix(1e9, 7).UTC(), BatchEnd: &BatchEnd{ID: "b", Account: "one"}}
+	b, err := json.Marshal(c)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(DecodeCommand(b)).To(Equal(c))
+
+	s := loaded()
+	b, err = json.Marshal(image{Config: s.Config, Ledger: s.Ledger.image()})
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Ledger.Batches["job7"].Items).To(Equal(s.Ledger.Batches["job7"].Items))
+}
+
+// A command that is cut or garbled is refused.
+func FuzzDecodeCommand(f *testing.F) {
+	b, _ := Command{BatchEnd: &BatchEnd{ID: "b"}}.Encode()
+	f.Add(b)
+	f.Add([]byte(`{"batch_end":{}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := DecodeCommand(b)
+		if err != nil {
+			return
+		}
+		if _, err := c.Encode(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkEncode is the time in which a replica's loop does nothing else when it
+// writes a snapshot.
+func BenchmarkEncode(b *testing.B) {
+	s := loaded()
+	size := 0
+	for b.Loop() {
+		e, err := s.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(e)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -95,12 +95,12 @@
 
 // Encode returns the log payload.
 func (c Command) Encode() ([]byte, error) {
-	return json.Marshal(c)
+	return encMode.Marshal(c)
 }
 
 // DecodeCommand reads a log payload.
 func DecodeCommand(b []byte) (Command, error) {
 	var c Command
-	err := json.Unmarshal(b, &c)
+	err := unmarshal(b, &c)
 	return c, err
 }
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -1,9 +1,6 @@
 package state
 
-import (
-	"encoding/json"
-	"time"
-)
+import "time"
 
 // Ledger is the part of the state that stays on the replicas.
 type Ledger struct {
@@ -74,7 +71,7 @@
 	}
 }
 
-// ledgerImage is the snapshot form: JSON objects need string keys.
+// ledgerImage is the form of a ledger in a snapshot, without what is derived.
 type ledgerImage struct {
 	Claims     []Claim                `json:"claims"`
 	Steps      map[string]Step        `json:"steps"`
@@ -94,9 +91,6 @@
 	Retired    map[string]bool        `json:"retired,omitempty"`
 }
 
-// MarshalJSON implements json.Marshaler.
-func (l *Ledger) MarshalJSON() ([]byte, error) { return json.Marshal(l.image()) }
-
 func (l *Ledger) image() ledgerImage {
 	im := ledgerImage{
 		Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
@@ -109,19 +103,11 @@
 	return im
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (l *Ledger) UnmarshalJSON(b []byte) error {
-	fresh := newLedger()
-	im := ledgerImage{
-		Steps: fresh.Steps, Orders: fresh.Orders, Sources: fresh.Sources,
-		Windows: fresh.Windows, Ops: fresh.Ops, History: fresh.History,
-		Batches: fresh.Batches, Intervals: fresh.Intervals, Retired: fresh.Retired,
-	}
-	if err := json.Unmarshal(b, &im); err != nil {
-		return err
-	}
+// ledger returns the ledger that im is the image of.
+func (im ledgerImage) ledger() *Ledger {
+	l := newLedger()
 	*l = Ledger{
-		Claims: fresh.Claims, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
+		Claims: l.Claims, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
 		Windows: im.Windows, LastWindow: im.LastWindow, LastEnd: im.LastEnd, Ops: im.Ops, OpOrder: im.OpOrder, History: im.History,
 		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source, Retired: im.Retired,
 	}
@@ -131,5 +117,5 @@
 	for _, c := range im.Claims {
 		l.putClaim(c)
 	}
-	return nil
+	return l
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,16 +1,14 @@
 package state
 
 import (
-	"encoding/json"
-
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
 // State is the whole state machine. One goroutine owns it; Config values taken
 // from it may be read by any.
 type State struct {
-	Config *Config `json:"config"`
-	Ledger *Ledger `json:"ledger"`
+	Config *Config
+	Ledger *Ledger
 }
 
 // New returns an empty state.
@@ -20,10 +18,11 @@
 
 // Decode reads a snapshot.
 func Decode(b []byte) (*State, error) {
-	s := New()
-	if err := json.Unmarshal(b, s); err != nil {
+	im := image{Config: NewConfig(), Ledger: newLedger().image()}
+	if err := unmarshal(b, &im); err != nil {
 		return nil, result.New(result.DataCorrupt, "snapshot: %v", err)
 	}
+	s := &State{Config: im.Config, Ledger: im.Ledger.ledger()}
 	if err := s.Config.Parse(); err != nil {
 		return nil, err
 	}
@@ -32,11 +31,13 @@
 
 // Encode returns a snapshot.
 func (s *State) Encode() ([]byte, error) {
-	// The ledger's own marshaller would have the whole image copied once more.
-	return json.Marshal(struct {
-		Config *Config     `json:"config"`
-		Ledger ledgerImage `json:"ledger"`
-	}{s.Config, s.Ledger.image()})
+	return encMode.Marshal(image{Config: s.Config, Ledger: s.Ledger.image()})
+}
+
+// image is the form of a snapshot.
+type image struct {
+	Config *Config     `json:"config"`
+	Ledger ledgerImage `json:"ledger"`
 }
 
 // Apply executes c. Applying an operation again gives its first outcome; another
