--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -76,9 +76,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// leads reports whether the replica still leads in term.
-func (r *Runner) leads(term uint64) bool {
-	l := r.replica.Leadership()
-	return l.Term == term && l.Valid()
-}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -24,6 +25,8 @@
 type session struct {
 	*Runner
 	term     uint64
+	held     control.Leadership // newest lease of the term
+	unlisted bool               // the open jobs have changed since they were read
 	plan     *Plan
 	paces    *Paces
 	attempts map[*item]*attempt
@@ -60,20 +63,22 @@
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	paced := time.Now()
-	for s.leads(s.term) && ctx.Err() == nil {
+	for s.holds() && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-changed:
 			changed = s.replica.BatchesChanged()
-			if !s.list(ctx) {
-				return
-			}
+			s.unlisted = true
 		case a := <-s.ended:
 			s.take(ctx, a)
 		case x := <-s.scored:
 			s.takeScore(ctx, x)
 		case <-tick.C:
 		}
+		leads := s.leads()
+		if leads && s.unlisted {
+			s.unlisted = !s.list(ctx)
+		}
 		now := time.Now()
 		if now.Sub(paced) >= paceInterval {
 			s.learn(now)
@@ -82,7 +87,9 @@
 			paced = now
 		}
 		s.expire(now)
-		s.start(ctx, now)
+		if leads {
+			s.start(ctx, now)
+		}
 	}
 	s.log.Info("Batch jobs are no longer run here.", "term", s.term)
 }
--- a/internal/batch/session_test.go
+++ b/internal/batch/session_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +12,10 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 // failing answers every reward request with a failure of the upstream.
@@ -48,3 +52,99 @@
 		s.wg.Wait()
 	})
 }
+
+// lapsing is a replica whose lease may lapse while it goes on leading its term.
+type lapsing struct {
+	mu     sync.Mutex
+	lapsed bool
+	term   uint64
+	jobs   []control.OpenBatch
+	change chan struct{}
+}
+
+func (l *lapsing) set(lapsed bool, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lapsed, l.term = lapsed, term
+}
+
+func (l *lapsing) Leadership() control.Leadership {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lapsed {
+		return control.Leadership{}
+	}
+	return control.Leadership{Term: l.term, Until: time.Now().Add(200 * time.Millisecond)}
+}
+
+func (l *lapsing) OpenBatches(context.Context) ([]control.OpenBatch, error) { return l.jobs, nil }
+func (l *lapsing) BatchesChanged() <-chan struct{}                          { return l.change }
+
+func (l *lapsing) Propose(context.Context, control.ProposeRequest) (state.Outcome, error) {
+	return state.Outcome{}, nil
+}
+
+// onePool is one engine with one slot.
+type onePool struct{}
+
+func (onePool) Known() []upstream.Announcement {
+	return []upstream.Announcement{{ID: "e", Service: "s"}}
+}
+func (onePool) Loading(string) bool                              { return false }
+func (onePool) Versions(upstream.Announcement) map[string]uint64 { return map[string]uint64{"m": 3} }
+func (onePool) Slots(upstream.Announcement) int                  { return 1 }
+func (onePool) Asked(string, int)                                {}
+func (onePool) Seen(string, string, uint64)                      {}
+
+// endless generates until it is stopped and counts its runs.
+type endless struct{ started, stopped atomic.Int32 }
+
+func (e *endless) Generate(ctx context.Context, _ upstream.Announcement, _ Generation, emit func(Event)) error {
+	e.started.Add(1)
+	defer e.stopped.Add(1)
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+			emit(Event{ID: n, Version: 3})
+		}
+	}
+}
+
+// A leader short of processor time loses its lease for moments in which no other
+// can lead. Its runs go on; it starts none meanwhile. They end when the lease stays
+// away, or at once when another term has begun.
+func TestRunsSurviveAShortLapseOfTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		job := jobOf("j", 1, 2, time.Now())
+		job.Batch.RunDeadline, job.Batch.ItemTTL = time.Hour, time.Hour
+		replica := &lapsing{term: 1, jobs: []control.OpenBatch{control.OpenBatch(job)}, change: make(chan struct{})}
+		engines := &endless{}
+		ctx, cancel := context.WithCancel(t.Context())
+		r := NewRunner(replica, onePool{}, engines, failing{}, log.New(io.Discard))
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		time.Sleep(time.Second)
+		g.Expect(engines.started.Load()).To(Equal(int32(1)))
+
+		replica.set(true, 1)
+		time.Sleep(lapseGrace / 2)
+		replica.set(false, 1)
+		time.Sleep(time.Second)
+		g.Expect(engines.stopped.Load()).To(BeZero(), "a short lapse")
+
+		replica.set(true, 1)
+		time.Sleep(2 * lapseGrace)
+		g.Expect(engines.stopped.Load()).To(Equal(int32(1)), "a long lapse")
+		replica.set(false, 1)
+		time.Sleep(time.Second)
+		g.Expect(engines.started.Load()).To(Equal(int32(2)))
+		replica.set(false, 2)
+		time.Sleep(lapseGrace / 2)
+		g.Expect(engines.stopped.Load()).To(Equal(int32(2)), "another term")
+		cancel()
+		<-done
+	})
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -15,6 +15,14 @@
 	Ends time.Duration
 }
 
+// EndedFor reports whether the lease ended at least d ago.
+func (l Leadership) EndedFor(d time.Duration) bool {
+	if l.Ends != 0 && clock.Now() >= l.Ends+d {
+		return true
+	}
+	return !time.Now().Before(l.Until.Add(d))
+}
+
 // Valid reports whether the lease still runs. Check it right before writing to
 // the outside, and set the write deadline to Until.
 func (l Leadership) Valid() bool {
