--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -16,8 +16,19 @@
 	}
 }
 
-// compact stores a snapshot once enough entries follow the last one.
+// prepared is a snapshot that has been written, or has failed to be.
+type prepared struct {
+	meta consensus.SnapshotMeta
+	size int // of its data, in bytes
+	err  error
+}
+
+// compact begins a snapshot once enough entries follow the last one. It is written
+// in the background: the heartbeats of a leader must not wait for it.
 func (r *Replica) compact() error {
+	if r.preparing {
+		return nil
+	}
 	st := r.node.Status()
 	last, size := r.disk.Snapshot()
 	many := st.Applied >= last.Index+snapshotEntries && r.logged < largeSnapshot
@@ -34,11 +45,23 @@
 		return err
 	}
 	meta := consensus.SnapshotMeta{Index: st.Applied, Term: term, Members: r.node.MembersAt(st.Applied)}
-	tail := r.node.EntriesAfter(st.Applied)
-	if err := r.disk.Save(consensus.Snapshot{Meta: meta, Data: data}, tail); err != nil {
+	r.preparing, r.logged = true, 0
+	r.background.Go(func() {
+		err := r.disk.Prepare(consensus.Snapshot{Meta: meta, Data: data})
+		r.prepared <- prepared{meta: meta, size: len(data), err: err}
+	})
+	return nil
+}
+
+// adopt drops what a snapshot replaces, unless a newer one came from the leader.
+func (r *Replica) adopt(p prepared) error {
+	r.preparing = false
+	if newest, _ := r.disk.Snapshot(); p.err != nil || p.meta.Index <= newest.Index {
+		return p.err
+	}
+	if err := r.disk.Adopt(p.meta, p.size, r.node.EntriesAfter(p.meta.Index)); err != nil {
 		return err
 	}
-	r.node.Compact(meta)
-	r.logged = 0
+	r.node.Compact(p.meta)
 	return nil
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -50,6 +50,10 @@
 	inbox     chan StepNotice
 	proposals chan *proposal
 	tasks     chan func()
+	prepared  chan prepared
+
+	preparing  bool           // a snapshot is being written
+	background sync.WaitGroup // that writes it
 
 	waiting map[uint64]*proposal
 	heard   map[consensus.ID]string // addresses that messages came with
@@ -115,6 +119,7 @@
 		inbox:      make(chan StepNotice, 4096),
 		proposals:  make(chan *proposal, 4096),
 		tasks:      make(chan func(), 256),
+		prepared:   make(chan prepared, 1),
 		waiting:    map[uint64]*proposal{},
 		heard:      map[consensus.ID]string{},
 		changed:    make(chan struct{}),
@@ -139,15 +144,19 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
 	defer r.disk.Close()
+	defer r.background.Wait()
 	defer r.leadership.Store(&Leadership{})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	r.watch.last = clock.Now()
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
 			r.failWaiting()
 			return nil
+		case p := <-r.prepared:
+			err = r.adopt(p)
 		case <-ticker.C:
 		case n := <-r.inbox:
 			r.step(n)
@@ -160,7 +169,10 @@
 		r.drain()
 		r.node.Tick(r.now())
 		r.watch.end(phaseTake)
-		if err := r.work(); err != nil {
+		if err == nil {
+			err = r.work()
+		}
+		if err != nil {
 			r.log.Error("Data folder failed. Replica stops.", "err", err.Error())
 			r.failWaiting()
 			return err
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -11,7 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// Disk is an open data folder. It is used by one goroutine.
+// Disk is an open data folder. It is used by one goroutine, but for Prepare.
 type Disk struct {
 	dir    string
 	log    *os.File
@@ -139,10 +139,29 @@
 }
 
 func (d *Disk) save(s consensus.Snapshot, tail []consensus.Entry) error {
-	if err := writeSnapshot(d.dir, s); err != nil {
+	if err := d.Prepare(s); err != nil {
 		return err
 	}
-	d.meta, d.size = s.Meta, len(s.Data)
+	return d.adopt(s.Meta, len(s.Data), tail)
+}
+
+// Prepare stores a snapshot of a prefix of the log beside the log, which goes on.
+// It may run on any goroutine, one at a time.
+func (d *Disk) Prepare(s consensus.Snapshot) error { return writeSnapshot(d.dir, s) }
+
+// Adopt makes a prepared snapshot, of size bytes of data, the start of a new log
+// with the entries after it, and drops the files that it replaces. It does nothing
+// once a newer snapshot has been saved. An error is final.
+func (d *Disk) Adopt(meta consensus.SnapshotMeta, size int, tail []consensus.Entry) error {
+	if d.failed != nil || meta.Index <= d.meta.Index {
+		return d.failed
+	}
+	d.failed = d.adopt(meta, size, tail)
+	return d.failed
+}
+
+func (d *Disk) adopt(meta consensus.SnapshotMeta, size int, tail []consensus.Entry) error {
+	d.meta, d.size = meta, size
 	if err := d.openLog(); err != nil {
 		return err
 	}
