--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -40,14 +40,17 @@
 	if !ok {
 		return nil
 	}
-	data, err := r.state.Encode()
+	frozen, err := r.state.Freeze()
 	if err != nil {
 		return err
 	}
 	meta := consensus.SnapshotMeta{Index: st.Applied, Term: term, Members: r.node.MembersAt(st.Applied)}
 	r.preparing, r.logged = true, 0
 	r.background.Go(func() {
-		err := r.disk.Prepare(consensus.Snapshot{Meta: meta, Data: data})
+		data, err := frozen.Encode(size + size/4)
+		if err == nil {
+			err = r.disk.Prepare(consensus.Snapshot{Meta: meta, Data: data})
+		}
 		r.prepared <- prepared{meta: meta, size: len(data), err: err}
 	})
 	return nil
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -13,7 +13,9 @@
 // volume, are copied as they are. The encoding is deterministic, as the cluster's
 // identity is derived from the first snapshot.
 var (
-	encMode = must(cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339Nano}.EncMode())
+	encOptions = cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339Nano}
+	encMode    = must(encOptions.EncMode())
+	encBuffer  = must(encOptions.UserBufferEncMode())
 	// Texts of upstreams need not be valid UTF-8, and a command that is committed
 	// must be readable.
 	decMode = must(cbor.DecOptions{
--- a/internal/state/codec_test.go
+++ b/internal/state/codec_test.go
@@ -46,6 +46,39 @@
 	g.Expect(again.Encode()).To(Equal(b), "the encoding is deterministic")
 }
 
+// A frozen state stays as it was while commands are applied to the state, and while
+// another goroutine encodes it.
+func TestFrozenStateDoesNotChange(t *testing.T) {
+	g := NewWithT(t)
+	s := loaded()
+	progress := func(after int) {
+		for j := range 30 {
+			s.Apply(Command{BatchRecord: &BatchRecord{
+				Results:  []BatchResult{{Batch: fmt.Sprint("job", j), Item: fmt.Sprint("item", 60+after), Text: "late"}},
+				Progress: []BatchProgress{{Batch: fmt.Sprint("job", j), Item: "item89", After: after, Partial: Partial{Events: []string{fmt.Sprint(after)}, LastID: after}}},
+			}})
+		}
+	}
+	progress(0)
+	progress(1)
+	before, err := s.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	f, err := s.Freeze()
+	g.Expect(err).NotTo(HaveOccurred())
+	encoded := make(chan []byte)
+	go func() {
+		b, _ := f.Encode(len(before))
+		encoded <- b
+	}()
+	progress(2)
+	progress(3)
+	progress(0)
+	s.Apply(Command{BatchEnd: &BatchEnd{ID: "job3", Account: "one"}})
+	s.Apply(Command{At: time.Unix(2e9, 0), BatchAccept: &BatchAccept{Batch: Batch{ID: "new", Items: []BatchItem{{ID: "i"}}}}})
+	g.Expect(<-encoded).To(Equal(before))
+	g.Expect(s.Encode()).NotTo(Equal(before))
+}
+
 // Data folders of versions that wrote JSON are read.
 func TestJSONOfEarlierVersionsIsRead(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -22,6 +24,10 @@
 	if err := unmarshal(b, &im); err != nil {
 		return nil, result.New(result.DataCorrupt, "snapshot: %v", err)
 	}
+	if im.Ledger.Batches == nil {
+		im.Ledger.Batches = map[string]*Batch{}
+	}
+	maps.Copy(im.Ledger.Batches, im.Batches)
 	s := &State{Config: im.Config, Ledger: im.Ledger.ledger()}
 	if err := s.Config.Parse(); err != nil {
 		return nil, err
@@ -31,13 +37,18 @@
 
 // Encode returns a snapshot.
 func (s *State) Encode() ([]byte, error) {
-	return encMode.Marshal(image{Config: s.Config, Ledger: s.Ledger.image()})
+	f, err := s.Freeze()
+	if err != nil {
+		return nil, err
+	}
+	return f.Encode(0)
 }
 
-// image is the form of a snapshot.
+// image is a snapshot. Earlier versions kept the batch jobs in the ledger.
 type image struct {
-	Config *Config     `json:"config"`
-	Ledger ledgerImage `json:"ledger"`
+	Config  *Config           `json:"config"`
+	Ledger  ledgerImage       `json:"ledger"`
+	Batches map[string]*Batch `json:"batches,omitempty"`
 }
 
 // Apply executes c. Applying an operation again gives its first outcome; another
