--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -186,7 +186,8 @@
 		}
 	}
 	if q.Routing {
-		out.Routing = &l.Source
+		source := l.Source // the loop replaces it
+		out.Routing = &source
 	}
 	if q.Intervals {
 		for _, k := range slices.Sorted(maps.Keys(l.Intervals)) {
