Load weights first where no work can use the old ones

Ruled out: slots (228 for 456 items), the leader's processor (few slow rounds). Change: engines older than what the next work allows, learned from the last batch job, come first over all models and are not held back for service; the others share half of the streams. A fifth of the engines is rounded, not cut off.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -37,8 +37,9 @@
 	Versions(a upstream.Announcement) map[string]uint64
 	// Slots is how many requests an upstream runs at once.
 	Slots(a upstream.Announcement) int
-	// Asked records the work that a batch job asks of a model, in tokens.
-	Asked(model string, tokens int)
+	// Asked records the work that a batch job asks of a model, in tokens, and the
+	// oldest weight version that may do it.
+	Asked(model string, tokens int, minVersion uint64)
 	// Seen corrects the pool when an answer shows another version.
 	Seen(id, model string, version uint64)
 }
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -135,7 +135,7 @@
 		sums[b.Items[i].Model] += max(b.Items[i].Hint, 1)
 	}
 	for model, tokens := range sums {
-		s.pool.Asked(model, tokens)
+		s.pool.Asked(model, tokens, b.MinVersion)
 	}
 }
 
--- a/internal/batch/session_test.go
+++ b/internal/batch/session_test.go
@@ -93,7 +93,7 @@
 func (onePool) Loading(string) bool                              { return false }
 func (onePool) Versions(upstream.Announcement) map[string]uint64 { return map[string]uint64{"m": 3} }
 func (onePool) Slots(upstream.Announcement) int                  { return 1 }
-func (onePool) Asked(string, int)                                {}
+func (onePool) Asked(string, int, uint64)                                {}
 func (onePool) Seen(string, string, uint64)                      {}
 
 // endless generates until it is stopped and counts its runs.
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	// store slows down beyond about a fifth of them.
 	engineShare = 0.2
 	minStreams  = 2
+	// spareShare is the part of the streams for engines whose version is still of
+	// use: the rest is free when another model's next version comes.
+	spareShare = 2
 	// orderTimeout bounds an order or a report with its answer.
 	orderTimeout = time.Second
 	// usualLoad is when a load may be complete for the first time.
@@ -53,6 +57,9 @@
 	Services(model string) map[string]bool
 	// Demand returns the recent work by model, in tokens.
 	Demand() map[string]float64
+	// Needed returns by model the oldest version that the next work may use; a model
+	// without work so far is missing.
+	Needed() map[string]uint64
 }
 
 // Weights brings engines to the published versions.
@@ -108,14 +115,29 @@
 		return cmp.Or(w.ordered[a].Compare(w.ordered[b]), cmp.Compare(a.model, b.model))
 	})
 	views := w.observe(places)
-	for _, at := range places {
-		for _, s := range w.plan(at, views[at], versions[at.model]) {
-			w.ordered[at] = time.Now()
-			go w.load(ctx, f, at, s, goOn[at])
+	needed := w.published.Needed()
+	// Engines whose version no work may use come first, of all models.
+	for _, urgent := range []bool{true, false} {
+		for _, at := range places {
+			t := target{version: versions[at.model], need: versions[at.model], urgent: urgent}
+			if n, ok := needed[at.model]; ok {
+				t.need = n
+			}
+			for _, s := range w.plan(at, views[at], t) {
+				w.ordered[at] = time.Now()
+				go w.load(ctx, f, at, s, goOn[at])
+			}
 		}
 	}
 }
 
+// target is what engines are to be brought to.
+type target struct {
+	version uint64
+	need    uint64 // oldest version that is of use
+	urgent  bool   // only engines with older ones
+}
+
 // assign divides the engines of each service among its models.
 func (w *Weights) assign(places map[loadPlace]bool, published map[string]uint64) {
 	demand := map[string]map[string]float64{}
@@ -182,7 +204,7 @@
 
 // plan returns the loads to order now. All models of a service share the streams
 // of the store, and an engine carries out one order at a time.
-func (w *Weights) plan(at loadPlace, followers []upstream.Announcement, version uint64) []weights.Swap {
+func (w *Weights) plan(at loadPlace, followers []upstream.Announcement, t target) []weights.Swap {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	elsewhere := 0
@@ -197,8 +219,13 @@
 		return slices.ContainsFunc(others, func(q *weights.Planner) bool { return q.Busy(u.ID) })
 	})
 	p := w.planners[at]
-	p.SetStreams(max(minStreams, int(engineShare*float64(w.engineCount(at.service)))) - elsewhere)
-	return p.Plan(time.Now(), idle, version)
+	streams := max(minStreams, int(math.Round(engineShare*float64(w.engineCount(at.service)))))
+	if t.urgent {
+		p.SetStreams(streams - elsewhere)
+		return p.PlanUrgent(time.Now(), idle, t.version, t.need)
+	}
+	p.SetStreams(max(1, streams/spareShare) - elsewhere)
+	return p.Plan(time.Now(), idle, t.version)
 }
 
 func (w *Weights) engineCount(service string) int {
--- a/internal/duty/weights_test.go
+++ b/internal/duty/weights_test.go
@@ -48,17 +48,28 @@
 	return r, nil
 }
 
-// steadyVersions publishes a version of every model each period.
+// steadyVersions publishes a version of every model each period, one model after
+// the other.
 type steadyVersions struct {
 	models []string
 	period time.Duration
 	began  time.Time
+	lag    uint64 // versions behind the newest that work may use
 }
 
 func (s steadyVersions) ModelVersions() map[string]uint64 {
 	out := map[string]uint64{}
-	for _, m := range s.models {
-		out[m] = 1 + uint64(time.Since(s.began)/s.period)
+	for i, m := range s.models {
+		ahead := time.Duration(i) * s.period / time.Duration(len(s.models))
+		out[m] = 1 + uint64((time.Since(s.began)+ahead)/s.period)
+	}
+	return out
+}
+
+func (s steadyVersions) Needed() map[string]uint64 {
+	out := s.ModelVersions()
+	for m, v := range out {
+		out[m] = v - min(s.lag, v)
 	}
 	return out
 }
@@ -72,7 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
-		published := steadyVersions{[]string{"a", "b", "c"}, 2 * time.Second, time.Now()}
+		published := steadyVersions{models: []string{"a", "b", "c"}, period: 2 * time.Second, began: time.Now()}
 		var engines []upstream.Announcement
 		for i := range 9 {
 			e := upstream.Announcement{ID: fmt.Sprintf("engine%d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
@@ -97,3 +108,46 @@
 		}
 	})
 }
+
+// Versions of three models come as fast as the store can load them everywhere, and
+// work may use the version before the newest: the engines whose version is of no
+// use come first, whichever model they serve, so that most engines can work.
+func TestEnginesThatCannotWorkAreLoadedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
+		published := steadyVersions{models: []string{"a", "b", "c"}, period: 4 * time.Second, began: time.Now(), lag: 1}
+		var engines []upstream.Announcement
+		for i := range 36 {
+			e := upstream.Announcement{ID: fmt.Sprintf("engine%02d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
+			engines = append(engines, e)
+			f.engines[e.ID] = &Report{Versions: map[string]uint64{"a": 1, "b": 1, "c": 1}}
+		}
+		term := uint64(1)
+		w := NewWeights(NewTerm(leading(&term), "me", 0), published, func() []upstream.Announcement { return engines },
+			weights.NewHoldings(), f, log.New(io.Discard))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		go w.Run(ctx)
+		time.Sleep(10 * time.Second)
+		able, samples := 0, 0
+		for ctx.Err() == nil {
+			needed := published.Needed()
+			f.mu.Lock()
+			for _, r := range f.engines {
+				best := false
+				for m, v := range r.Versions {
+					best = best || v >= needed[m]
+				}
+				samples++
+				if best && !r.Busy {
+					able++
+				}
+			}
+			f.mu.Unlock()
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(maxLoad)
+		g.Expect(float64(able) / float64(samples)).To(BeNumerically(">", 0.8))
+	})
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -32,9 +32,11 @@
 	return max(a.Concurrency, 1)
 }
 
-func (p pool) Asked(model string, tokens int) {
+func (p pool) Asked(model string, tokens int, minVersion uint64) {
+	newest := p.n.follower.Config().ModelVersions[model]
 	p.n.demandMu.Lock()
 	defer p.n.demandMu.Unlock()
+	p.n.lag[model] = newest - min(minVersion, newest)
 	old, ok := p.n.demand[model]
 	if !ok {
 		old = float64(tokens)
@@ -56,6 +58,20 @@
 	return maps.Clone(p.n.demand)
 }
 
+// Needed expects of the next work of a model that it allows versions as far behind
+// the newest as the last work did.
+func (p published) Needed() map[string]uint64 {
+	out := map[string]uint64{}
+	p.n.demandMu.Lock()
+	defer p.n.demandMu.Unlock()
+	for model, newest := range p.ModelVersions() {
+		if lag, ok := p.n.lag[model]; ok {
+			out[model] = newest - min(lag, newest)
+		}
+	}
+	return out
+}
+
 func (p published) Services(model string) map[string]bool {
 	out := map[string]bool{}
 	t := p.n.Table()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 
 	demandMu sync.Mutex
 	demand   map[string]float64 // tokens of recent batch jobs, by model
+	lag      map[string]uint64  // versions behind the newest that the last batch job allowed, by model
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
@@ -72,7 +73,7 @@
 func New(ctx context.Context, cfg Config, out Outside, logger *log.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, log: logger, started: time.Now(), outside: out, health: control.NewHealth(),
-		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), holdings: weights.NewHoldings(), demand: map[string]float64{},
+		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), holdings: weights.NewHoldings(), demand: map[string]float64{}, lag: map[string]uint64{},
 	}
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -83,17 +83,29 @@
 func (p *Planner) Plan(now time.Time, live []upstream.Announcement, want uint64) []Swap {
 	p.Observe(now, live)
 	r := newRoom(live, p.loads, p.limits.Keep)
+	return p.plan(now, live, want, func(u upstream.Announcement) bool { return r.left(u.Zone) }, func(u upstream.Announcement) { r.take(u.Zone) })
+}
+
+// PlanUrgent is Plan for the upstreams whose version is older than need. New work
+// cannot use them, so that any number of them may load at once.
+func (p *Planner) PlanUrgent(now time.Time, live []upstream.Announcement, want, need uint64) []Swap {
+	p.Observe(now, live)
+	return p.plan(now, live, want, func(u upstream.Announcement) bool { return u.Version < need }, func(upstream.Announcement) {})
+}
+
+// plan orders the candidates that may load, and reports each to ordered.
+func (p *Planner) plan(now time.Time, live []upstream.Announcement, want uint64, may func(upstream.Announcement) bool, ordered func(upstream.Announcement)) []Swap {
 	s := p.sources(live, want)
 	var out []Swap
 	for _, u := range p.candidates(now, live, want) {
-		if !r.left(u.Zone) {
+		if !may(u) {
 			continue
 		}
 		source, ok := s.pick(u.Zone, p.failures[u.ID].source)
 		if !ok {
 			continue
 		}
-		r.take(u.Zone)
+		ordered(u)
 		p.begin(now, u, want, source)
 		out = append(out, Swap{Upstream: u, Version: want, Source: source})
 	}
