Look at the engines at most fifty times a second

Cause: with all slots taken and items waiting, each end of a run or reward request described all engines and sorted all waiting items anew: 28% of the leader's processor time in BenchmarkFleet with 44 engines and jobs of 160 items, before the reading of events. Ruled out: rounds of the control loop (163 ms at most before the first). Loads of weights are asked for each 50 ms instead of 150 ms near their end.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -14,9 +14,13 @@
 // Times of the runner.
 const (
 	leadershipPoll = 25 * time.Millisecond // between looks at the leadership
-	planInterval   = 50 * time.Millisecond // between looks at engines while items wait
-	paceInterval   = 250 * time.Millisecond
-	listTimeout    = time.Second // of one look at the open jobs
+	// planInterval is the time between looks at the engines while items wait, and the
+	// least time between two while more than gatherFrom run: each look considers all
+	// engines and all waiting items, and runs end hundreds of times a second. It is
+	// small beside the time of a run.
+	planInterval = 20 * time.Millisecond
+	paceInterval = 250 * time.Millisecond
+	listTimeout  = time.Second // of one look at the open jobs
 )
 
 // Replica is what the runner needs of the control group's replica.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -32,6 +32,7 @@
 	paces    *Paces
 	attempts map[*item]*attempt
 	running  atomic.Int64         // len(attempts), for the attempts
+	planned  time.Time            // newest look at the engines
 	avoid    map[string]time.Time // engines to leave alone until then
 	ended    chan *attempt
 	scored   chan scored
@@ -140,9 +141,10 @@
 }
 
 func (s *session) start(ctx context.Context, now time.Time) {
-	if s.plan.Waiting() == 0 {
+	if s.plan.Waiting() == 0 || len(s.attempts) > gatherFrom && now.Sub(s.planned) < planInterval {
 		return
 	}
+	s.planned = now
 	for _, x := range s.plan.Next(now, s.view(now)) {
 		a := newAttempt(ctx, x.item, x.Engine)
 		s.attempts[x.item] = a
--- a/internal/batch/session_test.go
+++ b/internal/batch/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -93,7 +94,7 @@
 func (onePool) Loading(string) bool                              { return false }
 func (onePool) Versions(upstream.Announcement) map[string]uint64 { return map[string]uint64{"m": 3} }
 func (onePool) Slots(upstream.Announcement) int                  { return 1 }
-func (onePool) Asked(string, int, uint64)                                {}
+func (onePool) Asked(string, int, uint64)                        {}
 func (onePool) Seen(string, string, uint64)                      {}
 
 // endless generates until it is stopped and counts its runs.
@@ -148,3 +149,51 @@
 		<-done
 	})
 }
+
+// manyPool is a fleet of engines with six slots each; it counts the looks at it.
+type manyPool struct {
+	onePool
+	engines int
+	looks   atomic.Int32
+}
+
+func (p *manyPool) Known() []upstream.Announcement {
+	p.looks.Add(1)
+	var out []upstream.Announcement
+	for i := range p.engines {
+		out = append(out, upstream.Announcement{ID: fmt.Sprint("e", i), Service: "s"})
+	}
+	return out
+}
+
+func (*manyPool) Slots(upstream.Announcement) int { return 6 }
+
+// brief ends each generation after a tenth of a second.
+type brief struct{ done atomic.Int32 }
+
+func (e *brief) Generate(_ context.Context, _ upstream.Announcement, _ Generation, emit func(Event)) error {
+	time.Sleep(100 * time.Millisecond)
+	emit(Event{ID: 1, Version: 3})
+	e.done.Add(1)
+	return nil
+}
+
+// All slots of a large fleet are taken, items wait, and runs end more than a thousand
+// times a second: the engines are looked at a bounded number of times, and the slots
+// hardly stand empty for it.
+func TestPlanningIsBoundedWhileAThousandRunsEndEachSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		job := jobOf("j", 1000, 8, time.Now())
+		job.Batch.RunDeadline, job.Batch.ItemTTL = time.Hour, time.Hour
+		replica := &lapsing{term: 1, jobs: []control.OpenBatch{control.OpenBatch(job)}, change: make(chan struct{})}
+		p, engines := &manyPool{engines: 30}, &brief{}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		defer func() { cancel(); <-done }()
+		go func() { defer close(done); NewRunner(replica, p, engines, failing{}, log.New(io.Discard)).Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		g.Expect(p.looks.Load()).To(BeNumerically("<=", 2*(time.Second/planInterval)+40))
+		g.Expect(engines.done.Load()).To(BeNumerically(">=", 30*6*2*10*8/10))
+	})
+}
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -30,7 +30,7 @@
 	orderTimeout = time.Second
 	// usualLoad is when a load may be complete for the first time.
 	usualLoad = 930 * time.Millisecond
-	loadPoll  = 150 * time.Millisecond
+	loadPoll  = 50 * time.Millisecond
 	// maxLoad is when a load is taken for failed.
 	maxLoad = 6 * time.Second
 )
