--- a/internal/duty/weights_test.go
+++ b/internal/duty/weights_test.go
@@ -98,6 +98,8 @@
 		w.Run(ctx)
 		time.Sleep(maxLoad)
 
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		total := 0
 		for _, n := range f.loaded {
 			total += n
