--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/result"
 )
@@ -36,9 +37,13 @@
 	}
 }
 
-// outcome returns the last result code that the id's own lines name.
+// outcome returns the last result code that the id's own lines name, unless a
+// success came after it.
 func (s Story) outcome() (result.Code, bool) {
 	for _, l := range slices.Backward(s.Own) {
+		if strings.HasPrefix(l.Get("status"), "2") {
+			return 0, false
+		}
 		if n, err := strconv.Atoi(l.Get("code")); err == nil && n > 0 {
 			return result.Code(n), true
 		}
--- a/internal/explain/search_test.go
+++ b/internal/explain/search_test.go
@@ -48,6 +48,18 @@
 	g.Expect(out.String()).To(ContainSubstring("result 206 upstream-failed (unknown)"))
 }
 
+// A request that failed at one process and was answered by another has no failure to
+// explain.
+func TestLaterSuccessIsTheOutcome(t *testing.T) {
+	g := NewWithT(t)
+	later := logOf("later", `time=2026-12-04T02:00:03.000Z level=info prefix=proxy msg="Request answered." request=r1 status=200 code=0`+"\n")
+	s, err := Search([]Log{logOf("entry", entryLog), later}, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	s.Write(&out)
+	g.Expect(out.String()).NotTo(ContainSubstring("result 206"))
+}
+
 func TestItemIsExplainedWithItsRewardRequestsAndItsJob(t *testing.T) {
 	g := NewWithT(t)
 	s, err := Search([]Log{logOf("entry", entryLog), logOf("replicas", replicaLog)}, "x1")
