Let a leader that was late itself wait for the answers

Ruled out: the links (the other replicas heard its heartbeats). Change: a leader whose ticks were late waits up to one more election timeout before it gives way. It has no lease meanwhile; leases are as before. The new test saw it give way at once before.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -72,6 +72,8 @@
 	electAt     Time
 	ledSince    Time // start of the own leadership
 	beatAt      Time
+	tickedAt    Time // newest tick
+	lateAt      Time // newest tick that came later than half a heartbeat after the one before
 	votes       map[ID]bool
 	progress    map[ID]*progress
 
@@ -114,6 +116,10 @@
 // Tick advances the clock to now, which must not decrease.
 func (n *Node) Tick(now Time) {
 	n.now = max(n.now, now)
+	if n.now > n.tickedAt+n.cfg.Heartbeat/2 {
+		n.lateAt = n.now
+	}
+	n.tickedAt = n.now
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -130,7 +136,7 @@
 }
 
 func (n *Node) tickLeader() {
-	if n.now >= max(n.leaseStart(), n.ledSince)+n.cfg.Election {
+	if n.mustGiveWay() {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -139,6 +145,17 @@
 	}
 }
 
+// mustGiveWay reports whether a leader has heard no quorum for an election timeout.
+// One that was late itself may have the answers unread: it waits for at most one
+// more, without a lease.
+func (n *Node) mustGiveWay() bool {
+	heard := max(n.leaseStart(), n.ledSince)
+	if n.now < heard+n.cfg.Election {
+		return false
+	}
+	return n.now >= heard+2*n.cfg.Election || n.now >= n.lateAt+n.cfg.Election
+}
+
 // Propose appends a command. It is decided once it comes out as committed at
 // this index with this term.
 func (n *Node) Propose(now Time, data []byte) (index, term uint64, err error) {
--- a/internal/consensus/rule_test.go
+++ b/internal/consensus/rule_test.go
@@ -134,3 +134,40 @@
 	ack("d")
 	g.Expect(propose(func(m Membership) { m["d"] = Member{ID: "d", Voter: true} })).To(Succeed())
 }
+
+// A leader that hears no quorum gives way after an election timeout. One that was
+// late itself may have the answers unread: it waits one more, without a lease.
+func TestLeaderThatWasLateWaitsForTheAnswers(t *testing.T) {
+	g := NewWithT(t)
+	for _, late := range []bool{false, true} {
+		n := restarted(HardState{Term: 1, Commit: 1})
+		elected(n)
+		n.Step(n.now, Message{Kind: MsgAppendReply, From: "b", To: "a", Term: n.term, Index: n.log.last(), Sent: n.now})
+		work(n)
+		began, step := n.now, DefaultHeartbeat/4
+		tickTo := func(end Time) {
+			for n.now < end {
+				if late && n.now == began+2*step {
+					n.Tick(n.now + 2*DefaultHeartbeat)
+				} else {
+					n.Tick(n.now + step)
+				}
+				work(n)
+			}
+		}
+		tickTo(began + DefaultElection + step)
+		_, lease := n.LeaseUntil()
+		g.Expect(lease).To(BeFalse())
+		if !late {
+			g.Expect(n.role).To(Equal(Follower))
+			continue
+		}
+		g.Expect(n.role).To(Equal(Leader))
+		n.Step(n.now, Message{Kind: MsgAppendReply, From: "b", To: "a", Term: n.term, Index: n.log.last(), Sent: n.now - step})
+		work(n)
+		_, lease = n.LeaseUntil()
+		g.Expect(lease).To(BeTrue(), "the answers were waiting")
+		tickTo(n.now + DefaultElection + 2*step)
+		g.Expect(n.role).To(Equal(Follower), "not late again")
+	}
+}
