--- a/internal/telemetry/logger_test.go
+++ b/internal/telemetry/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -20,3 +21,13 @@
 	g.Expect(at).To(BeTemporally("~", time.Now(), time.Minute))
 	g.Expect(word).To(HaveSuffix("Z"))
 }
+
+// BenchmarkLine is what one decision's line costs the goroutine that logs it.
+func BenchmarkLine(b *testing.B) {
+	l, flush := StartLogger(io.Discard, "info")
+	defer flush()
+	for b.Loop() {
+		l.Info("Request answered.", "request", "1a93e4c6af6004a1", "route", "r-tzinw89", "account", "", "upstream", "i-8917ef9a4e",
+			"status", 200, "runs", 0, "refused", 0, "hedged", false, "routing", 7, "ms", 53)
+	}
+}
