Share no variable with a task that runs after its caller has gone

Cause: a query whose caller ran out of time returned a variable that its task, still waiting in the control loop, wrote later. Change: the result comes through a channel of its own; the caller that gives up gets none.

--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -115,8 +115,8 @@
 	if err := r.catchUp(ctx); err != nil {
 		return nil, err
 	}
-	var out []OpenBatch
-	err := r.do(ctx, func() {
+	return ask(ctx, r, func() []OpenBatch {
+		var out []OpenBatch
 		for _, b := range r.state.Ledger.Batches {
 			if !b.Open() {
 				continue
@@ -131,8 +131,8 @@
 			}
 			out = append(out, OpenBatch{Batch: b, Listed: listed, Partial: partial})
 		}
+		return out
 	})
-	return out, err
 }
 
 // BatchesChanged is closed when a batch job was accepted or ended.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -161,12 +161,22 @@
 	if err := r.catchUp(ctx); err != nil {
 		return QueryReply{}, err
 	}
-	var reply QueryReply
-	err := r.do(ctx, func() {
-		reply = query(r.state.Ledger, q)
+	return ask(ctx, r, func() QueryReply {
+		reply := query(r.state.Ledger, q)
 		reply.Step = r.state.StepView(q.Step)
+		return reply
 	})
-	return reply, err
+}
+
+// ask runs f in the loop and returns its result. A caller whose ctx ends first gets
+// none, while f may still run.
+func ask[T any](ctx context.Context, r *Replica, f func() T) (T, error) {
+	answer := make(chan T, 1)
+	if err := r.do(ctx, func() { answer <- f() }); err != nil {
+		var none T
+		return none, err
+	}
+	return <-answer, nil
 }
 
 func query(l *state.Ledger, q QueryRequest) QueryReply {
