--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -151,21 +151,22 @@
 	r.watch.last = clock.Now()
 	for {
 		var err error
+		task := func() {}
 		select {
 		case <-ctx.Done():
 			r.failWaiting()
 			return nil
 		case p := <-r.prepared:
-			err = r.adopt(p)
+			task = func() { err = r.adopt(p) }
 		case <-ticker.C:
 		case n := <-r.inbox:
-			r.step(n)
+			task = func() { r.step(n) }
 		case p := <-r.proposals:
-			r.propose(p)
-		case f := <-r.tasks:
-			f()
+			task = func() { r.propose(p) }
+		case task = <-r.tasks:
 		}
 		r.watch.end(phaseWait)
+		task()
 		r.drain()
 		r.node.Tick(r.now())
 		r.watch.end(phaseTake)
--- a/internal/control/slow.go
+++ b/internal/control/slow.go
@@ -18,7 +18,7 @@
 // The phases.
 const (
 	phaseWait    phase = iota // for work, or for the processor
-	phaseTake                 // messages and proposals
+	phaseTake                 // messages, proposals and queries
 	phaseStore                // the log, with its sync
 	phaseSend                 // messages
 	phaseApply                // committed entries
