Compare voter sets in one place

OneApart and Exchanges each looked for the voters that the other membership lacks; the defaults of the configuration were seven equal conditions. Behaviour is unchanged.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -47,25 +48,11 @@
 }
 
 func (c *Config) setDefaults() {
-	if c.Heartbeat == 0 {
-		c.Heartbeat = DefaultHeartbeat
-	}
-	if c.Election == 0 {
-		c.Election = DefaultElection
-	}
-	if c.Lease == 0 {
-		c.Lease = DefaultLease
-	}
-	if c.MaxAppend == 0 {
-		c.MaxAppend = DefaultMaxAppend
-	}
-	if c.MaxAppendBytes == 0 {
-		c.MaxAppendBytes = DefaultMaxAppendBytes
-	}
-	if c.WindowBytes == 0 {
-		c.WindowBytes = DefaultWindowBytes
-	}
-	if c.SnapshotRetry == 0 {
-		c.SnapshotRetry = DefaultSnapshotRetry
-	}
+	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.Election = cmp.Or(c.Election, DefaultElection)
+	c.Lease = cmp.Or(c.Lease, DefaultLease)
+	c.MaxAppend = cmp.Or(c.MaxAppend, DefaultMaxAppend)
+	c.MaxAppendBytes = cmp.Or(c.MaxAppendBytes, DefaultMaxAppendBytes)
+	c.WindowBytes = cmp.Or(c.WindowBytes, DefaultWindowBytes)
+	c.SnapshotRetry = cmp.Or(c.SnapshotRetry, DefaultSnapshotRetry)
 }
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -51,18 +51,7 @@
 // OneApart reports whether the voter sets of m and next differ by at most one
 // voter, which makes any two of their quorums overlap.
 func (m Membership) OneApart(next Membership) bool {
-	diff := 0
-	for id, x := range m {
-		if x.Voter && !next.IsVoter(id) {
-			diff++
-		}
-	}
-	for id, x := range next {
-		if x.Voter && !m.IsVoter(id) {
-			diff++
-		}
-	}
-	return diff <= 1
+	return len(m.votersNotIn(next))+len(next.votersNotIn(m)) <= 1
 }
 
 // Exchanges reports whether next gives the vote of one member to another at the
@@ -70,18 +59,19 @@
 // member's disk is gone: it can never vote again, so that every quorum of m that
 // can still form holds a quorum's worth of voters common to both.
 func (m Membership) Exchanges(next Membership) bool {
-	var lost, won []Member
+	lost, won := m.votersNotIn(next), next.votersNotIn(m)
+	return len(lost) == 1 && len(won) == 1 && lost[0].Address == won[0].Address
+}
+
+// votersNotIn returns the voters of m that are none in other.
+func (m Membership) votersNotIn(other Membership) []Member {
+	var out []Member
 	for id, x := range m {
-		if x.Voter && !next.IsVoter(id) {
-			lost = append(lost, x)
+		if x.Voter && !other.IsVoter(id) {
+			out = append(out, x)
 		}
 	}
-	for id, x := range next {
-		if x.Voter && !m.IsVoter(id) {
-			won = append(won, x)
-		}
-	}
-	return len(lost) == 1 && len(won) == 1 && lost[0].Address == won[0].Address
+	return out
 }
 
 // Encode returns the entry payload of m.
