--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -242,8 +242,8 @@
 	g.Expect([]int{x.class("regular"), x.class("cheap")}).To(Equal([]int{3, 0}))
 }
 
-// Whatever the platform, the load and the documents do: no order exceeds the active cap,
-// no zone its ceiling, two leaders never order for one plan, and when
+// Whatever the platform, the load and the documents do: no order exceeds the
+// active cap, no zone its ceiling, two leaders never order for one plan, and when
 // the trouble is over the floors stand.
 func TestOrdersKeepTheirBounds(t *testing.T) {
 	testkit.FixSeed()
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -89,8 +89,9 @@
 	return n.now < n.heardLeader+n.cfg.Election
 }
 
-// stepVoteRequest answers even when this replica is not a voter in its own log: the entry that made it one may not have reached it, and the candidate
-// may need its vote.
+// stepVoteRequest answers even when this replica is not a voter in its own log:
+// the entry that made it one may not have reached it, and the candidate may need
+// its vote.
 func (n *Node) stepVoteRequest(m Message) {
 	reply := MsgVoteReply
 	if m.Kind == MsgPreVote {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -188,10 +188,10 @@
 	}
 }
 
-// sendAppend sends what id lacks. A snapshot message goes out without data;
-// the caller fills it in from storage. While a snapshot or more
-// entries than a window are in flight, only heartbeats go out; while probing, one append
-// per heartbeat interval unless a reply has come.
+// sendAppend sends what id lacks. A snapshot message goes out without data; the
+// caller fills it in from storage. While a snapshot or more entries than a window
+// are in flight, only heartbeats go out; while probing, one append per heartbeat
+// interval unless a reply has come.
 func (n *Node) sendAppend(id ID) {
 	p := n.progress[id]
 	if p == nil {
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -21,8 +21,8 @@
 	Zone    string `json:"zone"`
 }
 
-// entriesRetry is the Retry-After while no entry is known: daemons find each other within
-// a gossip period or two.
+// entriesRetry is the Retry-After while no entry is known: daemons find each other
+// within a gossip period or two.
 const entriesRetry = 500 * time.Millisecond
 
 // entries answers GET /v1/entries?zone=Z.
