Ask a leadership itself whether it holds in a term

The rights to act of batch jobs, duties and fenced orders each compared the term and the lease; Valid repeated EndedFor. Behaviour is unchanged.

--- a/internal/batch/tenure.go
+++ b/internal/batch/tenure.go
@@ -23,6 +23,5 @@
 
 // leads reports whether the replica leads in the term of the session.
 func (s *session) leads() bool {
-	l := s.replica.Leadership()
-	return l.Term == s.term && l.Valid()
+	return s.replica.Leadership().Holds(s.term)
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -26,8 +26,8 @@
 // Valid reports whether the lease still runs. Check it right before writing to
 // the outside, and set the write deadline to Until.
 func (l Leadership) Valid() bool {
-	if l.Term == 0 || l.Ends != 0 && clock.Now() >= l.Ends {
-		return false
-	}
-	return time.Now().Before(l.Until)
+	return l.Term != 0 && !l.EndedFor(0)
 }
+
+// Holds reports whether the lease is that of a term and still runs.
+func (l Leadership) Holds(term uint64) bool { return l.Term == term && l.Valid() }
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -41,8 +41,7 @@
 
 // valid reports whether f still holds. Ask right before acting.
 func (t *Term) valid(f Fence) bool {
-	l := t.leadership()
-	return l.Term == f.Token && l.Valid()
+	return t.leadership().Holds(f.Token)
 }
 
 // each calls round while ctx lasts.
