Tell leaving engines in one place

The plan and the moves each compared the time at which an engine is taken away. Two functions of one line that only renamed a call are gone. Behaviour is unchanged.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,7 +26,7 @@
 	began  time.Time
 	gen    Generation
 	ctx    context.Context
-	cancel context.CancelCauseFunc
+	cancel context.CancelCauseFunc // ends the run early for a reason
 
 	mu     sync.Mutex
 	events []Event
@@ -56,7 +55,7 @@
 func (a *attempt) run(engines Engines) {
 	defer a.cancel(nil)
 	watch := time.AfterFunc(firstEventTimeout, func() {
-		a.stop(result.New(result.UpstreamTimeout, "no event in time"))
+		a.cancel(result.New(result.UpstreamTimeout, "no event in time"))
 	})
 	defer watch.Stop()
 	err := engines.Generate(a.ctx, a.engine, a.gen, func(e Event) {
@@ -69,9 +68,6 @@
 	a.err = err
 }
 
-// stop ends the run early for a reason.
-func (a *attempt) stop(why error) { a.cancel(why) }
-
 func (a *attempt) record(e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -101,6 +97,3 @@
 	a.seen, a.seenAt = len(a.events)-1, now
 	return n, ran
 }
-
-// joinEvents returns the text of a sample.
-func joinEvents(events []string) string { return strings.Join(events, "\n") }
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -155,8 +155,13 @@
 	if b.SingleVersion && len(it.versions) > 0 && e.Versions[it.spec.Model] != it.versions[0] {
 		return false
 	}
-	leaves := e.Upstream.ReclaimAt
-	return leaves == 0 || now.Add(leaveMargin).UnixMilli() < leaves
+	return !e.leaving(now)
+}
+
+// leaving reports whether the engine is taken away soon.
+func (e *Engine) leaving(now time.Time) bool {
+	at := e.Upstream.ReclaimAt
+	return at != 0 && now.Add(leaveMargin).UnixMilli() >= at
 }
 
 // Expired removes the items whose lifetime has passed and returns them.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,7 +123,7 @@
 	}
 	for _, it := range s.plan.Update(jobs) {
 		if a := s.attempts[it]; a != nil {
-			a.stop(result.New(result.Stopped, "the batch job ended"))
+			a.cancel(result.New(result.Stopped, "the batch job ended"))
 		}
 		it.phase = finished
 	}
@@ -286,7 +287,7 @@
 	s.log.Info("Sample complete.", "item", it.spec.ID, "batch", it.job.batch.ID, "group", it.spec.Group, "events", len(it.events), "versions", it.versions, "age_ms", time.Since(it.job.batch.Accepted).Milliseconds())
 	itemsDone.Inc()
 	itemSeconds.Update(time.Since(it.job.batch.Accepted).Seconds())
-	r := state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Text: joinEvents(it.events), Versions: it.versions, Score: score}
+	r := state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Text: strings.Join(it.events, "\n"), Versions: it.versions, Score: score}
 	s.plan.Finish(it)
 	s.commit.add(entry{result: &r})
 }
@@ -295,7 +296,7 @@
 	s.log.Warn("Item given up.", "item", it.spec.ID, "batch", it.job.batch.ID, "why", why, "failures", it.failures, "reward_failures", it.unscored)
 	itemsAbort.Inc()
 	if a := s.attempts[it]; a != nil {
-		a.stop(result.New(result.Stopped, "the item was given up"))
+		a.cancel(result.New(result.Stopped, "the item was given up"))
 	}
 	s.plan.Finish(it)
 	s.commit.add(entry{result: &state.BatchResult{Batch: it.job.batch.ID, Item: it.spec.ID, Aborted: true}})
@@ -344,9 +345,8 @@
 	slow := map[string]bool{}
 	leaving := map[string]bool{}
 	for _, e := range view {
-		leaves := e.Upstream.ReclaimAt
 		switch {
-		case leaves != 0 && now.Add(leaveMargin).UnixMilli() >= leaves:
+		case e.leaving(now):
 			leaving[e.Upstream.ID] = true
 		case e.Slowness > moveSlowness:
 			slow[e.Upstream.ID] = true
@@ -360,6 +360,6 @@
 		}
 		free--
 		itemMoves.Inc()
-		a.stop(result.New(result.SampleMoved, "engine %s is slow or leaving", a.engine.ID))
+		a.cancel(result.New(result.SampleMoved, "engine %s is slow or leaving", a.engine.ID))
 	}
 }
