--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -47,25 +48,32 @@
 	p.byID[engine] = s
 }
 
-// Slowness returns an engine's time per event beside the median of all; 1 when
-// too little is known.
-func (p *Paces) Slowness(now time.Time, engine string) float64 {
-	var known []float64
-	for id, s := range p.byID {
-		if now.Sub(s.at) > paceMemory {
-			delete(p.byID, id)
-			continue
-		}
-		known = append(known, s.perEvent)
+// At returns what is known at a time, and forgets what is too old.
+func (p *Paces) At(now time.Time) Pacing {
+	maps.DeleteFunc(p.byID, func(_ string, s engineSample) bool { return now.Sub(s.at) > paceMemory })
+	if len(p.byID) < minSamples {
+		return Pacing{}
 	}
-	s, ok := p.byID[engine]
-	if !ok || len(known) < minSamples {
-		return 1
+	known := make([]float64, 0, len(p.byID))
+	for _, s := range p.byID {
+		known = append(known, s.perEvent)
 	}
 	slices.Sort(known)
-	median := known[(len(known)-1)/2]
-	if median <= 0 {
+	return Pacing{byID: p.byID, median: known[(len(known)-1)/2]}
+}
+
+// Pacing compares engines at one time. It is valid until the next Record.
+type Pacing struct {
+	byID   map[string]engineSample
+	median float64 // seconds for an event; 0 when too little is known
+}
+
+// Slowness returns an engine's time per event beside the median of all; 1 when
+// too little is known.
+func (p Pacing) Slowness(engine string) float64 {
+	s, ok := p.byID[engine]
+	if !ok || p.median <= 0 {
 		return 1
 	}
-	return s.perEvent / median
+	return s.perEvent / p.median
 }
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -168,11 +168,12 @@
 	for _, a := range s.attempts {
 		running[a.engine.ID]++
 	}
+	pacing := s.paces.At(now)
 	var out []Engine
 	for _, u := range s.pool.Known() {
 		out = append(out, Engine{
 			Upstream: u, Slots: s.pool.Slots(u), Running: running[u.ID], Versions: s.pool.Versions(u),
-			Loading: s.pool.Loading(u.ID), Avoid: now.Before(s.avoid[u.ID]), Slowness: s.paces.Slowness(now, u.ID),
+			Loading: s.pool.Loading(u.ID), Avoid: now.Before(s.avoid[u.ID]), Slowness: pacing.Slowness(u.ID),
 		})
 	}
 	return out
