--- a/internal/batch/committer.go
+++ b/internal/batch/committer.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -45,7 +46,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-c.queue:
-			pause(ctx, gatherTime)
+			periodic.Pause(ctx, gatherTime)
 			c.commit(ctx, c.gather(e))
 		}
 	}
@@ -83,6 +84,6 @@
 			return
 		}
 		c.log.Warn("Results not committed.", "results", len(record.Results), "code", int(result.CodeOf(err)), "err", result.From(err).Message)
-		pause(ctx, commitPause)
+		periodic.Pause(ctx, commitPause)
 	}
 }
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -22,7 +23,7 @@
 	deadline := it.job.expires()
 	s.wg.Go(func() {
 		if wait := time.Until(it.after); wait > 0 {
-			pause(ctx, wait)
+			periodic.Pause(ctx, wait)
 		}
 		sig, err := s.scorer.Score(ctx, it.spec.Reward, deadline)
 		select {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -69,15 +70,6 @@
 		if l.Valid() {
 			newSession(r, l.Term).run(ctx)
 		}
-		pause(ctx, leadershipPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		periodic.Pause(ctx, leadershipPoll)
 	}
 }
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -85,10 +86,7 @@
 		if f.round(ctx) {
 			continue
 		}
-		select {
-		case <-time.After(syncPause):
-		case <-ctx.Done():
-		}
+		periodic.Pause(ctx, syncPause)
 	}
 }
 
--- a/internal/control/form.go
+++ b/internal/control/form.go
@@ -11,13 +11,18 @@
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
 
-// joinPause is the pause between tries to find the running group.
-const joinPause = 100 * time.Millisecond
+const (
+	// joinPause is the pause between tries to find the running group.
+	joinPause = 100 * time.Millisecond
+	// logTries is the number of tries between two lines of log: about two seconds.
+	logTries = 20
+)
 
 // Form writes the data folder of one of the first voters, without an operator:
 // every one of them derives the same group from the same founders, given by
@@ -55,7 +60,7 @@
 			reply, err := peer.Call[MembersReply](ask, client, a, MethodMembers, MembersRequest{})
 			cancel()
 			if err != nil || reply.Cluster == "" {
-				if tries%20 == 0 {
+				if tries%logTries == 0 {
 					logger.Info("Waiting for the control group.", "asked", a, "err", err)
 				}
 				continue
@@ -63,10 +68,8 @@
 			id := storage.Identity{Cluster: reply.Cluster, ID: NewIdentity(daemon)}
 			return id, Join(dir, id.Cluster, id.ID)
 		}
-		select {
-		case <-ctx.Done():
+		if !periodic.Pause(ctx, joinPause) {
 			return storage.Identity{}, ctx.Err()
-		case <-time.After(joinPause):
 		}
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 )
 
@@ -76,10 +76,7 @@
 		if learned {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(catchUpPause):
-		}
+		periodic.Pause(ctx, catchUpPause)
 	}
 }
 
--- a/internal/periodic/every.go
+++ b/internal/periodic/every.go
@@ -1,4 +1,4 @@
-// Package periodic runs upkeep at an interval.
+// Package periodic waits and runs upkeep at an interval.
 package periodic
 
 import (
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/engine"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -173,10 +174,7 @@
 	}
 	if err != nil {
 		r.m.log.Debug("Sample failed.", "step", r.id, "slot", slot, "err", err.Error())
-		select {
-		case <-time.After(retryWait):
-		case <-r.ctx.Done():
-		}
+		periodic.Pause(r.ctx, retryWait)
 	}
 	r.update(func(st *Stream) {
 		r.running--
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/engine"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/weights"
 )
 
@@ -85,10 +86,8 @@
 	total := length(q, id)
 	done := len(strings.Fields(q.Resume))
 	for i := done; i < total; i++ {
-		select {
-		case <-r.Context().Done():
+		if !periodic.Pause(r.Context(), token) {
 			return
-		case <-time.After(token):
 		}
 		if i == total/2 && every(e.CutEvery, n) {
 			panic(http.ErrAbortHandler)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -68,9 +69,7 @@
 		if next.Sub(began) > l.Time {
 			return
 		}
-		select {
-		case <-time.After(time.Until(next)):
-		case <-ctx.Done():
+		if !periodic.Pause(ctx, time.Until(next)) {
 			return
 		}
 		l.start(ctx, f, t, n, next)
