Share what node and daemon each did for their group

Both reached the other daemons with a spreader of their own, and the entry of each looked with its own function whether an upstream still accepts connections. Gossip lists the others and the replicas, quarantine spreads, and upstream tells who refuses. The two confirm timeouts stay as they were. Behaviour is unchanged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,7 +93,7 @@
 func (d *Daemon) buildTraffic() {
 	d.claims = claim.New(d.proposer, d.incarnation, d.alive)
 	d.connections = conntrack.New()
-	d.quarantine = quarantine.NewTable(time.Now, spreader{d})
+	d.quarantine = quarantine.NewTable(time.Now, quarantine.GroupSpreader{Group: d.gossip, Client: d.client, Timeout: confirmTimeout})
 	d.quarantine.Register(d.server)
 	dispatcher := dispatch.New(d.set.Zone, d.directory, forward.New(), d.quarantine, d.tracing.Tracer)
 	d.usage = usage.NewCounter(d.incarnation)
@@ -187,6 +187,10 @@
 	d.wg.Go(f)
 }
 
+// confirmTimeout bounds the wait until the other daemons know of a request that
+// kills upstreams; one that is down or cut off does not answer.
+const confirmTimeout = 500 * time.Millisecond
+
 // Intervals of upkeep.
 const (
 	expireInterval = 200 * time.Millisecond
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"time"
 
@@ -13,14 +12,10 @@
 
 // Finding out whether an upstream died.
 const (
-	probeTimeout = 250 * time.Millisecond
 	// A dying process may cut its connections a moment before its address
 	// refuses new ones.
 	probes     = 3
 	probePause = 5 * time.Millisecond
-	// restartCheck is when a failed upstream's announcement is looked at: it
-	// may have died and been started again under the same address.
-	restartCheck = 1500 * time.Millisecond
 )
 
 // choose picks an upstream. A suspect gets one of its own: where nothing of this
@@ -51,28 +46,19 @@
 		return
 	}
 	for range probes {
-		if refuses(u.Address) {
+		if upstream.Refuses(u.Address) {
 			d.quarantine.Died(job.Fingerprint, u.ID, u.Incarnation)
 			return
 		}
 		time.Sleep(probePause)
 	}
-	time.AfterFunc(restartCheck, func() {
-		if refuses(u.Address) || d.restarted(u) {
+	time.AfterFunc(upstream.RestartCheck, func() {
+		if upstream.Refuses(u.Address) || d.restarted(u) {
 			d.quarantine.Died(job.Fingerprint, u.ID, u.Incarnation)
 		}
 	})
 }
 
-// refuses reports whether connections to address are refused.
-func refuses(address string) bool {
-	c, err := net.DialTimeout("tcp", address, probeTimeout)
-	if err == nil {
-		c.Close()
-	}
-	return err != nil
-}
-
 // restarted reports whether a newer incarnation of u announces itself.
 func (d *Dispatcher) restarted(u upstream.Announcement) bool {
 	for _, a := range d.chooser.Listed(u.Service) {
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -54,3 +54,8 @@
 	})
 	return out
 }
+
+// Replicas returns the daemons that run a replica of the control group.
+func Replicas(live []Daemon) []Daemon {
+	return slices.DeleteFunc(slices.Clone(live), func(d Daemon) bool { return d.Replica == "" })
+}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -98,6 +98,11 @@
 
 // Broadcast sends a notice to every other daemon that is up.
 func (g *Gossip) Broadcast(method string, params any) {
+	g.client.NotifyAll(g.Others(), method, params)
+}
+
+// Others returns the peer addresses of all other daemons that are up.
+func (g *Gossip) Others() []string {
 	own := g.self().PeerAddress
 	var others []string
 	for _, d := range g.Live() {
@@ -105,7 +110,7 @@
 			others = append(others, d.PeerAddress)
 		}
 	}
-	g.client.NotifyAll(others, method, params)
+	return others
 }
 
 func (g *Gossip) take(d Daemon) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,7 +34,7 @@
 	pullInterval   = time.Second
 	catchUpPause   = 100 * time.Millisecond
 	callTimeout    = time.Second
-	// confirmTimeout bounds the wait until the other daemons know that an
-	// upstream is leaving; a frozen one does not answer.
+	// confirmTimeout bounds the wait until the other daemons know that an upstream
+	// is leaving or that a request kills upstreams; a frozen one does not answer.
 	confirmTimeout = 600 * time.Millisecond
 )
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/apricotstream/apricotstream/internal/duty"
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -117,10 +118,8 @@
 		return
 	}
 	var replicas []string
-	for _, d := range n.gossip.Live() {
-		if d.Replica != "" {
-			replicas = append(replicas, d.PeerAddress)
-		}
+	for _, d := range member.Replicas(n.gossip.Live()) {
+		replicas = append(replicas, d.PeerAddress)
 	}
 	n.client.NotifyAll(replicas, methodTally, t)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,7 +87,7 @@
 	n.gossip.Register(n.server)
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
-	n.quarantine = quarantine.NewTable(time.Now, spreader{n})
+	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupSpreader{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
 	n.quarantine.Register(n.server)
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, chooser.New(upstream.Reachable{Directory: n.directory}), out.Upstreams, n.counter, suspects{n})
@@ -121,14 +122,7 @@
 	return err
 }
 
-func (n *Node) founder() bool {
-	for _, a := range n.cfg.Founders {
-		if a == n.cfg.PeerAddress {
-			return true
-		}
-	}
-	return false
-}
+func (n *Node) founder() bool { return slices.Contains(n.cfg.Founders, n.cfg.PeerAddress) }
 
 // Start runs the node until ctx ends; Wait returns after that.
 func (n *Node) Start(ctx context.Context) error {
@@ -272,10 +266,8 @@
 // liveReplicas lists the replicas that run now.
 func (n *Node) liveReplicas() []consensus.Member {
 	var out []consensus.Member
-	for _, d := range n.gossip.Live() {
-		if d.Replica != "" {
-			out = append(out, consensus.Member{ID: consensus.ID(d.Replica), Address: d.PeerAddress, Zone: d.Zone})
-		}
+	for _, d := range member.Replicas(n.gossip.Live()) {
+		out = append(out, consensus.Member{ID: consensus.ID(d.Replica), Address: d.PeerAddress, Zone: d.Zone})
 	}
 	return out
 }
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -46,7 +47,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	others := n.others()
+	others := n.gossip.Others()
 	failed := n.directory.Withdraw(ctx, n.client, others, a)
 	n.log.Info("Upstream is leaving.", "upstream", a.ID, "service", a.Service, "incarnation", a.Incarnation, "told", len(others)-failed, "of", len(others))
 	if !n.leaderKnown() {
@@ -58,10 +59,7 @@
 // PutRouting replaces routes, services and accounts. It returns once the change,
 // or a newer one, is committed.
 func (n *Node) PutRouting(ctx context.Context, c *routing.Configuration, source string) error {
-	out, err := n.proposer.Propose(ctx, state.Command{RoutingPut: &state.RoutingPut{Configuration: c, Source: source}})
-	if err == nil {
-		err = out.Err()
-	}
+	out, err := n.change(ctx, state.Command{RoutingPut: &state.RoutingPut{Configuration: c, Source: source}})
 	n.log.Info("Configuration put.", "version", c.Version, "active", out.Version, "code", int(result.CodeOf(err)))
 	return err
 }
@@ -80,10 +78,7 @@
 
 // PublishVersion records a new version of a model's weights.
 func (n *Node) PublishVersion(ctx context.Context, model string, version uint64) error {
-	out, err := n.proposer.Propose(ctx, state.Command{VersionPut: &state.VersionPut{Model: model, Version: version}})
-	if err == nil {
-		err = out.Err()
-	}
+	out, err := n.change(ctx, state.Command{VersionPut: &state.VersionPut{Model: model, Version: version}})
 	n.log.Info("Version published.", "model", model, "version", version, "newest", out.Version, "code", int(result.CodeOf(err)))
 	return err
 }
@@ -91,20 +86,14 @@
 // AcceptBatch takes a batch job over; after a nil error the replicas keep it.
 func (n *Node) AcceptBatch(ctx context.Context, b state.Batch) error {
 	b.Keep = n.cfg.BatchKeep
-	out, err := n.proposer.Propose(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
-	if err == nil {
-		err = out.Err()
-	}
+	_, err := n.change(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
 	n.log.Info("Batch job submitted.", "batch", b.ID, "account", b.Account, "step", b.Step, "model", b.Model, "min_version", b.MinVersion, "items", len(b.Items), "code", int(result.CodeOf(err)))
 	return err
 }
 
 // EndBatch ends a batch job.
 func (n *Node) EndBatch(ctx context.Context, id, account string) error {
-	out, err := n.proposer.Propose(ctx, state.Command{BatchEnd: &state.BatchEnd{ID: id, Account: account}})
-	if err == nil {
-		err = out.Err()
-	}
+	_, err := n.change(ctx, state.Command{BatchEnd: &state.BatchEnd{ID: id, Account: account}})
 	n.log.Info("Batch job ended.", "batch", id, "account", account, "code", int(result.CodeOf(err)))
 	return err
 }
@@ -117,8 +106,8 @@
 // Retire empties the replica of the daemon called id, and reports the progress.
 func (n *Node) Retire(ctx context.Context, id string, start bool) (done bool, err error) {
 	address := ""
-	for _, d := range n.gossip.Live() {
-		if d.ID == id && d.Replica != "" {
+	for _, d := range member.Replicas(n.gossip.Live()) {
+		if d.ID == id {
 			address = d.PeerAddress
 		}
 	}
@@ -129,3 +118,12 @@
 	n.log.Info("Retirement of a replica.", "daemon", id, "start", start, "done", r.Done, "code", int(result.CodeOf(err)))
 	return r.Done, err
 }
+
+// change commits a command; a refusal by the state is an error.
+func (n *Node) change(ctx context.Context, c state.Command) (state.Outcome, error) {
+	out, err := n.proposer.Propose(ctx, c)
+	if err == nil {
+		err = out.Err()
+	}
+	return out, err
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,14 +5,11 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
-	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
-	"github.com/apricotstream/apricotstream/internal/quarantine"
 )
 
 // seeds are the founders but this node.
@@ -25,10 +22,10 @@
 func (n *Node) replicaAddresses() []string {
 	var live []string
 	if n.gossip != nil {
-		daemons := slices.Clone(n.gossip.Live())
+		daemons := member.Replicas(n.gossip.Live())
 		slices.SortStableFunc(daemons, func(a, b member.Daemon) int { return cmp.Compare(far(a.Zone, n.cfg.Zone), far(b.Zone, n.cfg.Zone)) })
 		for _, d := range daemons {
-			if d.Replica != "" && d.PeerAddress != n.cfg.PeerAddress {
+			if d.PeerAddress != n.cfg.PeerAddress {
 				live = append(live, d.PeerAddress)
 			}
 		}
@@ -95,34 +92,6 @@
 	}
 }
 
-// others returns the peer addresses of all other daemons that are up.
-func (n *Node) others() []string {
-	var out []string
-	for _, d := range n.gossip.Live() {
-		if d.PeerAddress != n.cfg.PeerAddress {
-			out = append(out, d.PeerAddress)
-		}
-	}
-	return out
-}
-
-// spreader reaches all other daemons that are up.
-type spreader struct{ n *Node }
-
-// Broadcast implements quarantine.Spreader.
-func (s spreader) Broadcast(method string, params any) { s.n.gossip.Broadcast(method, params) }
-
-// Confirm implements quarantine.Spreader.
-func (s spreader) Confirm(method string, params any) {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, a := range s.n.others() {
-		wg.Go(func() { _, _ = peer.Call[quarantine.Ack](ctx, s.n.client, a, method, params) })
-	}
-	wg.Wait()
-}
-
 // leaderKnown reports whether this replica has heard from the leader lately.
 func (n *Node) leaderKnown() bool {
 	if n.replica == nil {
