Look at the engines once a round of loading weights

A round went through all upstreams for each service, for each model and twice more for each plan. Behaviour is unchanged.

--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -27,6 +27,9 @@
 	// predecessor may have reported: an exact repeat does no harm.
 	repeatFor   = 15 * time.Second
 	reportPause = 500 * time.Millisecond
+	// roundTimeout bounds one look with its commits and reports, so that the next
+	// one notices a new term.
+	roundTimeout = 3 * time.Second
 )
 
 var usageReports = metrics.NewCounter("apricotstream_usage_reports_total")
@@ -92,7 +95,7 @@
 	if !ok || now.Sub(u.heard) < hearTime {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
 	if u.fixed == nil && !u.load(ctx, now) {
 		return
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -9,10 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
-	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 	"github.com/apricotstream/apricotstream/internal/weights"
 )
@@ -26,13 +24,6 @@
 	// spareShare is the part of the streams for engines whose version is still of
 	// use: the rest is free when another model's next version comes.
 	spareShare = 2
-	// orderTimeout bounds an order or a report with its answer.
-	orderTimeout = time.Second
-	// usualLoad is when a load may be complete for the first time.
-	usualLoad = 930 * time.Millisecond
-	loadPoll  = 50 * time.Millisecond
-	// maxLoad is when a load is taken for failed.
-	maxLoad = 6 * time.Second
 )
 
 var loadLimits = weights.Limits{
@@ -43,11 +34,6 @@
 	MinTimeout:   maxLoad + 2*time.Second,
 }
 
-var (
-	loadsOrdered = metrics.NewCounter("apricotstream_loads_ordered_total")
-	loadSeconds  = metrics.NewHistogram("apricotstream_load_seconds")
-)
-
 // Published is what the weights duty follows.
 type Published interface {
 	// ModelVersions returns the newest published version by model.
@@ -109,12 +95,16 @@
 			goOn[loadPlace{service, model}] = ok
 		}
 	}
-	w.assign(goOn, versions)
+	byService := map[string][]upstream.Announcement{}
+	for _, u := range w.upstreams() {
+		byService[u.Service] = append(byService[u.Service], u)
+	}
+	w.assign(goOn, versions, byService)
 	// The model that waited longest comes first: all share the store.
 	places := slices.SortedFunc(maps.Keys(goOn), func(a, b loadPlace) int {
 		return cmp.Or(w.ordered[a].Compare(w.ordered[b]), cmp.Compare(a.model, b.model))
 	})
-	views := w.observe(places)
+	views := w.observe(places, byService)
 	needed := w.published.Needed()
 	// Engines whose version no work may use come first, of all models.
 	for _, urgent := range []bool{true, false} {
@@ -123,7 +113,7 @@
 			if n, ok := needed[at.model]; ok {
 				t.need = n
 			}
-			for _, s := range w.plan(at, views[at], t) {
+			for _, s := range w.plan(at, views[at], len(byService[at.service]), t) {
 				w.ordered[at] = time.Now()
 				go w.load(ctx, f, at, s, goOn[at])
 			}
@@ -139,7 +129,7 @@
 }
 
 // assign divides the engines of each service among its models.
-func (w *Weights) assign(places map[loadPlace]bool, published map[string]uint64) {
+func (w *Weights) assign(places map[loadPlace]bool, published map[string]uint64, byService map[string][]upstream.Announcement) {
 	demand := map[string]map[string]float64{}
 	all := w.published.Demand()
 	for at := range places {
@@ -150,8 +140,8 @@
 	}
 	for service, models := range demand {
 		var engines []upstream.Announcement
-		for _, u := range w.upstreams() {
-			if u.Service == service && !u.Silent && u.ReclaimAt == 0 {
+		for _, u := range byService[service] {
+			if !u.Silent && u.ReclaimAt == 0 {
 				engines = append(engines, u)
 			}
 		}
@@ -169,7 +159,7 @@
 // observe returns the engines that follow each place, and frees the streams of the
 // loads that have ended: otherwise a model with running loads would always be
 // the first to find a free stream.
-func (w *Weights) observe(places []loadPlace) map[loadPlace][]upstream.Announcement {
+func (w *Weights) observe(places []loadPlace, byService map[string][]upstream.Announcement) map[loadPlace][]upstream.Announcement {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -178,18 +168,18 @@
 		if w.planners[at] == nil {
 			w.planners[at] = weights.NewPlanner(loadLimits)
 		}
-		views[at] = w.followers(at)
+		views[at] = w.followers(at, byService[at.service])
 		w.planners[at].Observe(now, views[at])
 	}
 	return views
 }
 
-// followers returns the engines that load the new versions of a model, each with
-// the version that it holds.
-func (w *Weights) followers(at loadPlace) []upstream.Announcement {
+// followers returns those of a service's engines that load the new versions of a
+// model, each with the version that it holds.
+func (w *Weights) followers(at loadPlace, engines []upstream.Announcement) []upstream.Announcement {
 	var out []upstream.Announcement
-	for _, u := range w.upstreams() {
-		if u.Service != at.service || w.homes[at.service][u.ID] != at.model {
+	for _, u := range engines {
+		if w.homes[at.service][u.ID] != at.model {
 			continue
 		}
 		held, ok := w.holdings.Versions(u)[at.model]
@@ -202,9 +192,10 @@
 	return out
 }
 
-// plan returns the loads to order now. All models of a service share the streams
-// of the store, and an engine carries out one order at a time.
-func (w *Weights) plan(at loadPlace, followers []upstream.Announcement, t target) []weights.Swap {
+// plan returns the loads to order now. All models of a service with so many
+// engines share the streams of the store, and an engine carries out one order at a
+// time.
+func (w *Weights) plan(at loadPlace, followers []upstream.Announcement, engines int, t target) []weights.Swap {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	elsewhere := 0
@@ -219,7 +210,7 @@
 		return slices.ContainsFunc(others, func(q *weights.Planner) bool { return q.Busy(u.ID) })
 	})
 	p := w.planners[at]
-	streams := max(minStreams, int(math.Round(engineShare*float64(w.engineCount(at.service)))))
+	streams := max(minStreams, int(math.Round(engineShare*float64(engines))))
 	if t.urgent {
 		p.SetStreams(streams - elsewhere)
 		return p.PlanUrgent(time.Now(), idle, t.version, t.need)
@@ -227,105 +218,3 @@
 	p.SetStreams(max(1, streams/spareShare) - elsewhere)
 	return p.Plan(time.Now(), idle, t.version)
 }
-
-func (w *Weights) engineCount(service string) int {
-	n := 0
-	for _, u := range w.upstreams() {
-		if u.Service == service {
-			n++
-		}
-	}
-	return n
-}
-
-// load orders one engine and follows the load to its end.
-func (w *Weights) load(ctx context.Context, f Fence, at loadPlace, s weights.Swap, goOn bool) {
-	began := time.Now()
-	u := s.Upstream
-	err := w.order(ctx, f, at, s, goOn)
-	if err == nil {
-		err = w.await(ctx, at, s)
-	}
-	w.holdings.SetLoading(u, false)
-	if err == nil {
-		loadSeconds.Update(time.Since(began).Seconds())
-		w.log.Info("Weights loaded.", "upstream", u.ID, "model", at.model, "version", s.Version, "fence", f.Token, "ms", time.Since(began).Milliseconds())
-		return
-	}
-	w.log.Warn("Weights not loaded.", "upstream", u.ID, "model", at.model, "version", s.Version, "fence", f.Token, "code", int(result.CodeOf(err)), "err", result.From(err).Message)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if p := w.planners[at]; p != nil {
-		p.Failed(time.Now(), u.ID)
-	}
-}
-
-func (w *Weights) order(ctx context.Context, f Fence, at loadPlace, s weights.Swap, goOn bool) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
-	defer cancel()
-	u := s.Upstream
-	expected, known := w.holdings.Orders(u)
-	if !known {
-		r, err := w.report(ctx, u)
-		if err != nil {
-			return err
-		}
-		if r.Busy {
-			return result.New(result.OrderConflict, "the engine carries out another order")
-		}
-		expected = r.Orders
-	}
-	if w.holdings.Versions(u)[at.model] >= s.Version {
-		return nil
-	}
-	if !w.term.valid(f) {
-		return result.New(result.Fenced, "the leadership has ended")
-	}
-	o := Order{Model: at.model, Version: s.Version, Keep: FinishFirst, Expected: expected}
-	if goOn {
-		o.Keep = GoOn
-	}
-	loadsOrdered.Inc()
-	w.holdings.SetLoading(u, true)
-	accepted, err := w.engines.Order(ctx, f, u, o)
-	if err != nil {
-		w.holdings.Forget(u)
-		return err
-	}
-	if accepted {
-		w.holdings.Reported(u, nil, expected+1)
-	} else {
-		w.holdings.Seen(u.ID, at.model, s.Version)
-	}
-	return nil
-}
-
-// await asks the engine until it holds the version.
-func (w *Weights) await(ctx context.Context, at loadPlace, s weights.Swap) error {
-	u := s.Upstream
-	until := time.Now().Add(maxLoad)
-	wait := usualLoad
-	for time.Now().Before(until) && ctx.Err() == nil {
-		if w.holdings.Versions(u)[at.model] >= s.Version {
-			return nil
-		}
-		time.Sleep(wait)
-		wait = loadPoll
-		ask, cancel := context.WithTimeout(ctx, orderTimeout)
-		_, err := w.report(ask, u)
-		cancel()
-		if code := result.CodeOf(err); code == result.UpstreamUnreached || code == result.UpstreamMoved {
-			return err
-		}
-	}
-	w.holdings.Forget(u)
-	return result.New(result.UpstreamTimeout, "the engine did not load in time")
-}
-
-func (w *Weights) report(ctx context.Context, u upstream.Announcement) (Report, error) {
-	r, err := w.engines.Report(ctx, u)
-	if err == nil {
-		w.holdings.Reported(u, r.Versions, r.Orders)
-	}
-	return r, err
-}
--- a/internal/duty/weights_test.go
+++ b/internal/duty/weights_test.go
@@ -26,6 +26,21 @@
 	loaded  map[string]int // loads by model
 }
 
+// newFleet returns engines in three zones that hold version 1 of models a, b and c,
+// and the duty that brings them to the published versions.
+func newFleet(size int, p Published) (*fleet, *Weights) {
+	f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
+	var engines []upstream.Announcement
+	for i := range size {
+		e := upstream.Announcement{ID: fmt.Sprintf("engine%02d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
+		engines = append(engines, e)
+		f.engines[e.ID] = &Report{Versions: map[string]uint64{"a": 1, "b": 1, "c": 1}}
+	}
+	term := uint64(1)
+	list := func() []upstream.Announcement { return engines }
+	return f, NewWeights(NewTerm(leading(&term), "me", 0), p, list, weights.NewHoldings(), f, log.New(io.Discard))
+}
+
 func (f *fleet) Order(_ context.Context, _ Fence, to upstream.Announcement, o Order) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,17 +97,8 @@
 func TestModelsShareAStoreThatIsAlwaysBusy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
 		published := steadyVersions{models: []string{"a", "b", "c"}, period: 2 * time.Second, began: time.Now()}
-		var engines []upstream.Announcement
-		for i := range 9 {
-			e := upstream.Announcement{ID: fmt.Sprintf("engine%d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
-			engines = append(engines, e)
-			f.engines[e.ID] = &Report{Versions: map[string]uint64{"a": 1, "b": 1, "c": 1}}
-		}
-		term := uint64(1)
-		w := NewWeights(NewTerm(leading(&term), "me", 0), published, func() []upstream.Announcement { return engines },
-			weights.NewHoldings(), f, log.New(io.Discard))
+		f, w := newFleet(9, published)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		w.Run(ctx)
@@ -117,17 +123,8 @@
 func TestEnginesThatCannotWorkAreLoadedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := &fleet{loadTime: 900 * time.Millisecond, engines: map[string]*Report{}, loaded: map[string]int{}}
 		published := steadyVersions{models: []string{"a", "b", "c"}, period: 4 * time.Second, began: time.Now(), lag: 1}
-		var engines []upstream.Announcement
-		for i := range 36 {
-			e := upstream.Announcement{ID: fmt.Sprintf("engine%02d", i), Service: "engines", Zone: fmt.Sprintf("zone%d", i%3), Incarnation: 1, Models: "a=1,b=1,c=1"}
-			engines = append(engines, e)
-			f.engines[e.ID] = &Report{Versions: map[string]uint64{"a": 1, "b": 1, "c": 1}}
-		}
-		term := uint64(1)
-		w := NewWeights(NewTerm(leading(&term), "me", 0), published, func() []upstream.Announcement { return engines },
-			weights.NewHoldings(), f, log.New(io.Discard))
+		f, w := newFleet(36, published)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		go w.Run(ctx)
