--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -15,6 +15,8 @@
 	maxBatchWait = 400 * time.Millisecond
 	// maxResultBytes keeps an answer under the 1 MB that readers accept.
 	maxResultBytes = 900_000
+	// resultFrame is room for the field names of a result and its versions, in bytes.
+	resultFrame = 200
 )
 
 // BatchReadRequest reads results, or the body of one item, of a batch job.
@@ -99,7 +101,7 @@
 	size := 0
 	for reply.Next < len(b.Results) {
 		res := b.Results[reply.Next]
-		size += len(res.Text) + len(res.Item) + 200
+		size += len(res.Text) + len(res.Item) + resultFrame
 		if size > maxResultBytes && len(reply.Results) > 0 {
 			break
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"os"
 	"path/filepath"
 	"time"
 
@@ -55,12 +54,8 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
-	b, err := os.ReadFile(path)
+	s, err := strictini.Load(path, Parse)
 	if err != nil {
-		return nil, result.New(result.SettingMissing, "cannot read settings: %v", err)
-	}
-	s, problems := Parse(path, string(b))
-	if err := problems.Err(result.SettingInvalid); err != nil {
 		return nil, err
 	}
 	if s.DataFolder != "" && !filepath.IsAbs(s.DataFolder) {
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -105,9 +105,8 @@
 
 // ledger returns the ledger that im is the image of.
 func (im ledgerImage) ledger() *Ledger {
-	l := newLedger()
-	*l = Ledger{
-		Claims: l.Claims, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
+	l := &Ledger{
+		Claims: map[ClaimID]Claim{}, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
 		Windows: im.Windows, LastWindow: im.LastWindow, LastEnd: im.LastEnd, Ops: im.Ops, OpOrder: im.OpOrder, History: im.History,
 		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source, Retired: im.Retired,
 	}
--- a/internal/systest/history_test.go
+++ b/internal/systest/history_test.go
@@ -21,6 +21,7 @@
 	"github.com/apricotstream/apricotstream/internal/account"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/testkit"
 )
 
 // edit is an operation on the item it names: a document or a key.
@@ -71,18 +72,8 @@
 }
 
 var editModel = porcupine.Model{
-	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
-		items := map[string][]porcupine.Operation{}
-		for _, o := range h {
-			items[o.Input.(edit).item] = append(items[o.Input.(edit).item], o)
-		}
-		var out [][]porcupine.Operation
-		for _, p := range items {
-			out = append(out, p)
-		}
-		return out
-	},
-	Init: func() any { return itemState{} },
+	Partition: testkit.ByItem(func(in edit) string { return in.item }),
+	Init:      func() any { return itemState{} },
 	Step: func(s, in, out any) (bool, any) {
 		return s.(itemState).step(in.(edit), out.(editResult))
 	},
