--- a/internal/daemon/find.go
+++ b/internal/daemon/find.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -19,19 +18,13 @@
 	if len(members) == 0 {
 		return d.set.Peers
 	}
-	far := func(m consensus.Member) int {
-		if m.Zone == d.set.Zone {
-			return 0
-		}
-		return 1
-	}
 	var list []consensus.Member
 	for _, id := range members.IDs() {
 		if id != d.identity.ID {
 			list = append(list, members[id])
 		}
 	}
-	slices.SortStableFunc(list, func(a, b consensus.Member) int { return cmp.Compare(far(a), far(b)) })
+	member.NearFirst(list, d.set.Zone, func(m consensus.Member) string { return m.Zone })
 	var out []string
 	for _, m := range list {
 		out = append(out, m.Address)
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -43,16 +43,21 @@
 	if len(out) == 0 {
 		out = stale
 	}
-	far := func(d Daemon) int {
-		if d.Zone == zone {
+	slices.SortStableFunc(out, func(a, b Daemon) int { return cmp.Compare(a.InFlight, b.InFlight) })
+	NearFirst(out, zone, func(d Daemon) string { return d.Zone })
+	return out
+}
+
+// NearFirst moves what lies in zone to the front of list; the order is kept
+// otherwise.
+func NearFirst[T any](list []T, zone string, zoneOf func(T) string) {
+	far := func(x T) int {
+		if zoneOf(x) == zone {
 			return 0
 		}
 		return 1
 	}
-	slices.SortStableFunc(out, func(a, b Daemon) int {
-		return cmp.Or(cmp.Compare(far(a), far(b)), cmp.Compare(a.InFlight, b.InFlight))
-	})
-	return out
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(far(a), far(b)) })
 }
 
 // Replicas returns the daemons that run a replica of the control group.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -23,7 +22,7 @@
 	var live []string
 	if n.gossip != nil {
 		daemons := member.Replicas(n.gossip.Live())
-		slices.SortStableFunc(daemons, func(a, b member.Daemon) int { return cmp.Compare(far(a.Zone, n.cfg.Zone), far(b.Zone, n.cfg.Zone)) })
+		member.NearFirst(daemons, n.cfg.Zone, func(d member.Daemon) string { return d.Zone })
 		for _, d := range daemons {
 			if d.PeerAddress != n.cfg.PeerAddress {
 				live = append(live, d.PeerAddress)
@@ -40,13 +39,6 @@
 	return live
 }
 
-func far(zone, own string) int {
-	if zone == own {
-		return 0
-	}
-	return 1
-}
-
 func appendNew(list []string, a, own string) []string {
 	if a == own || slices.Contains(list, a) {
 		return list
