Let requests wait while a step changes its owner

The control log names the next owner before that one has the answer to its move; a request that came in between, directly or through another entry, was answered that the step does not run there. Ruled out: a failed hand-over (none was logged, the drain went on after 3 ms) and an owner that does not answer (the hand-over was over in that time). The test holds the answer back; on the code before it fails in both forms with the code that makes a trainer open its step again.

--- a/internal/rollout/handover.go
+++ b/internal/rollout/handover.go
@@ -94,6 +94,7 @@
 	if m.isDraining() {
 		return Adopted{}, result.New(result.Draining, "this entry takes no new steps")
 	}
+	defer m.beginAdoption(t.Step.ID)()
 	move := state.StepMove{ID: t.Step.ID, Move: uuid.NewString(), Epoch: t.Step.Epoch, Owner: m.owner, Address: m.self}
 	out, err := m.propose(ctx, state.Command{StepMove: &move})
 	if err != nil {
@@ -113,3 +114,34 @@
 	m.launch(r)
 	return Adopted{}, nil
 }
+
+// beginAdoption lets requests for a step wait until the returned function is
+// called: the control log names this daemon as the owner before it has the step.
+func (m *Manager) beginAdoption(id string) (end func()) {
+	done := make(chan struct{})
+	m.mu.Lock()
+	m.adopting[id] = done
+	m.mu.Unlock()
+	return func() {
+		m.mu.Lock()
+		if m.adopting[id] == done {
+			delete(m.adopting, id)
+		}
+		m.mu.Unlock()
+		close(done)
+	}
+}
+
+// awaitAdoption returns when no adoption of the step is under way, or ctx ends.
+func (m *Manager) awaitAdoption(ctx context.Context, id string) {
+	m.mu.Lock()
+	done := m.adopting[id]
+	m.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -54,6 +54,7 @@
 
 	mu       sync.Mutex
 	steps    map[string]*run
+	adopting map[string]chan struct{} // closed at the end of the adoption, by step
 	draining bool
 }
 
@@ -62,6 +63,7 @@
 	return &Manager{
 		log: l, owner: owner, self: self, view: view, commit: commit, runner: r, client: c, usage: u,
 		launch: func(r *run) { go r.loop() }, MaxMoves: maxMoves, steps: map[string]*run{},
+		adopting: map[string]chan struct{}{},
 	}
 }
 
@@ -206,7 +208,7 @@
 	case v.Done:
 		return Batch{}, result.New(result.CursorWrong, "the step has ended at %d", v.Acked)
 	case v.Owner == m.owner:
-		return Batch{}, result.New(result.StepMoved, "the step has ended here")
+		return m.take(ctx, q)
 	}
 	return m.takeElsewhere(ctx, v.Address, q)
 }
@@ -221,7 +223,9 @@
 	return b, err
 }
 
+// take returns samples of a step that this daemon owns.
 func (m *Manager) take(ctx context.Context, q TakeRequest) (Batch, error) {
+	m.awaitAdoption(ctx, q.Step)
 	r := m.find(q.Step)
 	if r == nil {
 		return Batch{}, result.New(result.StepMoved, "the step does not run here")
