Log each step of a replica's recovery

After a loss of power of all replicas the logs did not tell whether a replica had not read its folder, did not hear enough voters, had no leader, or had a leader without a commit of its term: elections that fail were not logged at all, since the role stays the same.

Each replica now logs when its folder was read and what it held, each election that ended without a quorum with the voters that granted, refused or did not answer, the first lease of a term, and each configuration read, with the milliseconds since its start. Roles are logged by name.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -17,16 +17,17 @@
 	n.role = Follower
 	n.leader = leader
 	n.progress = nil
-	n.votes = nil
+	n.votes, n.rejections = nil, nil
 	n.resetElection()
 }
 
 // campaign starts an election. It begins with a pre-vote, so that a replica that was
 // disconnected doesn't raise the term of a working cluster.
 func (n *Node) campaign() {
+	n.recordFailedElection()
 	n.role = PreCandidate
 	n.leader = ""
-	n.votes = map[ID]bool{n.id: true}
+	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	n.resetElection()
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
@@ -39,7 +40,7 @@
 	n.role = Candidate
 	n.term++
 	n.vote = n.id
-	n.votes = map[ID]bool{n.id: true}
+	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	n.resetElection()
 	if n.hasVoteQuorum() {
 		n.becomeLeader()
@@ -71,7 +72,7 @@
 	n.role = Leader
 	n.leader = n.id
 	n.leaderSince = n.now
-	n.votes = nil
+	n.votes, n.rejections = nil, nil
 	n.progress = make(map[ID]*progress, len(n.members))
 	for id := range n.members {
 		// No heartbeat of this term has been answered yet, so there is no lease.
@@ -139,6 +140,9 @@
 		if m.Term > n.term {
 			n.becomeFollower(m.Term, "")
 		}
+		if n.role == PreCandidate {
+			n.rejections[m.From] = true
+		}
 		return
 	}
 	if n.role != PreCandidate || m.Term != n.term+1 {
@@ -151,7 +155,11 @@
 }
 
 func (n *Node) stepVoteReply(m Message) {
-	if n.role != Candidate || m.Reject || m.Term != n.term {
+	if n.role != Candidate || m.Term != n.term {
+		return
+	}
+	if m.Reject {
+		n.rejections[m.From] = true
 		return
 	}
 	n.votes[m.From] = true
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -81,7 +81,9 @@
 	// lastLateTick is the time of the newest tick that came more than half a heartbeat
 	// interval after the tick before it.
 	lastLateTick Time
-	votes        map[ID]bool
+	votes        map[ID]bool // granted in the election in progress
+	rejections   map[ID]bool // refused in the election in progress
+	election     ElectionResult
 	progress     map[ID]*progress
 
 	incarnation uint32 // random; identifies this run of the process
@@ -275,6 +277,7 @@
 	LastIndex uint64
 	Members   Membership
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
+	Election  ElectionResult
 }
 
 // Status describes the replica now.
@@ -282,7 +285,7 @@
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
-		Members: n.members.Clone(),
+		Members: n.members.Clone(), Election: n.election,
 	}
 	if n.role == Leader {
 		s.Match = make(map[ID]uint64, len(n.progress))
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -47,7 +47,8 @@
 	disk      *storage.Disk
 	node      *consensus.Node
 	state     *state.State
-	startedAt time.Duration // on the boot clock
+	startedAt time.Duration // on the boot clock; origin of the times of node
+	openedAt  time.Duration // on the boot clock; before the data folder was read
 	phases    phaseTimer
 
 	inbox            chan StepNotice
@@ -110,6 +111,7 @@
 // Open loads a replica from its data folder. The caller must then call Run. address is
 // the replica's own peer address.
 func Open(dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
+	openedAt := clock.Now()
 	disk, l, err := storage.Open(dir)
 	if err != nil {
 		return nil, l.Identity, err
@@ -120,7 +122,7 @@
 	}
 	r := &Replica{
 		log: logger, client: client, cluster: l.Identity.Cluster, address: address,
-		disk: disk, state: st, startedAt: clock.Now(),
+		disk: disk, state: st, startedAt: clock.Now(), openedAt: openedAt,
 		inbox:            make(chan StepNotice, 4096),
 		proposals:        make(chan *proposal, 4096),
 		tasks:            make(chan func(), 256),
@@ -137,6 +139,8 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.leadership.Store(&Leadership{})
+	logger.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
+		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
 	r.publishRetiring()
 	r.publish()
 	return r, l.Identity, nil
@@ -353,7 +357,7 @@
 	if until, ok := r.node.LeaseUntil(); ok {
 		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), BootUntil: r.startedAt + until}
 	}
-	r.leadership.Store(&l)
+	r.logFirstLease(*r.leadership.Swap(&l), l, &st)
 	if r.config.Swap(r.state.Config) != r.state.Config {
 		r.mu.Lock()
 		close(r.configChanged)
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -1,12 +1,46 @@
 package control
 
-import "github.com/apricotstream/apricotstream/internal/consensus"
+import (
+	"slices"
 
-// logRoleChange logs a change of role, term or leader.
+	"github.com/apricotstream/apricotstream/internal/clock"
+	"github.com/apricotstream/apricotstream/internal/consensus"
+)
+
+// String values of a replica's role in log lines.
+var roleNames = map[consensus.Role]string{
+	consensus.Follower: "follower", consensus.PreCandidate: "pre-candidate",
+	consensus.Candidate: "candidate", consensus.Leader: "leader",
+}
+
+// logRoleChange logs a change of role, term or leader, each election that failed, and the
+// first lease of a term. old is nil on the first call.
 func (r *Replica) logRoleChange(old, now *consensus.Status) {
-	if old != nil && old.Role == now.Role && old.Term == now.Term && old.Leader == now.Leader {
-		return
+	if old == nil || old.Role != now.Role || old.Term != now.Term || old.Leader != now.Leader {
+		r.log.Info("Role in the control group.", "id", now.ID, "role", roleNames[now.Role], "term", now.Term, "leader", now.Leader,
+			"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members), "up_ms", r.upMs())
+	}
+	if old != nil && old.Election.Failed != now.Election.Failed {
+		e := now.Election
+		r.log.Warn("Election failed.", "failed", e.Failed, "pre_vote", e.PreVote, "term", now.Term, "last", now.LastIndex, "quorum", now.Members.Quorum(),
+			"granted", e.Granted, "rejected", e.Rejected, "silent", silentVoters(now), "up_ms", r.upMs())
+	}
+}
+
+// logFirstLease logs the first lease of a term: from here on the leader has committed an
+// entry of its term and may serve reads.
+func (r *Replica) logFirstLease(old, now Leadership, st *consensus.Status) {
+	if now.Term != 0 && old.Term != now.Term {
+		r.log.Info("Leader lease acquired.", "id", st.ID, "term", now.Term, "commit", st.Commit, "voters", st.Members.Voters(), "up_ms", r.upMs())
 	}
-	r.log.Info("Role in the control group.", "id", now.ID, "role", now.Role, "term", now.Term, "leader", now.Leader,
-		"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members))
 }
+
+// silentVoters returns the voters that did not answer in the last failed election.
+func silentVoters(st *consensus.Status) []consensus.ID {
+	return slices.DeleteFunc(st.Members.IDs(), func(id consensus.ID) bool {
+		return !st.Members.IsVoter(id) || slices.Contains(st.Election.Granted, id) || slices.Contains(st.Election.Rejected, id)
+	})
+}
+
+// upMs returns the milliseconds since the replica began to read its data folder.
+func (r *Replica) upMs() int64 { return (clock.Now() - r.openedAt).Milliseconds() }
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -69,10 +69,14 @@
 // Routing returns the newest committed routing document. Before the first one it returns
 // NoConfiguration.
 func (n *Node) Routing(ctx context.Context) (state.RoutingSource, error) {
+	began := time.Now()
 	r, err := n.proposer.Query(ctx, control.QueryRequest{Routing: true})
 	if err != nil {
 		return state.RoutingSource{}, err
 	}
+	if r.Routing != nil {
+		n.log.Info("Configuration read.", "version", r.Routing.Version, "ms", time.Since(began).Milliseconds(), "up_ms", time.Since(n.started).Milliseconds())
+	}
 	if r.Routing == nil || r.Routing.Text == "" {
 		return state.RoutingSource{}, result.NewRetryAfter(result.NoConfiguration, time.Second, "no configuration has been accepted yet")
 	}
