Log how long a learner takes to catch up

Result: builds; the line is printed at the leader, once for each learner that lacked committed entries.

--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -22,6 +22,7 @@
 	voters   func() int                // desired number of voters
 	log      *log.Logger
 	lastLive map[consensus.ID]time.Time // when each member was last live, as seen in term
+	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
 	term     uint64
 }
 
@@ -42,9 +43,10 @@
 		return
 	}
 	if l.Term != r.term {
-		r.term, r.lastLive = l.Term, map[consensus.ID]time.Time{}
+		r.term, r.lastLive, r.behind = l.Term, map[consensus.ID]time.Time{}, map[consensus.ID]time.Time{}
 	}
 	view := r.view(time.Now())
+	r.logCatchUp(time.Now(), view)
 	next, reason, ok := view.NextChange()
 	if !ok {
 		return
@@ -64,6 +66,21 @@
 	r.log.Info("Control group membership changed.", "change", reason, "term", l.Term, "voters", next.Voters(), "members", len(next))
 }
 
+// logCatchUp logs when a learner that lacked committed entries holds them all: from then
+// on it can replace a lost voter.
+func (r *MembershipReconciler) logCatchUp(now time.Time, view MembershipView) {
+	for id, m := range view.Members {
+		since, behind := r.behind[id]
+		switch caughtUp := m.Voter || view.Match[id] >= view.Commit; {
+		case !caughtUp && !behind:
+			r.behind[id] = now
+		case caughtUp && behind:
+			delete(r.behind, id)
+			r.log.Info("Learner has caught up.", "id", id, "voter", m.Voter, "commit", view.Commit, "ms", now.Sub(since).Milliseconds())
+		}
+	}
+}
+
 func (r *MembershipReconciler) view(now time.Time) MembershipView {
 	st := r.replica.Status()
 	v := MembershipView{
