--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -9,15 +9,16 @@
 
 // Peer methods of the control log, with the types of their parameters and results.
 const (
-	MethodStep      = "control.step"       // notice: StepNotice
-	MethodPropose   = "control.propose"    // call: ProposeRequest -> state.Outcome
-	MethodReadIndex = "control.read_index" // call: ReadIndexRequest -> ReadIndexReply
-	MethodSync      = "control.sync"       // call: SyncRequest -> SyncReply
-	MethodQuery     = "control.query"      // call: QueryRequest -> QueryReply
-	MethodMembers   = "control.members"    // call: MembersRequest -> MembersReply
-	MethodReadBatch = "control.read_batch" // call: BatchReadRequest -> BatchReadReply
-	MethodRetire    = "control.retire"     // call: RetireRequest -> RetireReply
-	MethodSnapshot  = "control.snapshot"   // call: SnapshotPart -> SnapshotAck
+	MethodStep        = "control.step"         // notice: StepNotice
+	MethodPropose     = "control.propose"      // call: ProposeRequest -> state.Outcome
+	MethodReadIndex   = "control.read_index"   // call: ReadIndexRequest -> ReadIndexReply
+	MethodSync        = "control.sync"         // call: SyncRequest -> SyncReply
+	MethodQuery       = "control.query"        // call: QueryRequest -> QueryReply
+	MethodMembers     = "control.members"      // call: MembersRequest -> MembersReply
+	MethodReadBatch   = "control.read_batch"   // call: BatchReadRequest -> BatchReadReply
+	MethodRetire      = "control.retire"       // call: RetireRequest -> RetireReply
+	MethodSnapshot    = "control.snapshot"     // notice: SnapshotPart
+	MethodSnapshotAck = "control.snapshot_ack" // notice: SnapshotAck
 )
 
 // StepNotice carries a message of the consensus core. A replica of another cluster
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -76,8 +76,9 @@
 	retiring      map[consensus.ID]bool // replicas that are being retired; replaced, never changed
 
 	snapshotTransferMu sync.Mutex
-	sendingSnapshotTo  map[string]bool         // by peer address
-	receivedParts      map[consensus.ID][]byte // of snapshots being received, by sender
+	sendingSnapshotTo  map[string]bool             // by peer address
+	snapshotTransfers  map[uint64]chan SnapshotAck // being sent, by ID
+	receivedParts      map[consensus.ID][]byte     // of snapshots being received, by sender
 
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
@@ -131,7 +132,7 @@
 		senderAddresses:  map[consensus.ID]string{},
 		configChanged:    make(chan struct{}),
 		batchChanged:     map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
-		sendingSnapshotTo: map[string]bool{}, receivedParts: map[consensus.ID][]byte{},
+		sendingSnapshotTo: map[string]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedParts: map[consensus.ID][]byte{},
 		done: make(chan struct{}),
 	}
 	r.node = consensus.New(consensus.Config{
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -23,7 +23,8 @@
 	peer.Handle(s, MethodMembers, r.Members)
 	peer.Handle(s, MethodReadBatch, r.ReadBatch)
 	peer.Handle(s, MethodRetire, r.Retire)
-	peer.Handle(s, MethodSnapshot, r.receiveSnapshotPart)
+	peer.HandleNotice(s, MethodSnapshot, r.receiveSnapshotPart)
+	peer.HandleNotice(s, MethodSnapshotAck, r.receiveSnapshotAck)
 }
 
 // Step queues a message for the consensus core. The message is discarded when the queue
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,14 +1,13 @@
 package control
 
 import (
-	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"os"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
-	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
@@ -17,25 +16,35 @@
 const (
 	// snapshotPartBytes is small enough for heartbeats to be sent between two parts.
 	snapshotPartBytes = 256 << 10
-	// snapshotPartTimeout bounds the transfer of one part. After a failed part the
+	// snapshotWindow is how many parts may be under way at the same time, so that the
+	// sender encodes one while the receiver decodes another.
+	snapshotWindow = 2
+	// snapshotPartTimeout bounds the wait for the acknowledgement of a part. After it the
 	// leader sends the whole snapshot again.
 	snapshotPartTimeout = time.Second
 	// maxSnapshotBytes is the largest snapshot that a replica accepts.
 	maxSnapshotBytes = 256 << 20
 )
 
-// SnapshotPart is a part of the sender's snapshot file.
+// SnapshotPart is a part of the sender's snapshot file. It is sent as a notice, because a
+// notice is encoded and decoded far fewer times than a call.
 type SnapshotPart struct {
-	Cluster string            `json:"cluster"`
-	Address string            `json:"address"` // peer address of the sender
-	Message consensus.Message `json:"message"` // of the consensus core; the receiver sets its Snapshot
-	Offset  int               `json:"offset"`
-	Data    []byte            `json:"data"`
-	Last    bool              `json:"last,omitempty"`
+	Cluster  string            `json:"cluster"`
+	Address  string            `json:"address"`  // peer address of the sender
+	Transfer uint64            `json:"transfer"` // random; identifies the transfer at the sender
+	Message  consensus.Message `json:"message"`  // of the consensus core; the receiver sets its Snapshot
+	Size     int               `json:"size"`     // of the whole snapshot, in bytes
+	Offset   int               `json:"offset"`
+	Data     []byte            `json:"data"`
+	Last     bool              `json:"last,omitempty"`
 }
 
-// SnapshotAck acknowledges a part.
-type SnapshotAck struct{}
+// SnapshotAck acknowledges a part. It is sent as a notice to the sender of the part.
+type SnapshotAck struct {
+	Transfer uint64        `json:"transfer"`
+	Received int           `json:"received"`        // bytes of the snapshot so far
+	Error    *result.Error `json:"error,omitempty"` // set if the snapshot was rejected
+}
 
 // sendSnapshot sends the newest snapshot in the background, in parts that it reads from
 // the snapshot file. It does nothing while a snapshot is being sent to the same address.
@@ -53,7 +62,7 @@
 	r.sendingSnapshotTo[address] = true
 	go func() {
 		began := time.Now()
-		n, err := r.sendSnapshotParts(f, address, m)
+		n, err := r.sendSnapshotFile(f, address, m)
 		f.Close()
 		r.log.Info("Snapshot transfer ended.", "to", address, "index", m.Snapshot.Meta.Index, "bytes", n, "ms", time.Since(began).Milliseconds(), "err", err)
 		r.snapshotTransferMu.Lock()
@@ -62,47 +71,108 @@
 	}()
 }
 
-func (r *Replica) sendSnapshotParts(f *os.File, address string, m consensus.Message) (int, error) {
-	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Message: m}
-	buf := make([]byte, snapshotPartBytes)
-	for !p.Last {
-		n, err := io.ReadFull(f, buf)
-		switch {
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-			p.Last = true
-		case err != nil:
-			return p.Offset, err
+func (r *Replica) sendSnapshotFile(f *os.File, address string, m consensus.Message) (int, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return r.sendSnapshotParts(f, int(info.Size()), address, m)
+}
+
+// sendSnapshotParts sends a snapshot of size bytes from f. It returns the number of bytes
+// that the receiver has acknowledged.
+func (r *Replica) sendSnapshotParts(f io.Reader, size int, address string, m consensus.Message) (int, error) {
+	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Transfer: rand.Uint64(), Message: m, Size: size}
+	acks := make(chan SnapshotAck, snapshotWindow)
+	r.addSnapshotTransfer(p.Transfer, acks)
+	defer r.removeSnapshotTransfer(p.Transfer)
+	acked := 0
+	for underWay := 0; !p.Last || underWay > 0; {
+		if !p.Last && underWay < snapshotWindow {
+			data := make([]byte, snapshotPartBytes)
+			n, err := io.ReadFull(f, data)
+			switch {
+			case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+				p.Last = true
+			case err != nil:
+				return acked, err
+			}
+			p.Data = data[:n]
+			r.client.Notify(address, MethodSnapshot, p)
+			p.Offset += n
+			underWay++
+			continue
 		}
-		p.Data = buf[:n]
-		ctx, cancel := context.WithTimeout(context.Background(), snapshotPartTimeout)
-		_, err = peer.Call[SnapshotAck](ctx, r.client, address, MethodSnapshot, p)
-		cancel()
-		if err != nil {
-			return p.Offset, err
+		select {
+		case a := <-acks:
+			if a.Error != nil {
+				return acked, a.Error
+			}
+			acked = a.Received
+			underWay--
+		case <-time.After(snapshotPartTimeout):
+			return acked, errSnapshotStalled
+		case <-r.done:
+			return acked, errSnapshotStalled
 		}
-		p.Offset += n
 	}
-	return p.Offset, nil
+	return acked, nil
+}
+
+var errSnapshotStalled = errors.New("control: a part of the snapshot was not acknowledged in time")
+
+func (r *Replica) addSnapshotTransfer(id uint64, acks chan SnapshotAck) {
+	r.snapshotTransferMu.Lock()
+	defer r.snapshotTransferMu.Unlock()
+	r.snapshotTransfers[id] = acks
+}
+
+func (r *Replica) removeSnapshotTransfer(id uint64) {
+	r.snapshotTransferMu.Lock()
+	defer r.snapshotTransferMu.Unlock()
+	delete(r.snapshotTransfers, id)
+}
+
+// receiveSnapshotAck passes an acknowledgement to the transfer that it belongs to.
+func (r *Replica) receiveSnapshotAck(a SnapshotAck) {
+	r.snapshotTransferMu.Lock()
+	defer r.snapshotTransferMu.Unlock()
+	select {
+	case r.snapshotTransfers[a.Transfer] <- a:
+	default: // the transfer has ended
+	}
 }
 
-// receiveSnapshotPart collects the parts of a snapshot. After the last part it passes the
-// snapshot to the consensus core.
-func (r *Replica) receiveSnapshotPart(_ context.Context, p SnapshotPart) (SnapshotAck, error) {
-	if err := r.checkCluster(p.Cluster); err != nil {
-		return SnapshotAck{}, err
+// receiveSnapshotPart collects the parts of a snapshot and acknowledges each. After the
+// last part it passes the snapshot to the consensus core, in the background, because a
+// handler of notices must not block.
+func (r *Replica) receiveSnapshotPart(p SnapshotPart) {
+	ack := SnapshotAck{Transfer: p.Transfer, Received: p.Offset + len(p.Data)}
+	err := r.checkCluster(p.Cluster)
+	var whole []byte
+	if err == nil {
+		whole, err = r.appendPart(p)
+	}
+	if err != nil {
+		ack.Error = result.From(err)
+		r.log.Warn("Snapshot part was rejected.", "from", p.Address, "offset", p.Offset, "err", ack.Error.Message)
 	}
-	whole, err := r.appendPart(p)
-	if err != nil || whole == nil {
-		return SnapshotAck{}, err
+	r.client.Notify(p.Address, MethodSnapshotAck, ack)
+	if whole != nil {
+		go r.acceptSnapshot(p, whole)
 	}
+}
+
+// acceptSnapshot decodes a whole snapshot and passes it to the consensus core.
+func (r *Replica) acceptSnapshot(p SnapshotPart, whole []byte) {
 	s, err := storage.DecodeSnapshot("snapshot from "+p.Address, whole)
 	if err != nil {
-		return SnapshotAck{}, err
+		r.log.Error("Snapshot was rejected.", "from", p.Address, "bytes", len(whole), "err", err.Error())
+		return
 	}
 	m := p.Message
 	m.Snapshot = &s
 	r.Step(StepNotice{Cluster: p.Cluster, Address: p.Address, Message: m})
-	return SnapshotAck{}, nil
 }
 
 // appendPart appends a part to those received from the same sender. After the last part
@@ -112,7 +182,7 @@
 	r.snapshotTransferMu.Lock()
 	defer r.snapshotTransferMu.Unlock()
 	if p.Offset == 0 {
-		r.receivedParts[p.Message.From] = nil
+		r.receivedParts[p.Message.From] = make([]byte, 0, min(max(p.Size, 0), maxSnapshotBytes))
 	}
 	received := r.receivedParts[p.Message.From]
 	if len(received) != p.Offset || p.Offset+len(p.Data) > maxSnapshotBytes {
