--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -231,6 +231,21 @@
 	})
 }
 
+// SnapshotSent tells the leader that the transfer of the snapshot in flight to id has
+// ended. After a successful one the snapshot is sent again only if it isn't acknowledged
+// within SnapshotRetryInterval from now; after a failed one with the next append.
+func (n *Node) SnapshotSent(now Time, id ID, ok bool) {
+	n.now = max(n.now, now)
+	p := n.progress[id]
+	if n.role != Leader || p == nil || p.snapshot == 0 {
+		return
+	}
+	p.snapshotSentAt = n.now
+	if !ok {
+		p.snapshotSentAt -= n.cfg.SnapshotRetryInterval
+	}
+}
+
 // advanceCommit advances the commit index to the newest entry that a quorum has stored
 // durably, if that entry is from the current term.
 func (n *Node) advanceCommit() {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -66,8 +66,12 @@
 		f.Close()
 		r.log.Info("Snapshot transfer ended.", "to", address, "index", m.Snapshot.Meta.Index, "bytes", n, "ms", time.Since(began).Milliseconds(), "err", err)
 		r.snapshotTransferMu.Lock()
-		defer r.snapshotTransferMu.Unlock()
 		delete(r.sendingSnapshotTo, address)
+		r.snapshotTransferMu.Unlock()
+		select {
+		case r.tasks <- func() { r.node.SnapshotSent(r.now(), m.To, err == nil) }:
+		case <-r.done:
+		}
 	}()
 }
 
