Let a daemon renew a description that others reject

A daemon that was cut off for 2 to 3 s is ejected by those that miss it and never hears of the suspicion. Back again, it goes on with the same description, which their tombstones reject for a minute: it is missing from address lists, and a leader takes the replica for dead. And a daemon that starts again while its clock is behind its last start has a lower incarnation: its description is ignored, the old one stays and counts as live, since the daemon answers probes under the same name. A replica that lost its disk so keeps its vote under the lost identity and its successor is never added to the group.

Whoever rejects the description of a caller now says which one it holds, and the caller makes its own newer and announces it. The incarnation still identifies the process; the order of descriptions goes by the epoch, which is at least the incarnation.

--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -8,7 +8,11 @@
 // Daemon is a daemon's description of itself.
 type Daemon struct {
 	ID          string `json:"id"`
-	Incarnation int64  `json:"incarnation"` // start time in Unix nanoseconds; increases with every start
+	Incarnation int64  `json:"incarnation"` // start time in Unix nanoseconds; identifies the process
+	// Epoch takes the place of Incarnation in the order of descriptions if it is higher.
+	// It is set if other daemons know a later incarnation, because the clock was set back
+	// between two starts.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Seq increases with every refuted suspicion and with every change of the fields
 	// below, except InFlight.
 	Seq           uint64 `json:"seq"`
@@ -22,10 +26,13 @@
 	InFlight      int    `json:"in_flight,omitempty"`
 }
 
-// compareVersion compares two descriptions of the same daemon by incarnation and sequence
+// epoch returns the number by which descriptions of different starts are ordered.
+func (d Daemon) epoch() int64 { return max(d.Incarnation, d.Epoch) }
+
+// compareVersion compares two descriptions of the same daemon by epoch and sequence
 // number. It returns a positive number if d is newer than o, and 0 if they are equal.
 func (d Daemon) compareVersion(o Daemon) int {
-	return cmp.Or(cmp.Compare(d.Incarnation, o.Incarnation), cmp.Compare(d.Seq, o.Seq))
+	return cmp.Or(cmp.Compare(d.epoch(), o.epoch()), cmp.Compare(d.Seq, o.Seq))
 }
 
 // Entries returns the daemons that callers in zone should use, the caller's zone first and
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -144,13 +144,39 @@
 }
 
 func (g *Gossip) handlePing(_ context.Context, p Ping) (Ping, error) {
-	g.merge(p.From)
-	return g.localPing(), nil
+	rejection := g.mergeSender(p.From)
+	reply := g.localPing()
+	reply.Rejection = rejection
+	return reply, nil
 }
 
 func (g *Gossip) handleTable(_ context.Context, p Ping) (TableReply, error) {
-	g.merge(p.From)
-	return TableReply{Daemons: g.Live()}, nil
+	rejection := g.mergeSender(p.From)
+	return TableReply{Daemons: g.Live(), Rejection: rejection}, nil
+}
+
+// mergeSender merges the description of a caller, and returns why it is rejected.
+func (g *Gossip) mergeSender(d Daemon) *Rejection {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Merge(time.Now(), d)
+	return g.table.Rejection(time.Now(), d)
+}
+
+// renew announces a newer description of this daemon if another one rejects the current
+// one. Without it a daemon that was ejected while it was cut off, or whose clock was set
+// back before it started again, would be missing from the tables of the others.
+func (g *Gossip) renew(r *Rejection) {
+	if r == nil {
+		return
+	}
+	g.mu.Lock()
+	renewed := g.table.Renew(*r)
+	self := g.table.Self()
+	g.mu.Unlock()
+	if renewed {
+		g.Broadcast(MethodAnnounce, self)
+	}
 }
 
 func (g *Gossip) handleIndirectPing(ctx context.Context, q IndirectPing) (IndirectPingReply, error) {
@@ -172,6 +198,7 @@
 	g.table.ClearSuspicion(id)
 	hashesEqual := g.table.Hash() == reply.Hash
 	g.mu.Unlock()
+	g.renew(reply.Rejection)
 	if !hashesEqual {
 		g.pull(ctx, address)
 	}
@@ -187,6 +214,7 @@
 	for _, d := range reply.Daemons {
 		g.merge(d)
 	}
+	g.renew(reply.Rejection)
 }
 
 // probe pings target, first directly and then indirectly. If neither is answered, it
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -13,6 +13,14 @@
 type Ping struct {
 	From Daemon `json:"from"`
 	Hash uint64 `json:"hash"` // Table.Hash of the sender
+	// Rejection is set in a reply to a daemon whose description is rejected.
+	Rejection *Rejection `json:"rejection,omitempty"`
+}
+
+// Rejection tells a daemon why its description is rejected.
+type Rejection struct {
+	Known   Daemon `json:"known"`             // description of the daemon that is newer, or equal to an ejected one
+	Ejected bool   `json:"ejected,omitempty"` // Known did not refute a suspicion in time
 }
 
 // IndirectPing asks a helper to probe the daemon ID at Address.
@@ -28,5 +36,6 @@
 
 // TableReply holds the descriptions of all daemons that the sender considers up.
 type TableReply struct {
-	Daemons []Daemon `json:"daemons"`
+	Daemons   []Daemon   `json:"daemons"`
+	Rejection *Rejection `json:"rejection,omitempty"` // as in Ping
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -51,7 +51,7 @@
 // SetSelf updates this daemon's description and reports whether it must be announced. A
 // change of InFlight alone isn't announced.
 func (t *Table) SetSelf(d Daemon) bool {
-	d.Seq = t.self.Seq
+	d.Seq, d.Epoch = t.self.Seq, t.self.Epoch
 	old := t.self
 	old.InFlight = d.InFlight
 	changed := d != old
@@ -85,6 +85,32 @@
 	return false
 }
 
+// Rejection returns the description that keeps Merge from recording the description d of
+// another daemon, or nil if there is none.
+func (t *Table) Rejection(now time.Time, d Daemon) *Rejection {
+	if ts, ok := t.tombstones[d.ID]; ok && d.compareVersion(ts.daemon) <= 0 && now.Before(ts.expiresAt) {
+		return &Rejection{Known: ts.daemon, Ejected: true}
+	}
+	if e := t.others[d.ID]; e != nil && d.compareVersion(e.daemon) < 0 {
+		return &Rejection{Known: e.daemon}
+	}
+	return nil
+}
+
+// Renew makes this daemon's description newer than the one that makes another daemon
+// reject it. It reports whether the description changed and must be announced.
+func (t *Table) Renew(r Rejection) bool {
+	order := r.Known.compareVersion(t.self)
+	if r.Known.ID != t.self.ID || order < 0 || order == 0 && !r.Ejected {
+		return false
+	}
+	if e := r.Known.epoch(); e > t.self.Incarnation {
+		t.self.Epoch = e
+	}
+	t.self.Seq = r.Known.Seq + 1
+	return true
+}
+
 // Suspect records that d didn't answer. It ignores a description of another daemon that is
 // older than the known one. It returns true if d is this daemon with a description that is
 // not older than its current one; the caller must then call Refute.
@@ -175,12 +201,12 @@
 	return out
 }
 
-// Hash returns a hash over the ID, incarnation and sequence number of every live daemon.
+// Hash returns a hash over the ID, epoch and sequence number of every live daemon.
 // It is equal on daemons that hold the same descriptions.
 func (t *Table) Hash() uint64 {
 	var sum uint64
 	for _, d := range t.Live() {
-		sum ^= xxhash.Sum64String(d.ID + "/" + strconv.FormatInt(d.Incarnation, 36) + "/" + strconv.FormatUint(d.Seq, 36))
+		sum ^= xxhash.Sum64String(d.ID + "/" + strconv.FormatInt(d.epoch(), 36) + "/" + strconv.FormatUint(d.Seq, 36))
 	}
 	return sum
 }
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -49,6 +49,44 @@
 		Expect(ids(t.Live())).To(ContainElement("b"))
 	})
 
+	// Guards against a daemon that is missing from the other tables for tombstoneTTL,
+	// because it was ejected while it was cut off and never heard of the suspicion.
+	It("lists an ejected daemon again once it has learned of its ejection", func() {
+		b := NewTable(daemon("b", 1))
+		t.Suspect(epoch, daemon("b", 1))
+		t.Expire(epoch.Add(SuspicionTimeout))
+		now := epoch.Add(2 * SuspicionTimeout)
+		Expect(t.Merge(now, b.Self())).To(BeFalse())
+		Expect(b.Renew(*t.Rejection(now, b.Self()))).To(BeTrue())
+		Expect(t.Merge(now, b.Self())).To(BeTrue())
+		Expect(t.Rejection(now, b.Self())).To(BeNil())
+		Expect(ids(t.Live())).To(ContainElement("b"))
+	})
+
+	// Guards against a replica that lost its disk and counts as live under its old
+	// identity, because its clock was set back before it started again.
+	It("replaces the description of a daemon that started again with its clock set back", func() {
+		old, restarted := daemon("b", 7), daemon("b", 1)
+		old.Incarnation, old.Replica = 50, "b.old"
+		restarted.Incarnation, restarted.Replica = 40, "b.new"
+		t.Merge(epoch, old)
+		b := NewTable(restarted)
+		Expect(t.Merge(epoch, b.Self())).To(BeFalse())
+		Expect(b.Renew(*t.Rejection(epoch, b.Self()))).To(BeTrue())
+		b.SetSelf(restarted) // the daemon describes itself without the epoch
+		Expect(t.Merge(epoch, b.Self())).To(BeTrue())
+		Expect(t.Live()).To(ContainElement(And(HaveField("Replica", "b.new"), HaveField("Incarnation", int64(40)))))
+		Expect(t.Merge(epoch, old)).To(BeFalse())
+	})
+
+	It("keeps its description when another daemon knows the same or an older one", func() {
+		b := NewTable(daemon("b", 5))
+		Expect(b.Renew(Rejection{Known: daemon("b", 5)})).To(BeFalse())
+		Expect(b.Renew(Rejection{Known: daemon("b", 4), Ejected: true})).To(BeFalse())
+		Expect(b.Renew(Rejection{Known: daemon("c", 9), Ejected: true})).To(BeFalse())
+		Expect(b.Self().Seq).To(Equal(uint64(5)))
+	})
+
 	It("ignores a suspicion of an older description", func() {
 		t.Merge(epoch, daemon("b", 3))
 		t.Suspect(epoch, daemon("b", 2))
