Reach the files of a data folder through an interface

Cause: the tests of the storage could cut files between two calls, but could not end a process between two steps of a call, or tell a synced write from one that was not.

Change: an unexported interface with the calls of the operating system that the storage makes, and its implementation. No change of behaviour. The test of a failing write takes the name of the log from the disk instead of from the file.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
@@ -62,7 +61,7 @@
 	}()
 }
 
-func (r *Replica) sendSnapshotParts(f *os.File, address string, m consensus.Message) (int, error) {
+func (r *Replica) sendSnapshotParts(f io.Reader, address string, m consensus.Message) (int, error) {
 	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Message: m}
 	buf := make([]byte, snapshotPartBytes)
 	for !p.Last {
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -269,7 +269,7 @@
 		g.Expect(broken.Close()).To(Succeed())
 		err := d.Append(&m.hard, nil)
 		g.Expect(errors.Is(err, os.ErrClosed)).To(BeTrue())
-		d.log, err = os.OpenFile(filepath.Join(dir, filepath.Base(broken.Name())), os.O_WRONLY|os.O_APPEND, 0o600)
+		d.log, err = os.OpenFile(filepath.Join(dir, filepath.Base(d.logPath())), os.O_WRONLY|os.O_APPEND, 0o600)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(d.Append(&m.hard, nil)).To(MatchError(os.ErrClosed))
 		g.Expect(d.SaveSnapshot(m.snapshot, nil)).To(MatchError(os.ErrClosed))
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"os"
+	"io"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -14,8 +14,9 @@
 // Disk is an open data folder. It isn't safe for concurrent use, except for
 // PrepareSnapshot.
 type Disk struct {
+	fs            fileSystem
 	dir           string
-	log           *os.File
+	log           file
 	snapshotMeta  consensus.SnapshotMeta // of the newest active snapshot
 	snapshotBytes int                    // size of that snapshot's data
 	hardState     consensus.HardState
@@ -33,31 +34,33 @@
 // Open reads a data folder. It returns DataMissing if the folder was not initialised and
 // DataCorrupt if a file is damaged. It truncates a torn record at the end of the newest
 // log, and activates the newest stored snapshot if it isn't active yet.
-func Open(dir string) (*Disk, LoadedState, error) {
+func Open(dir string) (*Disk, LoadedState, error) { return open(osFiles{}, dir) }
+
+func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
 	var l LoadedState
 	var err error
-	if l.Identity, err = readIdentity(dir); err != nil {
+	if l.Identity, err = readIdentity(fs, dir); err != nil {
 		return nil, l, err
 	}
-	snaps, err := listFiles(dir, "snapshot-", ".json")
+	snaps, err := listFiles(fs, dir, "snapshot-", ".json")
 	if err != nil {
 		return nil, l, err
 	}
 	if len(snaps) == 0 {
 		return nil, l, result.New(result.DataCorrupt, "%s: no snapshot file", dir)
 	}
-	if l.Snapshot, err = readSnapshot(snaps[len(snaps)-1]); err != nil {
+	if l.Snapshot, err = readSnapshot(fs, snaps[len(snaps)-1]); err != nil {
 		return nil, l, err
 	}
 	l.Hard = consensus.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
-	logs, err := listFiles(dir, "log-", ".wal")
+	logs, err := listFiles(fs, dir, "log-", ".wal")
 	if err != nil {
 		return nil, l, err
 	}
-	if err := replay(logs, &l); err != nil {
+	if err := replay(fs, logs, &l); err != nil {
 		return nil, l, err
 	}
-	d := &Disk{dir: dir, snapshotMeta: l.Snapshot.Meta, snapshotBytes: len(l.Snapshot.Data), hardState: l.Hard}
+	d := &Disk{fs: fs, dir: dir, snapshotMeta: l.Snapshot.Meta, snapshotBytes: len(l.Snapshot.Data), hardState: l.Hard}
 	if err := d.openLog(); err != nil {
 		return nil, l, err
 	}
@@ -73,15 +76,15 @@
 
 // listFiles returns the paths of the files in dir whose name has the prefix and the
 // suffix, in ascending order.
-func listFiles(dir, prefix, suffix string) ([]string, error) {
-	names, err := os.ReadDir(dir)
+func listFiles(fs fileSystem, dir, prefix, suffix string) ([]string, error) {
+	names, err := fs.readDir(dir)
 	if err != nil {
 		return nil, err
 	}
 	var out []string
 	for _, n := range names {
-		if strings.HasPrefix(n.Name(), prefix) && strings.HasSuffix(n.Name(), suffix) {
-			out = append(out, filepath.Join(dir, n.Name()))
+		if strings.HasPrefix(n, prefix) && strings.HasSuffix(n, suffix) {
+			out = append(out, filepath.Join(dir, n))
 		}
 	}
 	slices.Sort(out)
@@ -97,7 +100,7 @@
 // openLog opens the log file that belongs to the current snapshot, and creates it if
 // needed.
 func (d *Disk) openLog() error {
-	f, err := os.OpenFile(d.logPath(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := d.fs.openAppend(d.logPath())
 	if err != nil {
 		return err
 	}
@@ -105,7 +108,7 @@
 		d.log.Close()
 	}
 	d.log = f
-	return syncDir(d.dir)
+	return d.fs.syncDir(d.dir)
 }
 
 // Append stores a hard state and entries in one record and syncs it. hs may be nil. An
@@ -157,7 +160,7 @@
 // PrepareSnapshot stores a snapshot of a prefix of the log. The log remains in use until
 // ActivateSnapshot is called. PrepareSnapshot may run on any goroutine, but only one call
 // at a time.
-func (d *Disk) PrepareSnapshot(s consensus.Snapshot) error { return writeSnapshot(d.dir, s) }
+func (d *Disk) PrepareSnapshot(s consensus.Snapshot) error { return writeSnapshot(d.fs, d.dir, s) }
 
 // ActivateSnapshot starts a new log from a prepared snapshot and the entries after it,
 // and removes the files that they replace. snapshotBytes is the size of the snapshot's
@@ -187,14 +190,14 @@
 // snapshot.
 func (d *Disk) removeObsoleteFiles() error {
 	for _, kind := range [][2]string{{"snapshot-", ".json"}, {"log-", ".wal"}} {
-		paths, err := listFiles(d.dir, kind[0], kind[1])
+		paths, err := listFiles(d.fs, d.dir, kind[0], kind[1])
 		if err != nil {
 			return err
 		}
 		oldestKept := fmt.Sprintf("%s%020d%s", kind[0], d.snapshotMeta.Index, kind[1])
 		for _, p := range paths {
 			if filepath.Base(p) < oldestKept {
-				if err := os.Remove(p); err != nil {
+				if err := d.fs.remove(p); err != nil {
 					return err
 				}
 			}
@@ -209,8 +212,8 @@
 
 // OpenSnapshot opens the file of the newest active snapshot. DecodeSnapshot decodes its
 // content. The caller must close the file.
-func (d *Disk) OpenSnapshot() (*os.File, error) {
-	return os.Open(snapshotPath(d.dir, d.snapshotMeta.Index))
+func (d *Disk) OpenSnapshot() (io.ReadCloser, error) {
+	return d.fs.open(snapshotPath(d.dir, d.snapshotMeta.Index))
 }
 
 // Close closes the log file.
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,13 +1,13 @@
 package storage
 
-import (
-	"os"
-	"path/filepath"
-)
+import "path/filepath"
+
+// temporarySuffix ends the name of a file that replaceFile has not completed.
+const temporarySuffix = ".tmp"
 
 // writeFile atomically replaces the content of path by b and syncs it.
-func writeFile(path string, b []byte) error {
-	return replaceFile(path, func(f *os.File) error {
+func writeFile(fs fileSystem, path string, b []byte) error {
+	return replaceFile(fs, path, func(f file) error {
 		_, err := f.Write(b)
 		return err
 	})
@@ -15,9 +15,9 @@
 
 // replaceFile atomically replaces the content of path by what write writes, and syncs it.
 // After a crash the file has either the old or the new content.
-func replaceFile(path string, write func(*os.File) error) error {
-	tmp := path + ".tmp"
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+func replaceFile(fs fileSystem, path string, write func(file) error) error {
+	tmp := path + temporarySuffix
+	f, err := fs.create(tmp)
 	if err != nil {
 		return err
 	}
@@ -32,18 +32,8 @@
 	if err := f.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(tmp, path); err != nil {
-		return err
-	}
-	return syncDir(filepath.Dir(path))
-}
-
-// syncDir syncs a directory, so that created and renamed files survive a crash.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
+	if err := fs.rename(tmp, path); err != nil {
 		return err
 	}
-	defer d.Close()
-	return d.Sync()
+	return fs.syncDir(filepath.Dir(path))
 }
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -27,17 +27,21 @@
 // Create initialises a data folder with an identity and a first snapshot. It returns
 // AlreadyExists if the folder isn't empty.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	return create(osFiles{}, dir, id, s)
+}
+
+func create(fs fileSystem, dir string, id Identity, s consensus.Snapshot) error {
+	if err := fs.mkdirAll(dir); err != nil {
 		return err
 	}
-	names, err := os.ReadDir(dir)
+	names, err := fs.readDir(dir)
 	if err != nil {
 		return err
 	}
 	if len(names) > 0 {
 		return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
 	}
-	if err := writeSnapshot(dir, s); err != nil {
+	if err := writeSnapshot(fs, dir, s); err != nil {
 		return err
 	}
 	id.Sum = id.sum()
@@ -47,12 +51,12 @@
 	}
 	// The identity is written last: without it the folder is incomplete and Open
 	// returns DataMissing.
-	return writeFile(filepath.Join(dir, identityFile), b)
+	return writeFile(fs, filepath.Join(dir, identityFile), b)
 }
 
-func readIdentity(dir string) (Identity, error) {
+func readIdentity(fs fileSystem, dir string) (Identity, error) {
 	var id Identity
-	b, err := os.ReadFile(filepath.Join(dir, identityFile))
+	b, err := fs.readFile(filepath.Join(dir, identityFile))
 	if os.IsNotExist(err) {
 		return id, result.New(result.DataMissing, "data folder %s has no %s: run `apricotstream init` for the first start of the system; if this VM was a replica before, its disk is lost: run `apricotstream join`, then replace it with `apricotstream member`", dir, identityFile)
 	}
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"os"
 	"path/filepath"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
@@ -10,9 +9,9 @@
 
 // replay applies the records of the log files, oldest first, to state. It returns
 // DataCorrupt if a record is damaged, or if a snapshot or log entries are missing.
-func replay(logs []string, state *LoadedState) error {
+func replay(fs fileSystem, logs []string, state *LoadedState) error {
 	for i, path := range logs {
-		f := logReplay{path: path, state: state, newest: i == len(logs)-1}
+		f := logReplay{fs: fs, path: path, state: state, newest: i == len(logs)-1}
 		if path > logPath(filepath.Dir(path), state.Snapshot.Meta.Index) {
 			return result.New(result.DataCorrupt, "%s: the snapshot that precedes this log is missing", path)
 		}
@@ -31,6 +30,7 @@
 
 // logReplay replays one log file.
 type logReplay struct {
+	fs               fileSystem
 	path             string
 	state            *LoadedState
 	newest           bool
@@ -41,14 +41,14 @@
 // replay reads and applies the records of the file. A torn record at the end of the newest
 // file is truncated; no message that depended on it was ever sent.
 func (f *logReplay) replay() error {
-	b, err := os.ReadFile(f.path)
+	b, err := f.fs.readFile(f.path)
 	if err != nil {
 		return err
 	}
 	for offset := 0; offset < len(b); {
 		r, size, status := decodeRecord(b[offset:])
 		if status == recordTorn && f.newest {
-			return os.Truncate(f.path, int64(offset))
+			return truncateFile(f.fs, f.path, int64(offset))
 		}
 		if status != recordIntact {
 			return result.New(result.DataCorrupt, "%s: damaged record at byte %d", f.path, offset)
@@ -95,3 +95,12 @@
 	f.state.Entries = append(f.state.Entries[:k], e)
 	return nil
 }
+
+func truncateFile(fs fileSystem, path string, size int64) error {
+	f, err := fs.openAppend(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Truncate(size)
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"os"
 	"path/filepath"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
@@ -24,12 +23,12 @@
 
 // writeSnapshot writes s as JSON, preceded by its CRC-32C. The data is encoded while it is
 // written, because encoding it first would need as much memory again as a large state.
-func writeSnapshot(dir string, s consensus.Snapshot) error {
+func writeSnapshot(fs fileSystem, dir string, s consensus.Snapshot) error {
 	meta, err := json.Marshal(s.Meta)
 	if err != nil {
 		return err
 	}
-	return replaceFile(snapshotPath(dir, s.Meta.Index), func(f *os.File) error {
+	return replaceFile(fs, snapshotPath(dir, s.Meta.Index), func(f file) error {
 		if _, err := f.Write(make([]byte, checksumBytes)); err != nil {
 			return err
 		}
@@ -67,8 +66,8 @@
 	return err
 }
 
-func readSnapshot(path string) (consensus.Snapshot, error) {
-	b, err := os.ReadFile(path)
+func readSnapshot(fs fileSystem, path string) (consensus.Snapshot, error) {
+	b, err := fs.readFile(path)
 	if err != nil {
 		return consensus.Snapshot{}, err
 	}
