Sync what Open has read before it is acknowledged

Cause: Open returned a record that a killed process had written and not synced, and cut a torn record without a sync. A replica acknowledges what it read back, also a vote, before it writes again. A loss of power then took back an entry that counted for a quorum, or the truncation but not the record after it. An old log whose last record was not synced could return damaged after it was removed.

Change: Open syncs the newest log after it was read and cut. The tests run on a simulated disk that kills the process between two steps, keeps, drops or tears each unsynced write, and keeps or drops each unsynced change of a name.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -33,7 +33,8 @@
 
 // Open reads a data folder. It returns DataMissing if the folder was not initialised and
 // DataCorrupt if a file is damaged. It truncates a torn record at the end of the newest
-// log, and activates the newest stored snapshot if it isn't active yet.
+// log, and activates the newest stored snapshot if it isn't active yet. The state that it
+// returns is synced to disk, even if the process that wrote it was killed before its sync.
 func Open(dir string) (*Disk, LoadedState, error) { return open(osFiles{}, dir) }
 
 func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -37,3 +37,23 @@
 	}
 	return fs.syncDir(filepath.Dir(path))
 }
+
+// truncateFile truncates a file without syncing it.
+func truncateFile(fs fileSystem, path string, size int64) error {
+	f, err := fs.openAppend(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Truncate(size)
+}
+
+// syncFile makes the content of a file durable, including what earlier processes wrote.
+func syncFile(fs fileSystem, path string) error {
+	f, err := fs.openAppend(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
--- /dev/null
+++ b/internal/storage/power_loss_test.go
@@ -0,0 +1,88 @@
+package storage
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+)
+
+func firstState() folderState {
+	return folderState{hard: consensus.HardState{Term: 1, Commit: 1}, snapshot: consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}, Data: []byte("first")}}
+}
+
+// dataEntry returns an entry with a body of several blocks.
+func dataEntry(index uint64) consensus.Entry {
+	return consensus.Entry{Index: index, Term: 1, Data: []byte(fmt.Sprintf("%2000d", index))}
+}
+
+// newSimulatedFolder creates and opens a data folder.
+func newSimulatedFolder(g *WithT) (*simulatedDisk, *Disk) {
+	disk := newSimulatedDisk(1)
+	g.Expect(create(disk, "data", Identity{Cluster: "c", ID: "a"}, firstState().snapshot)).To(Succeed())
+	d, _, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	return disk, d
+}
+
+// A record that Open returns must be durable then: the replica acknowledges it. The record
+// of a killed process may not have been synced. Guards against its loss by a loss of power.
+func TestReadBackRecordIsDurable(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	disk.killAfter(1) // the call after the write: the sync
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(MatchError(errKilled))
+	disk.restart()
+	_, l, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(1))
+	disk.losePower(false, allMissing)
+	_, l, err = open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(1))
+}
+
+// A loss of power may keep a record and lose an earlier truncation that was not synced.
+// The rest of the torn record then follows the record. Guards against taking it for damage.
+func TestTruncationOfTornRecordIsDurable(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	disk.killAfter(0)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(3), dataEntry(4)})).To(MatchError(errKilled))
+	disk.losePower(false, func(simulatedWrite) writeFate { return fatePresent }) // of the torn record
+	d, _, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	disk.killAfter(1)
+	g.Expect(d.Append(nil, []consensus.Entry{{Index: 3, Term: 1}})).To(MatchError(errKilled))
+	disk.losePower(false, func(w simulatedWrite) writeFate {
+		if w.truncate {
+			return fateMissing
+		}
+		return fatePresent
+	})
+	_, l, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(2))
+}
+
+// A loss of power may bring back an old log that was removed. Guards against an old log
+// whose last record was not synced before the new log took its place.
+func TestReturnedLogEndsWithSyncedRecord(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	g.Expect(d.Append(&consensus.HardState{Term: 1, Commit: 2}, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	g.Expect(d.PrepareSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 2, Term: 1}})).To(Succeed())
+	disk.killAfter(1)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(3)})).To(MatchError(errKilled))
+	disk.restart()
+	_, l, err := open(disk, "data") // activates the snapshot and removes the old log
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(1))
+	disk.losePower(false, func(w simulatedWrite) writeFate { return fateTorn })
+	_, l, err = open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(1))
+}
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -7,8 +7,9 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// replay applies the records of the log files, oldest first, to state. It returns
-// DataCorrupt if a record is damaged, or if a snapshot or log entries are missing.
+// replay applies the records of the log files, oldest first, to state, and makes them
+// durable. It returns DataCorrupt if a record is damaged, or if a snapshot or log entries
+// are missing.
 func replay(fs fileSystem, logs []string, state *LoadedState) error {
 	for i, path := range logs {
 		f := logReplay{fs: fs, path: path, state: state, newest: i == len(logs)-1}
@@ -25,7 +26,12 @@
 			return result.New(result.DataCorrupt, "%s: the log ends at entry %d, but entry %d was committed", path, last, state.Hard.Commit)
 		}
 	}
-	return nil
+	if len(logs) == 0 {
+		return nil
+	}
+	// A process may have been killed between the write and the sync of the last record, or
+	// after the truncation of a torn one.
+	return syncFile(fs, logs[len(logs)-1])
 }
 
 // logReplay replays one log file.
@@ -95,12 +101,3 @@
 	f.state.Entries = append(f.state.Entries[:k], e)
 	return nil
 }
-
-func truncateFile(fs fileSystem, path string, size int64) error {
-	f, err := fs.openAppend(path)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Truncate(size)
-}
--- /dev/null
+++ b/internal/storage/simulated_disk_test.go
@@ -0,0 +1,187 @@
+package storage
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+)
+
+var (
+	errKilled   = errors.New("the process was killed")
+	errDiskFull = errors.New("no space left on the simulated disk")
+)
+
+// simulatedDisk is a fileSystem in memory. It can kill the process at any call that changes
+// something, and lose power. After a loss of power a file has the content of its last
+// sync; each later write or truncation is present, missing or torn. A created file is
+// durable after its own sync; each other change of a name may be kept or lost until its
+// folder is synced.
+type simulatedDisk struct {
+	rnd     *rand.Rand
+	names   map[string]*simulatedFile // as processes see them
+	durable map[string]*simulatedFile // names that a loss of power keeps
+	pending []nameChange              // since the last sync of the folder
+
+	callsToKill int  // the call after this number of calls kills the process; negative: none
+	killed      bool // until restart
+	run         int  // counts restarts; files of an earlier run are closed
+	full        bool // writes store a part and fail
+}
+
+// nameChange is a created (from is empty), renamed or removed (to is empty) name.
+type nameChange struct {
+	from, to string
+	file     *simulatedFile // of a created name
+}
+
+func (c nameChange) apply(names map[string]*simulatedFile) {
+	moved := c.file
+	if c.from != "" {
+		moved = names[c.from]
+		delete(names, c.from)
+	}
+	if c.to != "" && moved != nil {
+		names[c.to] = moved
+	}
+}
+
+func newSimulatedDisk(seed uint64) *simulatedDisk {
+	return &simulatedDisk{rnd: rand.New(rand.NewPCG(seed, 1)), names: map[string]*simulatedFile{}, durable: map[string]*simulatedFile{}, callsToKill: -1}
+}
+
+// killAfter makes the call after n calls that change something kill the process.
+func (d *simulatedDisk) killAfter(n int) { d.callsToKill = n }
+
+// restart ends the running process. Its files stay as they are.
+func (d *simulatedDisk) restart() {
+	d.run++
+	d.killed, d.callsToKill = false, -1
+}
+
+// writeFate tells what a loss of power does to a write or a truncation that was not synced.
+type writeFate int
+
+const (
+	fatePresent writeFate = iota
+	fateMissing
+	fateTorn
+)
+
+func (d *simulatedDisk) randomFate(simulatedWrite) writeFate { return writeFate(d.rnd.IntN(3)) }
+
+func allMissing(simulatedWrite) writeFate { return fateMissing }
+
+// losePower ends the running process. Unsynced changes of names are kept or lost at
+// random, unless none is kept; fate decides on each unsynced write.
+func (d *simulatedDisk) losePower(keepNames bool, fate func(simulatedWrite) writeFate) {
+	d.restart()
+	for _, c := range d.pending {
+		if keepNames && d.rnd.IntN(2) == 0 {
+			c.apply(d.durable)
+		}
+	}
+	d.pending = nil
+	d.names = maps.Clone(d.durable)
+	for _, name := range slices.Sorted(maps.Keys(d.names)) {
+		f := d.names[name]
+		b := slices.Clone(f.durable)
+		for _, w := range f.unsynced {
+			switch fate(w) {
+			case fatePresent:
+				b = w.apply(b)
+			case fateTorn:
+				b = w.tear(b, d.rnd)
+			case fateMissing:
+			}
+		}
+		f.content, f.durable, f.unsynced = b, slices.Clone(b), nil
+	}
+}
+
+// loseRandomly loses power; now and then everything that was not synced is gone.
+func (d *simulatedDisk) loseRandomly() {
+	if d.rnd.IntN(4) == 0 {
+		d.losePower(false, allMissing)
+		return
+	}
+	d.losePower(true, d.randomFate)
+}
+
+// step counts a call that changes something. It returns errKilled if the call kills the
+// process, or if the process was killed before.
+func (d *simulatedDisk) step() error {
+	if d.callsToKill == 0 {
+		d.killed = true
+	}
+	if d.killed {
+		return errKilled
+	}
+	d.callsToKill--
+	return nil
+}
+
+func (d *simulatedDisk) change(c nameChange) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	c.apply(d.names)
+	d.pending = append(d.pending, c)
+	return nil
+}
+
+func (d *simulatedDisk) mkdirAll(string) error { return nil }
+
+func (d *simulatedDisk) readDir(dir string) ([]string, error) {
+	var names []string
+	for _, path := range slices.Sorted(maps.Keys(d.names)) {
+		if filepath.Dir(path) == dir {
+			names = append(names, filepath.Base(path))
+		}
+	}
+	return names, nil
+}
+
+func (d *simulatedDisk) readFile(path string) ([]byte, error) {
+	f := d.names[path]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.content), nil
+}
+
+func (d *simulatedDisk) open(string) (io.ReadCloser, error) { return nil, errors.ErrUnsupported }
+
+func (d *simulatedDisk) create(path string) (file, error) {
+	f, err := d.openAppend(path)
+	if err != nil {
+		return nil, err
+	}
+	return &simulatedHandle{disk: d, file: f.(*simulatedHandle).file, run: d.run}, f.Truncate(0)
+}
+
+func (d *simulatedDisk) openAppend(path string) (file, error) {
+	if d.names[path] == nil {
+		if err := d.change(nameChange{to: path, file: &simulatedFile{}}); err != nil {
+			return nil, err
+		}
+	}
+	return &simulatedHandle{disk: d, file: d.names[path], run: d.run, atEnd: true}, nil
+}
+
+func (d *simulatedDisk) rename(from, to string) error {
+	return d.change(nameChange{from: from, to: to})
+}
+
+func (d *simulatedDisk) remove(path string) error { return d.change(nameChange{from: path}) }
+
+func (d *simulatedDisk) syncDir(string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.durable, d.pending = maps.Clone(d.names), nil
+	return nil
+}
