Cut a torn last record of which any part is missing

Cause: a record that was being written at a loss of power counted as damaged unless its end was missing. If its first or a middle block was missing, the replica refused its folder for good (506), although the record was never acknowledged.

Change: the last record of the newest log is torn if a missing part can be told from a flipped bit: zeros in the body, which is text, or zeros at the start of the header or from the header on into the body. If the header is not readable, no intact record may follow. A flipped bit in any place is still damage, and so is every damaged record with an intact one after it. The entries of the random tests now also span blocks.

--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -80,7 +81,8 @@
 	next.hard.Term = m.hard.Term + rapid.Uint64Range(0, 1).Draw(rt, "terms")
 	var es []consensus.Entry
 	for i := range rapid.Uint64Range(1, 5).Draw(rt, "entries") {
-		es = append(es, consensus.Entry{Index: from + i, Term: next.hard.Term, Data: []byte{rapid.Byte().Draw(rt, "data")}})
+		data := bytes.Repeat([]byte{rapid.Byte().Draw(rt, "data")}, rapid.SampledFrom([]int{1, 1, 1000}).Draw(rt, "bytes"))
+		es = append(es, consensus.Entry{Index: from + i, Term: next.hard.Term, Data: data})
 	}
 	next.entries = append(append(next.entries, m.entries[:from-1-m.snapshot.Meta.Index]...), es...)
 	next.hard.Commit = rapid.Uint64Range(m.hard.Commit, next.last()).Draw(rt, "commit")
@@ -139,7 +141,7 @@
 func recordEnd(b []byte, offset int) int {
 	end := 0
 	for end < offset {
-		_, size, _ := decodeRecord(b[end:])
+		_, size, _ := decodeRecord(b, end)
 		end += size
 	}
 	return end
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"hash/crc32"
@@ -45,25 +44,23 @@
 	recordDamaged
 )
 
-// decodeRecord decodes the record at the start of b, which must extend to the end of the
-// file. size is the length of the record in bytes. A torn record either is cut short, or
-// ends in blocks that were never written and contain zeros. The body of an intact record ends
-// with a closing brace, so a zero as its last byte shows that the end was not written.
-func decodeRecord(b []byte) (r record, size int, status recordStatus) {
+// decodeRecord decodes the record at offset in file, which must be the whole content of the
+// file. size is the length of the record in bytes.
+func decodeRecord(file []byte, offset int) (r record, size int, status recordStatus) {
+	b := file[offset:]
 	if len(b) < recordHeaderBytes {
 		return record{}, 0, recordTorn
 	}
-	if crc32.Checksum(b[:8], castagnoliTable) != binary.LittleEndian.Uint32(b[8:]) {
-		return record{}, 0, tornOrDamaged(allZeros(b[recordHeaderBytes:]) && b[recordHeaderBytes-1] == 0)
+	if !validHeader(b[:recordHeaderBytes]) {
+		return record{}, 0, tornOrDamaged(headerTorn(file, offset) && !containsRecord(b[1:]))
 	}
-	n := int(binary.LittleEndian.Uint32(b))
-	size = recordHeaderBytes + n
+	size = recordBytes(b)
 	if len(b) < size {
 		return record{}, 0, recordTorn
 	}
 	body := b[recordHeaderBytes:size]
-	if crc32.Checksum(body, castagnoliTable) != binary.LittleEndian.Uint32(b[4:]) {
-		return record{}, 0, tornOrDamaged(len(b) == size && body[n-1] == 0)
+	if !validBody(b, body) {
+		return record{}, 0, tornOrDamaged(len(b) == size && bodyTorn(body))
 	}
 	if json.Unmarshal(body, &r) != nil {
 		return record{}, 0, recordDamaged
@@ -71,13 +68,22 @@
 	return r, size, recordIntact
 }
 
+// recordBytes returns the size of the record that starts with header.
+func recordBytes(header []byte) int {
+	return recordHeaderBytes + int(binary.LittleEndian.Uint32(header))
+}
+
+func validHeader(header []byte) bool {
+	return crc32.Checksum(header[:8], castagnoliTable) == binary.LittleEndian.Uint32(header[8:])
+}
+
+func validBody(header, body []byte) bool {
+	return crc32.Checksum(body, castagnoliTable) == binary.LittleEndian.Uint32(header[4:])
+}
+
 func tornOrDamaged(torn bool) recordStatus {
 	if torn {
 		return recordTorn
 	}
 	return recordDamaged
 }
-
-func allZeros(b []byte) bool {
-	return len(bytes.Trim(b, "\x00")) == 0
-}
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	for offset := 0; offset < len(b); {
-		r, size, status := decodeRecord(b[offset:])
+		r, size, status := decodeRecord(b, offset)
 		if status == recordTorn && f.newest {
 			return truncateFile(f.fs, f.path, int64(offset))
 		}
