Sync the names in a data folder before Open relies on them

Change: Open syncs the folder before it reads the names. The simulated disk kills at a kind of call, and a test chooses which names a loss of power keeps.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -43,6 +43,11 @@
 	if l.Identity, err = readIdentity(fs, dir); err != nil {
 		return nil, l, err
 	}
+	// A process may have been killed between a rename and the sync of the folder. A log must
+	// not become durable before the snapshot that it follows.
+	if err := fs.syncDir(dir); err != nil {
+		return nil, l, err
+	}
 	snaps, err := listFiles(fs, dir, "snapshot-", ".json")
 	if err != nil {
 		return nil, l, err
--- a/internal/storage/power_loss_test.go
+++ b/internal/storage/power_loss_test.go
@@ -32,13 +32,13 @@
 func TestReadBackRecordIsDurable(t *testing.T) {
 	g := NewWithT(t)
 	disk, d := newSimulatedFolder(g)
-	disk.killAfter(1) // the call after the write: the sync
+	disk.killAt(opSync)
 	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(MatchError(errKilled))
 	disk.restart()
 	_, l, err := open(disk, "data")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.Entries).To(HaveLen(1))
-	disk.losePower(false, allMissing)
+	disk.losePower(noName, allMissing)
 	_, l, err = open(disk, "data")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.Entries).To(HaveLen(1))
@@ -50,14 +50,14 @@
 	g := NewWithT(t)
 	disk, d := newSimulatedFolder(g)
 	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
-	disk.killAfter(0)
+	disk.killAt(opWrite)
 	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(3), dataEntry(4)})).To(MatchError(errKilled))
-	disk.losePower(false, func(simulatedWrite) writeFate { return fatePresent }) // of the torn record
+	disk.losePower(noName, func(simulatedWrite) writeFate { return fatePresent }) // of the torn record
 	d, _, err := open(disk, "data")
 	g.Expect(err).NotTo(HaveOccurred())
-	disk.killAfter(1)
+	disk.killAt(opSync)
 	g.Expect(d.Append(nil, []consensus.Entry{{Index: 3, Term: 1}})).To(MatchError(errKilled))
-	disk.losePower(false, func(w simulatedWrite) writeFate {
+	disk.losePower(noName, func(w simulatedWrite) writeFate {
 		if w.truncate {
 			return fateMissing
 		}
@@ -75,14 +75,34 @@
 	disk, d := newSimulatedFolder(g)
 	g.Expect(d.Append(&consensus.HardState{Term: 1, Commit: 2}, []consensus.Entry{dataEntry(2)})).To(Succeed())
 	g.Expect(d.PrepareSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 2, Term: 1}})).To(Succeed())
-	disk.killAfter(1)
+	disk.killAt(opSync)
 	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(3)})).To(MatchError(errKilled))
 	disk.restart()
 	_, l, err := open(disk, "data") // activates the snapshot and removes the old log
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.Entries).To(HaveLen(1))
-	disk.losePower(false, func(w simulatedWrite) writeFate { return fateTorn })
+	disk.losePower(noName, func(w simulatedWrite) writeFate { return fateTorn })
 	_, l, err = open(disk, "data")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.Entries).To(HaveLen(1))
 }
+
+// Open may create a log for a snapshot whose name a killed process had not synced. Guards
+// against a loss of power that keeps the name of the log and loses that of the snapshot.
+func TestSnapshotNameIsDurableBeforeItsLog(t *testing.T) {
+	g := NewWithT(t)
+	for n := range maxCallsToKill {
+		disk, d := newSimulatedFolder(g)
+		g.Expect(d.Append(&consensus.HardState{Term: 1, Commit: 2}, []consensus.Entry{dataEntry(2)})).To(Succeed())
+		disk.killAt(opSyncDir)
+		g.Expect(d.PrepareSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 2, Term: 1}})).To(MatchError(errKilled))
+		g.Expect(disk.names).To(HaveKey(snapshotPath("data", 2)))
+		disk.restart()
+		disk.killAfter(n)
+		_, _, _ = open(disk, "data")
+		disk.losePower(func(c nameChange) bool { return c.from == "" }, allMissing) // keeps only created names
+		_, l, err := open(disk, "data")
+		g.Expect(err).NotTo(HaveOccurred(), "killed after %d calls", n)
+		g.Expect(l.Hard.Commit).To(Equal(uint64(2)))
+	}
+}
--- a/internal/storage/simulated_disk_test.go
+++ b/internal/storage/simulated_disk_test.go
@@ -26,12 +26,24 @@
 	durable map[string]*simulatedFile // names that a loss of power keeps
 	pending []nameChange              // since the last sync of the folder
 
-	callsToKill int  // the call after this number of calls kills the process; negative: none
-	killed      bool // until restart
-	run         int  // counts restarts; files of an earlier run are closed
-	full        bool // writes store a part and fail
+	callsToKill int    // the call after this number of calls kills the process; negative: none
+	killingCall diskOp // the next call of this kind kills the process
+	killed      bool   // until restart
+	run         int    // counts restarts; files of an earlier run are closed
+	full        bool   // writes store a part and fail
 }
 
+// diskOp is a kind of call that changes something.
+type diskOp string
+
+const (
+	opName     diskOp = "name" // creates, renames or removes a name
+	opWrite    diskOp = "write"
+	opTruncate diskOp = "truncate"
+	opSync     diskOp = "sync"
+	opSyncDir  diskOp = "syncDir"
+)
+
 // nameChange is a created (from is empty), renamed or removed (to is empty) name.
 type nameChange struct {
 	from, to string
@@ -56,10 +68,13 @@
 // killAfter makes the call after n calls that change something kill the process.
 func (d *simulatedDisk) killAfter(n int) { d.callsToKill = n }
 
+// killAt makes the next call of a kind kill the process.
+func (d *simulatedDisk) killAt(o diskOp) { d.killingCall = o }
+
 // restart ends the running process. Its files stay as they are.
 func (d *simulatedDisk) restart() {
 	d.run++
-	d.killed, d.callsToKill = false, -1
+	d.killed, d.callsToKill, d.killingCall = false, -1, ""
 }
 
 // writeFate tells what a loss of power does to a write or a truncation that was not synced.
@@ -75,12 +90,14 @@
 
 func allMissing(simulatedWrite) writeFate { return fateMissing }
 
-// losePower ends the running process. Unsynced changes of names are kept or lost at
-// random, unless none is kept; fate decides on each unsynced write.
-func (d *simulatedDisk) losePower(keepNames bool, fate func(simulatedWrite) writeFate) {
+func noName(nameChange) bool { return false }
+
+// losePower ends the running process. keep decides which unsynced changes of names are
+// kept, and fate decides on each unsynced write.
+func (d *simulatedDisk) losePower(keep func(nameChange) bool, fate func(simulatedWrite) writeFate) {
 	d.restart()
 	for _, c := range d.pending {
-		if keepNames && d.rnd.IntN(2) == 0 {
+		if keep(c) {
 			c.apply(d.durable)
 		}
 	}
@@ -105,16 +122,16 @@
 // loseRandomly loses power; now and then everything that was not synced is gone.
 func (d *simulatedDisk) loseRandomly() {
 	if d.rnd.IntN(4) == 0 {
-		d.losePower(false, allMissing)
+		d.losePower(noName, allMissing)
 		return
 	}
-	d.losePower(true, d.randomFate)
+	d.losePower(func(nameChange) bool { return d.rnd.IntN(2) == 0 }, d.randomFate)
 }
 
 // step counts a call that changes something. It returns errKilled if the call kills the
 // process, or if the process was killed before.
-func (d *simulatedDisk) step() error {
-	if d.callsToKill == 0 {
+func (d *simulatedDisk) step(o diskOp) error {
+	if d.callsToKill == 0 || d.killingCall == o {
 		d.killed = true
 	}
 	if d.killed {
@@ -125,7 +142,7 @@
 }
 
 func (d *simulatedDisk) change(c nameChange) error {
-	if err := d.step(); err != nil {
+	if err := d.step(opName); err != nil {
 		return err
 	}
 	c.apply(d.names)
@@ -179,7 +196,7 @@
 func (d *simulatedDisk) remove(path string) error { return d.change(nameChange{from: path}) }
 
 func (d *simulatedDisk) syncDir(string) error {
-	if err := d.step(); err != nil {
+	if err := d.step(opSyncDir); err != nil {
 		return err
 	}
 	d.durable, d.pending = maps.Clone(d.names), nil
--- a/internal/storage/simulated_file_test.go
+++ b/internal/storage/simulated_file_test.go
@@ -88,16 +88,16 @@
 	offset int
 }
 
-func (h *simulatedHandle) step() error {
+func (h *simulatedHandle) step(o diskOp) error {
 	if h.run != h.disk.run {
 		return errKilled
 	}
-	return h.disk.step()
+	return h.disk.step(o)
 }
 
 // Write stores a part of p if the call kills the process or the disk is full.
 func (h *simulatedHandle) Write(p []byte) (int, error) {
-	err := h.step()
+	err := h.step(opWrite)
 	if err == nil && h.disk.full {
 		err = errDiskFull
 	}
@@ -119,7 +119,7 @@
 }
 
 func (h *simulatedHandle) Truncate(size int64) error {
-	if err := h.step(); err != nil {
+	if err := h.step(opTruncate); err != nil {
 		return err
 	}
 	h.file.write(simulatedWrite{offset: int(size), truncate: true})
@@ -127,7 +127,7 @@
 }
 
 func (h *simulatedHandle) Sync() error {
-	if err := h.step(); err != nil {
+	if err := h.step(opSync); err != nil {
 		return err
 	}
 	h.file.durable, h.file.unsynced = slices.Clone(h.file.content), nil
