Let an interrupted creation of a data folder be repeated

Open called the folder missing (507) and Create called it not empty (404), so the daemon ended at each start.

A folder with any other file, such as a log, is refused as before: a log exists once Open has returned.

Result: TestInterruptedCreateCanBeRepeated failed with "kill after 1 calls Expected success, but got an error: 404 already-exists: data folder data is not empty". It passes now for a kill or a loss of power after 0 to 19 calls, each repeated down to 0, with 20 seeds. TestCreateRefusesFolderWithLog passed before and after.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -48,7 +48,7 @@
 	if err := fs.syncDir(dir); err != nil {
 		return nil, l, err
 	}
-	snaps, err := listFiles(fs, dir, "snapshot-", ".json")
+	snaps, err := listFiles(fs, dir, snapshotPrefix, snapshotSuffix)
 	if err != nil {
 		return nil, l, err
 	}
@@ -195,7 +195,7 @@
 // removeObsoleteFiles removes the snapshots and logs that are older than the newest active
 // snapshot.
 func (d *Disk) removeObsoleteFiles() error {
-	for _, kind := range [][2]string{{"snapshot-", ".json"}, {"log-", ".wal"}} {
+	for _, kind := range [][2]string{{snapshotPrefix, snapshotSuffix}, {"log-", ".wal"}} {
 		paths, err := listFiles(d.fs, d.dir, kind[0], kind[1])
 		if err != nil {
 			return err
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -24,8 +25,8 @@
 	return crc32.Checksum([]byte(i.Cluster+" "+string(i.ID)), castagnoliTable)
 }
 
-// Create initialises a data folder with an identity and a first snapshot. It returns
-// AlreadyExists if the folder isn't empty.
+// Create initialises a data folder with an identity and a first snapshot. It replaces what
+// an interrupted Create has left, and returns AlreadyExists if the folder has other files.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
 	return create(osFiles{}, dir, id, s)
 }
@@ -34,13 +35,9 @@
 	if err := fs.mkdirAll(dir); err != nil {
 		return err
 	}
-	names, err := fs.readDir(dir)
-	if err != nil {
+	if err := removeInterruptedCreate(fs, dir); err != nil {
 		return err
 	}
-	if len(names) > 0 {
-		return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
-	}
 	if err := writeSnapshot(fs, dir, s); err != nil {
 		return err
 	}
@@ -54,6 +51,27 @@
 	return writeFile(fs, filepath.Join(dir, identityFile), b)
 }
 
+// removeInterruptedCreate removes the snapshots of a Create that was interrupted before it
+// wrote the identity. They may be of another Create than the next one. Once Open has
+// returned, the folder also has a log.
+func removeInterruptedCreate(fs fileSystem, dir string) error {
+	names, err := fs.readDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if !strings.HasPrefix(name, snapshotPrefix) && name != identityFile+temporarySuffix {
+			return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
+		}
+	}
+	for _, name := range names {
+		if err := fs.remove(filepath.Join(dir, name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func readIdentity(fs fileSystem, dir string) (Identity, error) {
 	var id Identity
 	b, err := fs.readFile(filepath.Join(dir, identityFile))
--- a/internal/storage/power_loss_test.go
+++ b/internal/storage/power_loss_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/result"
 )
 
 func firstState() folderState {
@@ -106,3 +108,50 @@
 		g.Expect(l.Hard.Commit).To(Equal(uint64(2)))
 	}
 }
+
+// createWithIndex creates a folder whose identity tells the index of its snapshot.
+func createWithIndex(disk *simulatedDisk, index uint64) error {
+	s := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: index, Term: 1}}
+	return create(disk, "data", Identity{Cluster: "c", ID: consensus.ID(fmt.Sprint(index))}, s)
+}
+
+// Create may be interrupted any number of times. Guards against a folder that Open calls
+// missing and Create calls not empty, so that the daemon can never start again.
+func TestInterruptedCreateCanBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	interruptions := map[string]func(*simulatedDisk){"kill": (*simulatedDisk).restart, "power loss": (*simulatedDisk).loseRandomly}
+	for name, interrupt := range interruptions {
+		for n := range maxCallsToKill {
+			for seed := range uint64(20) {
+				disk := newSimulatedDisk(seed)
+				for k := n; k >= 0; k-- {
+					disk.killAfter(k)
+					if err := createWithIndex(disk, uint64(k%2)); err != nil {
+						g.Expect(err).To(Or(MatchError(errKilled), MatchError(ContainSubstring("not empty"))))
+					}
+					interrupt(disk)
+				}
+				_, _, err := open(disk, "data")
+				if err != nil {
+					g.Expect(result.CodeOf(err)).To(Equal(result.DataMissing), "%v", err)
+					g.Expect(createWithIndex(disk, 0)).To(Succeed(), "%s after %d calls", name, n)
+				}
+				disk.losePower(noName, allMissing)
+				_, l, err := open(disk, "data")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(l.Identity.ID)).To(Equal(fmt.Sprint(l.Snapshot.Meta.Index)))
+			}
+		}
+	}
+}
+
+// A folder with a log and without an identity is a damaged replica, not an interrupted
+// Create. Guards against replacing it.
+func TestCreateRefusesFolderWithLog(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	g.Expect(disk.remove(filepath.Join("data", identityFile))).To(Succeed())
+	err := create(disk, "data", Identity{Cluster: "c", ID: "a"}, firstState().snapshot)
+	g.Expect(result.CodeOf(err)).To(Equal(result.AlreadyExists), "%v", err)
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -17,8 +17,14 @@
 // checksumBytes is the size of the CRC-32C that precedes the JSON text in a snapshot file.
 const checksumBytes = 4
 
+// Names of snapshot files.
+const (
+	snapshotPrefix = "snapshot-"
+	snapshotSuffix = ".json"
+)
+
 func snapshotPath(dir string, index uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("snapshot-%020d.json", index))
+	return filepath.Join(dir, fmt.Sprintf("%s%020d%s", snapshotPrefix, index, snapshotSuffix))
 }
 
 // writeSnapshot writes s as JSON, preceded by its CRC-32C. The data is encoded while it is
