Remove incomplete files when a data folder is opened

A full disk stayed full over restarts, and each start failed at its first write.

Change: Open removes the temporary files before it writes.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -35,6 +35,7 @@
 // DataCorrupt if a file is damaged. It truncates a torn record at the end of the newest
 // log, and activates the newest stored snapshot if it isn't active yet. The state that it
 // returns is synced to disk, even if the process that wrote it was killed before its sync.
+// Open removes incomplete files.
 func Open(dir string) (*Disk, LoadedState, error) { return open(osFiles{}, dir) }
 
 func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
@@ -48,6 +49,9 @@
 	if err := fs.syncDir(dir); err != nil {
 		return nil, l, err
 	}
+	if err := removeTemporaryFiles(fs, dir); err != nil {
+		return nil, l, err
+	}
 	snaps, err := listFiles(fs, dir, snapshotPrefix, snapshotSuffix)
 	if err != nil {
 		return nil, l, err
@@ -80,6 +84,21 @@
 	return d, l, d.removeObsoleteFiles()
 }
 
+// removeTemporaryFiles removes the files that an interrupted process has not completed.
+// On a full disk they would take the space that the log needs.
+func removeTemporaryFiles(fs fileSystem, dir string) error {
+	paths, err := listFiles(fs, dir, "", temporarySuffix)
+	if err != nil {
+		return err
+	}
+	for _, p := range paths {
+		if err := fs.remove(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // listFiles returns the paths of the files in dir whose name has the prefix and the
 // suffix, in ascending order.
 func listFiles(fs fileSystem, dir, prefix, suffix string) ([]string, error) {
--- a/internal/storage/power_loss_test.go
+++ b/internal/storage/power_loss_test.go
@@ -155,3 +155,17 @@
 	err := create(disk, "data", Identity{Cluster: "c", ID: "a"}, firstState().snapshot)
 	g.Expect(result.CodeOf(err)).To(Equal(result.AlreadyExists), "%v", err)
 }
+
+// A snapshot that doesn't fit on the disk leaves a temporary file. Guards against a disk
+// that stays full for good.
+func TestOpenRemovesIncompleteSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	disk.full = true
+	large := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 2, Term: 1}, Data: make([]byte, 1<<20)}
+	g.Expect(d.PrepareSnapshot(large)).To(MatchError(errDiskFull))
+	disk.restart()
+	_, _, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(disk.names).NotTo(HaveKey(snapshotPath("data", 2) + temporarySuffix))
+}
