--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,10 +47,12 @@
 	server   *peer.Server
 	replica  *control.Replica // nil without a data folder
 	identity storage.Identity
-	follower *control.Follower
-	health   *control.Health
-	proposer *control.Proposer
-	gossip   *member.Gossip
+	// replicaError is why the replica has stopped. It may be read once Wait has returned.
+	replicaError error
+	follower     *control.Follower
+	health       *control.Health
+	proposer     *control.Proposer
+	gossip       *member.Gossip
 
 	directory    *upstream.Directory
 	versionTable *weights.VersionTable
@@ -166,6 +168,7 @@
 func (n *Node) startReplica(ctx context.Context) {
 	n.spawn(func() {
 		if err := n.replica.Run(ctx); err != nil {
+			n.replicaError = err
 			n.log.Error("Replica stopped.", "code", int(result.CodeOf(err)), "err", result.From(err).Message)
 		}
 	})
@@ -189,6 +192,10 @@
 	return n.replica.Done()
 }
 
+// ReplicaError returns why the replica has stopped, or nil if it stopped because the context
+// of Start ended. It may be called once Wait has returned.
+func (n *Node) ReplicaError() error { return n.replicaError }
+
 func (n *Node) term() *duty.Term {
 	return duty.NewTerm(n.replica.Leadership, n.cfg.ID, n.cfg.TakeoverDelay)
 }
