--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
@@ -60,9 +59,10 @@
 		return
 	}
 	r.sendingSnapshotTo[address] = true
+	_, size := r.disk.Snapshot()
 	go func() {
 		began := time.Now()
-		n, err := r.sendSnapshotFile(f, address, m)
+		n, err := r.sendSnapshotParts(f, size, address, m)
 		f.Close()
 		r.log.Info("Snapshot transfer ended.", "to", address, "index", m.Snapshot.Meta.Index, "bytes", n, "ms", time.Since(began).Milliseconds(), "err", err)
 		r.snapshotTransferMu.Lock()
@@ -75,16 +75,8 @@
 	}()
 }
 
-func (r *Replica) sendSnapshotFile(f *os.File, address string, m consensus.Message) (int, error) {
-	info, err := f.Stat()
-	if err != nil {
-		return 0, err
-	}
-	return r.sendSnapshotParts(f, int(info.Size()), address, m)
-}
-
-// sendSnapshotParts sends a snapshot of size bytes from f. It returns the number of bytes
-// that the receiver has acknowledged.
+// sendSnapshotParts sends the snapshot file f of about size bytes. It returns the number of
+// bytes that the receiver has acknowledged.
 func (r *Replica) sendSnapshotParts(f io.Reader, size int, address string, m consensus.Message) (int, error) {
 	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Transfer: rand.Uint64(), Message: m, Size: size}
 	acks := make(chan SnapshotAck, snapshotWindow)
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,13 +1,13 @@
 package storage
 
-import (
-	"os"
-	"path/filepath"
-)
+import "path/filepath"
+
+// temporarySuffix ends the name of a file that replaceFile has not completed.
+const temporarySuffix = ".tmp"
 
 // writeFile atomically replaces the content of path by b and syncs it.
-func writeFile(path string, b []byte) error {
-	return replaceFile(path, func(f *os.File) error {
+func writeFile(fs fileSystem, path string, b []byte) error {
+	return replaceFile(fs, path, func(f file) error {
 		_, err := f.Write(b)
 		return err
 	})
@@ -15,9 +15,9 @@
 
 // replaceFile atomically replaces the content of path by what write writes, and syncs it.
 // After a crash the file has either the old or the new content.
-func replaceFile(path string, write func(*os.File) error) error {
-	tmp := path + ".tmp"
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+func replaceFile(fs fileSystem, path string, write func(file) error) error {
+	tmp := path + temporarySuffix
+	f, err := fs.create(tmp)
 	if err != nil {
 		return err
 	}
@@ -32,18 +32,28 @@
 	if err := f.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(tmp, path); err != nil {
+	if err := fs.rename(tmp, path); err != nil {
+		return err
+	}
+	return fs.syncDir(filepath.Dir(path))
+}
+
+// truncateFile truncates a file without syncing it.
+func truncateFile(fs fileSystem, path string, size int64) error {
+	f, err := fs.openAppend(path)
+	if err != nil {
 		return err
 	}
-	return syncDir(filepath.Dir(path))
+	defer f.Close()
+	return f.Truncate(size)
 }
 
-// syncDir syncs a directory, so that created and renamed files survive a crash.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
+// syncFile makes the content of a file durable, including what earlier processes wrote.
+func syncFile(fs fileSystem, path string) error {
+	f, err := fs.openAppend(path)
 	if err != nil {
 		return err
 	}
-	defer d.Close()
-	return d.Sync()
+	defer f.Close()
+	return f.Sync()
 }
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -1,18 +1,18 @@
 package storage
 
 import (
-	"os"
 	"path/filepath"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// replay applies the records of the log files, oldest first, to state. It returns
-// DataCorrupt if a record is damaged, or if a snapshot or log entries are missing.
-func replay(logs []string, state *LoadedState) error {
+// replay applies the records of the log files, oldest first, to state, and makes them
+// durable. It returns DataCorrupt if a record is damaged, or if a snapshot or log entries
+// are missing.
+func replay(fs fileSystem, logs []string, state *LoadedState) error {
 	for i, path := range logs {
-		f := logReplay{path: path, state: state, newest: i == len(logs)-1}
+		f := logReplay{fs: fs, path: path, state: state, newest: i == len(logs)-1}
 		if path > logPath(filepath.Dir(path), state.Snapshot.Meta.Index) {
 			return result.New(result.DataCorrupt, "%s: the snapshot that precedes this log is missing", path)
 		}
@@ -26,11 +26,17 @@
 			return result.New(result.DataCorrupt, "%s: the log ends at entry %d, but entry %d was committed", path, last, state.Hard.Commit)
 		}
 	}
-	return nil
+	if len(logs) == 0 {
+		return nil
+	}
+	// A process may have been killed between the write and the sync of the last record, or
+	// after the truncation of a torn one.
+	return syncFile(fs, logs[len(logs)-1])
 }
 
 // logReplay replays one log file.
 type logReplay struct {
+	fs               fileSystem
 	path             string
 	state            *LoadedState
 	newest           bool
@@ -41,14 +47,14 @@
 // replay reads and applies the records of the file. A torn record at the end of the newest
 // file is truncated; no message that depended on it was ever sent.
 func (f *logReplay) replay() error {
-	b, err := os.ReadFile(f.path)
+	b, err := f.fs.readFile(f.path)
 	if err != nil {
 		return err
 	}
 	for offset := 0; offset < len(b); {
-		r, size, status := decodeRecord(b[offset:])
+		r, size, status := decodeRecord(b, offset)
 		if status == recordTorn && f.newest {
-			return os.Truncate(f.path, int64(offset))
+			return truncateFile(f.fs, f.path, int64(offset))
 		}
 		if status != recordIntact {
 			return result.New(result.DataCorrupt, "%s: damaged record at byte %d", f.path, offset)
