Decode log entries without the generic decoder

The data of the entries is cut out and decoded directly, the rest of the message by the generic decoder. The form on the wire stays the same.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -21,15 +21,6 @@
 	MethodSnapshotAck = "control.snapshot_ack" // notice: SnapshotAck
 )
 
-// StepNotice carries a message of the consensus core. A replica of another cluster
-// discards it. Address is the sender's peer address, for a receiver that does not know
-// the membership yet.
-type StepNotice struct {
-	Cluster string            `json:"c"`
-	Address string            `json:"a"`
-	Message consensus.Message `json:"m"`
-}
-
 // ProposeRequest asks a replica to commit a command.
 type ProposeRequest struct {
 	Cluster string        `json:"cluster,omitempty"` // set by a replica that relays the request
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -15,7 +16,7 @@
 
 // Register registers the replica's methods with s.
 func (r *Replica) Register(s *peer.Server) {
-	peer.HandleNotice(s, MethodStep, r.Step)
+	peer.HandleRawNotice(s, MethodStep, r.receiveStep)
 	peer.Handle(s, MethodPropose, r.Propose)
 	peer.Handle(s, MethodReadIndex, r.readIndex)
 	peer.Handle(s, MethodSync, r.Sync)
@@ -27,6 +28,14 @@
 	peer.HandleNotice(s, MethodSnapshotAck, r.receiveSnapshotAck)
 }
 
+// receiveStep decodes a notice and queues its message. A notice that can't be decoded is
+// ignored, as on a lossy network.
+func (r *Replica) receiveStep(raw json.RawMessage) {
+	if n, err := decodeStepNotice(raw); err == nil {
+		r.Step(n)
+	}
+}
+
 // Step queues a message for the consensus core. The message is discarded when the queue
 // is full, as on a lossy network, and when it comes from another cluster.
 func (r *Replica) Step(n StepNotice) {
