Simulate the control group of a deployment up to a final fault

Cause: the report of a configuration that could not be read back after two machines had lost their disks and all others their power. The simulations so far test the consensus core, or the decisions about the membership, alone.

--- /dev/null
+++ b/internal/control/group_sim_machine_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+)
+
+// simDisk is the durable state of a simulated replica.
+type simDisk struct {
+	id       consensus.ID
+	hard     consensus.HardState
+	snapshot consensus.Snapshot
+	entries  []consensus.Entry
+}
+
+// persist stores what r requires to be durable.
+func (d *simDisk) persist(r consensus.Ready) {
+	if r.Snapshot != nil {
+		d.snapshot, d.entries = *r.Snapshot, nil
+	}
+	if len(r.Entries) > 0 {
+		unchanged := r.Entries[0].Index - d.snapshot.Meta.Index - 1
+		d.entries = append(slices.Clone(d.entries[:unchanged]), r.Entries...)
+	}
+	if r.HardState != nil {
+		d.hard = *r.HardState
+	}
+}
+
+// simMachine is a simulated machine that runs a replica.
+type simMachine struct {
+	s       *simDeployment
+	address string
+	zone    string
+	disk    *simDisk // nil: the data folder is empty
+	process *simProcess
+	joining bool     // the process waits for the control group
+	boots   int      // invalidates the joining of an earlier process
+	gone    bool     // for good
+	loss    *simLoss // the newest one
+}
+
+// boot starts the process, unless it runs.
+func (m *simMachine) boot() {
+	if m.gone || m.process != nil || m.joining {
+		return
+	}
+	if m.loss != nil && (m.loss.back == 0 || !m.s.repaired(m.loss)) {
+		m.loss.back = m.s.now
+	}
+	if m.disk == nil {
+		m.joining = true
+		m.join(m.boots)
+		return
+	}
+	newSimProcess(m)
+}
+
+// join asks the founders for the control group, as JoinCluster does, and then starts a
+// replica with a new identity.
+func (m *simMachine) join(boot int) {
+	if boot != m.boots || m.gone {
+		return
+	}
+	for _, f := range m.s.machines[:simFounders] {
+		if f != m && !f.gone && f.process != nil && m.s.connected(m, f) && f.process.knowsLeader() {
+			m.s.added++
+			m.disk = &simDisk{id: consensus.ID(fmt.Sprintf("%s.%03d", m.address, m.s.added))}
+			m.disk.snapshot.Meta.Members = consensus.Membership{}
+			m.joining = false
+			newSimProcess(m)
+			return
+		}
+	}
+	m.s.after(joinRetryInterval, func() { m.join(boot) })
+}
+
+// crash ends the process at once. Writes that were not synced are lost.
+func (m *simMachine) crash() {
+	m.boots++
+	m.process, m.joining = nil, false
+	m.s.unlist(m, m.s.now+m.s.between(simListedDead/3, simListedDead))
+}
+
+// losePower crashes the machine and boots it again.
+func (m *simMachine) losePower() {
+	if m.gone {
+		return
+	}
+	m.crash()
+	m.s.after(simRestart+m.s.between(0, simReadFolder), m.boot)
+}
+
+// wipe crashes the machine, deletes its disk and boots it again after d.
+func (m *simMachine) wipe(d time.Duration) {
+	m.crash()
+	m.disk = nil
+	m.loss = &simLoss{}
+	m.s.losses = append(m.s.losses, m.loss)
+	m.s.after(d, m.boot)
+}
+
+// leave removes the machine with its disk for good.
+func (m *simMachine) leave() {
+	m.crash()
+	m.gone, m.disk = true, nil
+}
