Report a retirement as done only once it is committed

Cause: the leader reported a retirement as done from its newest membership, committed or not, and without a lease. When the leader lost its disk right after that, with another voter, the removal was lost: the group had 6 voters, of which the retired one and two others were gone, and never had a quorum again.

Change: a retirement is done when the leader holds its lease and no replica at the address is in the committed or in the newest membership.

--- a/internal/control/group_sim_schedule_test.go
+++ b/internal/control/group_sim_schedule_test.go
@@ -149,7 +149,7 @@
 			if p.node.Status().Role != consensus.Leader {
 				continue
 			}
-			if _, in := p.node.Status().Members[id]; !in {
+			if hasLeft(p.node, s.now, m.address) {
 				s.logf("%s reports the retirement of %s as done", p.id, id)
 				m.leave()
 				s.wipe(s.victims(2))
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -54,7 +54,25 @@
 			return RetireReply{}, err
 		}
 	}
-	return RetireReply{Done: member == ""}, nil
+	return callInLoop(ctx, r, func() RetireReply { return RetireReply{Done: hasLeft(r.node, r.now(), q.Address)} })
+}
+
+// hasLeft reports whether n proves that no replica at address is a member: it holds the
+// leader lease, and neither the committed membership nor the newest one contains such a
+// replica. A removal that isn't committed yet may be lost with the leader.
+func hasLeft(n *consensus.Node, now consensus.Time, address string) bool {
+	commit, ok := n.ReadIndex(now)
+	if !ok {
+		return false
+	}
+	for _, members := range []consensus.Membership{n.MembersAt(commit), n.Status().Members} {
+		for _, m := range members {
+			if m.Address == address {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // publishRetiring makes the set of retiring replicas readable outside the loop. It runs
