Replace a voter that lost its disk without waiting for its silence

Cause: a voter whose successor runs at the same address can never run again, but counted as healthy until it had been silent for 2 s, and this wait began anew with each term. After two lost disks and a loss of power of the leader, two more voters could lose their disks 6 s after the machines were back, and the group had no quorum for good.

TestLearnerReplacesLostVoterAtOnce failed: "the missing elements were n, the extra elements were r1".

Change: a voter that no longer runs and at whose address another replica runs should leave at once.

--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -10,8 +10,9 @@
 // Timeouts for changes of the control group's membership.
 const (
 	// voterDeadAfter is how long a voter must be silent before a caught-up learner
-	// replaces it. It is longer than a restart of a process and shorter than the time
-	// within which a replaced VM must have a vote again.
+	// replaces it, unless it is known to have lost its disk. It is longer than a restart
+	// of a process and shorter than the time within which a replaced VM must have a vote
+	// again.
 	voterDeadAfter = 2 * time.Second
 	// learnerDeadAfter is how long a learner may be silent before it is removed.
 	learnerDeadAfter = 15 * time.Second
@@ -154,7 +155,14 @@
 
 // shouldLeave reports whether the voter should lose its vote.
 func (v MembershipView) shouldLeave(id consensus.ID) bool {
-	return v.SilentFor[id] > voterDeadAfter || v.Retiring[id]
+	return v.SilentFor[id] > voterDeadAfter || v.Retiring[id] || v.lost(id)
+}
+
+// lost reports whether the replica has lost its disk: another one runs at its address.
+func (v MembershipView) lost(id consensus.ID) bool {
+	return !v.live(id) && slices.ContainsFunc(v.Live, func(m consensus.Member) bool {
+		return m.ID != id && m.Address == v.Members[id].Address
+	})
 }
 
 func (v MembershipView) live(id consensus.ID) bool {
--- a/internal/control/membership_view_test.go
+++ b/internal/control/membership_view_test.go
@@ -94,6 +94,21 @@
 	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r1b"), consensus.ID("r2")))
 }
 
+// Guards against waiting for the silence of a voter that is known to have lost its disk:
+// after a change of leader the wait began anew, and the next loss of disks came before.
+func TestLearnerReplacesLostVoterAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	x.stop("r1", 0)
+	x.start("r1b", 1)
+	x.start("n", 5)
+	x.view.Match["r1b"] = 0
+	x.view.Members["r1b"] = consensus.Member{ID: "r1b", Address: "m1"}
+	x.view.Members["n"] = consensus.Member{ID: "n", Address: "m5"}
+	x.reconcile(g)
+	g.Expect(x.voters()).To(ConsistOf(consensus.ID("r0"), consensus.ID("r2"), consensus.ID("n")))
+}
+
 func TestLearnerReplacesDeadVoter(t *testing.T) {
 	g := NewWithT(t)
 	x := newSimGroup(3)
