Deliver samples under which upstreams crashed

Cause: a sample of a step was a request to the quarantine like any other. Two upstreams that crashed while they ran it, for whatever reason, ended it for good as failed, with all samples of its prompt. The users' rule is that an item that is handed in for later is never the request that crashes servers: it stays owed.

Evidence: TestSampleUnderCrashedEnginesIsDelivered (five engines crash under one sound prompt, then all is calm) failed on: group 1, index 0 Expected <result.Code>: 210 to be zero-valued

Change: jobs that are owed have no record in the quarantine, neither as suspects nor as the cause of a crash, and are not sent again by the dispatcher once they may have run. The step learns of each crash instead. After a crash the samples of that prompt wait 200 ms, doubled up to 30 s, which is never longer than the crashes have lasted. From the second crash on they run one after the other, each on an upstream that is kept free of other requests (of at most half of the upstreams), until one has generated tokens for 3 s or is complete. Samples of other prompts go on. A sample goes on from its tokens after a crash. Requests of callers are quarantined as before. The field "failed" of a sample is gone, since nothing sets it.

TestQuarantinedPromptDoesNotBlockItsStep expected the failed samples, which the rule excludes. TestCrashingPromptDoesNotBlockItsStep takes its place. It demands the same for the other prompts of the step (all their samples, while the prompt still crashes engines) and bounds the engines lost: at most 6 crashes in 4 s, where the old test had three engines that never came back. In addition all samples of the crashing prompt must be delivered once the engines are repaired, and the step must end.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,6 +42,17 @@
 	Exclude     []string                    // ids of upstreams that must not run it
 	OnAttempt   func(upstream.Announcement) // called before each attempt; may be nil
 	Out         forward.Outgoing
+
+	// Owed is set if the job was handed in for later, so that it must run however many
+	// upstreams crash meanwhile. It is not quarantined and needs no Fingerprint. It isn't
+	// retried here once it may have run: the sender retries it with a delay that grows with
+	// the crashes.
+	Owed bool
+	// Alone is set if an owed job is to run on an upstream without other requests.
+	Alone bool
+	// OnCrash is called when an upstream has crashed while it ran an owed job, possibly after
+	// Run has returned.
+	OnCrash func(upstream.Announcement)
 }
 
 // Consumer reads the response of an upstream. Once it has sent any byte to the caller, it
@@ -97,11 +108,11 @@
 	d.depositRetry(job.Service)
 	var attemptErr error
 	for range maxAttempts {
-		record := d.quarantine.Record(job.Fingerprint)
+		record := d.record(job)
 		if record.Blocked() {
 			return quarantinedError(attemptErr)
 		}
-		u, release, ok := d.pickUpstream(req, record.Suspect())
+		u, release, ok := d.pickUpstream(req, record.Suspect() || job.Alone && d.mayReserve(job.Service))
 		if !ok {
 			break
 		}
@@ -126,6 +137,14 @@
 	return result.NewRetryAfter(result.NoUpstream, noUpstreamRetryAfter, "no upstream of %s can take the request", job.Service)
 }
 
+// record returns the quarantine's record of job; an owed job has none.
+func (d *Dispatcher) record(job Job) quarantine.Record {
+	if job.Owed {
+		return quarantine.Record{}
+	}
+	return d.quarantine.Record(job.Fingerprint)
+}
+
 // quarantinedError returns the final error of a quarantined request: QuarantinedNow if one
 // of its own attempts may have run, Quarantined if none did.
 func quarantinedError(attemptErr error) error {
@@ -164,8 +183,8 @@
 }
 
 // retryable reports whether job may be sent to another upstream after err. A job that may
-// have run is retried only if it is idempotent and the retry budget of its service allows
-// it.
+// have run is retried only if it is idempotent and not owed, and the retry budget of its
+// service allows it.
 func (d *Dispatcher) retryable(ctx context.Context, job Job, err error) bool {
 	var delivered deliveredError
 	if ctx.Err() != nil || errors.As(err, &delivered) {
@@ -174,7 +193,7 @@
 	if !mayHaveRun(err) {
 		return result.CodeOf(err) == result.UpstreamUnreached
 	}
-	return job.Idempotent && d.withdrawRetry(job.Service)
+	return job.Idempotent && !job.Owed && d.withdrawRetry(job.Service)
 }
 
 // retryBudget returns the budget of a service. The caller holds d.mu.
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -40,8 +40,22 @@
 	return u, d.quarantine.Reserve(u.ID), true
 }
 
+// mayReserve reports whether an owed job may reserve an upstream of a service. At most half
+// of them are reserved, so that owed jobs that run alone leave room for other requests.
+func (d *Dispatcher) mayReserve(service string) bool {
+	reserved := d.quarantine.Reserved()
+	all := d.chooser.Upstreams(service)
+	n := 1
+	for _, u := range all {
+		if slices.Contains(reserved, u.ID) {
+			n++
+		}
+	}
+	return 2*n <= len(all)
+}
+
 // detectCrash checks after a failed attempt whether u crashed and, if so, records the crash
-// against job. A response that was cut off does not prove a crash by itself: the upstream
+// against job, or calls OnCrash of an owed job. A response that was cut off does not prove a crash by itself: the upstream
 // must also refuse connections or be listed with a newer incarnation.
 func (d *Dispatcher) detectCrash(ctx context.Context, job Job, u upstream.Announcement, err error) {
 	code := result.CodeOf(err)
@@ -50,18 +64,28 @@
 	}
 	for range crashProbeCount {
 		if upstream.RefusesConnections(u.Address) {
-			d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+			d.recordCrash(job, u)
 			return
 		}
 		time.Sleep(crashProbeInterval)
 	}
 	time.AfterFunc(upstream.RestartCheckDelay, func() {
 		if upstream.RefusesConnections(u.Address) || d.restarted(u) {
-			d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+			d.recordCrash(job, u)
 		}
 	})
 }
 
+// recordCrash records that u crashed while it ran job.
+func (d *Dispatcher) recordCrash(job Job, u upstream.Announcement) {
+	switch {
+	case !job.Owed:
+		d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+	case job.OnCrash != nil:
+		job.OnCrash(u)
+	}
+}
+
 // restarted reports whether a newer incarnation of u is listed.
 func (d *Dispatcher) restarted(u upstream.Announcement) bool {
 	for _, a := range d.chooser.Upstreams(u.Service) {
--- a/internal/rollout/generate.go
+++ b/internal/rollout/generate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,7 +14,6 @@
 	"github.com/apricotstream/apricotstream/internal/dispatch"
 	"github.com/apricotstream/apricotstream/internal/engine"
 	"github.com/apricotstream/apricotstream/internal/forward"
-	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -42,20 +42,27 @@
 }
 
 // generator generates one sample. When an upstream fails or is too slow, another one
-// resumes from the partial output.
+// resumes from the partial output. When an upstream crashes, the generator ends with an
+// error; its partial sample may be passed on to the next generator of the sample.
 type generator struct {
 	runner        Runner
 	request       engine.CompletionRequest
 	account       string
 	oldestAllowed func() uint64 // returns the oldest weight version within the staleness bound
+	alone         bool          // whether to keep other requests away from its upstream
 
-	onStart  func(prefixTokens int, cancelAttempt context.CancelCauseFunc) // at the start of each attempt
-	onTokens func(tokens int)                                              // for each chunk
-	onMove   func(upstream string)                                         // when the upstream was too slow
-	onEnd    func()                                                        // at the end of each dispatched request
+	onStart    func(prefixTokens int, cancelAttempt context.CancelCauseFunc) // at the start of each attempt
+	onTokens   func(tokens int)                                              // for each chunk
+	onMove     func(upstream string)                                         // when the upstream was too slow
+	onEnd      func()                                                        // at the end of each dispatched request
+	onCrash    func(upstream.Announcement)                                   // when the upstream crashed; may be called after run has returned
+	onSurvival func()                                                        // when an upstream has generated tokens for survivalTime
 
 	partialSample partialSample
-	avoid         []string // upstreams that failed or were too slow
+	avoid         []string    // upstreams that failed or were too slow
+	crashed       atomic.Bool // whether an upstream crashed
+	firstTokenAt  time.Time   // from the current upstream; zero before the first token
+	survived      bool        // whether onSurvival was called for the current upstream
 }
 
 // run generates the sample with at most maxDispatches dispatched requests.
@@ -65,7 +72,7 @@
 		if err = g.part(ctx); err == nil {
 			return g.partialSample.finished()
 		}
-		if ctx.Err() != nil || !g.resumable(err) {
+		if ctx.Err() != nil || g.crashed.Load() || !g.resumable(err) {
 			return Sample{}, err
 		}
 	}
@@ -108,8 +115,13 @@
 	defer cancel(nil)
 	job.OnAttempt = func(u upstream.Announcement) {
 		g.partialSample.beginUpstream(u.ID, job.Out.RequestID)
+		g.firstTokenAt, g.survived = time.Time{}, false
 		g.onStart(g.partialSample.sample.Tokens(), cancel)
 	}
+	job.OnCrash = func(u upstream.Announcement) {
+		g.crashed.Store(true)
+		g.onCrash(u)
+	}
 	defer g.onEnd()
 	err = g.runner.Run(ctx, job, func(resp *http.Response, _ upstream.Announcement) error {
 		err := engine.ReadStream(resp.Body, job.Out.RequestID, g.appendChunk)
@@ -126,32 +138,38 @@
 
 func (g *generator) appendChunk(c engine.Chunk) error {
 	g.onTokens(c.Tokens())
+	g.checkSurvival(time.Now())
 	return g.partialSample.appendChunk(c)
 }
 
-// job returns the request for the rest of the sample. Its fingerprint is that of the
-// request without a partial output or seed, so that the quarantine also recognizes resumed
-// requests.
+// checkSurvival calls onSurvival once the current upstream has generated tokens for
+// survivalTime.
+func (g *generator) checkSurvival(now time.Time) {
+	if g.firstTokenAt.IsZero() {
+		g.firstTokenAt = now
+	}
+	if !g.survived && now.Sub(g.firstTokenAt) >= survivalTime {
+		g.survived = true
+		g.onSurvival()
+	}
+}
+
+// job returns the request for the rest of the sample.
 func (g *generator) job() (dispatch.Job, error) {
 	q := g.request
-	q.Seed = 0
-	whole, err := json.Marshal(q)
-	if err != nil {
-		return dispatch.Job{}, err
-	}
-	q = g.request
 	q.Resume = g.partialSample.sample.Text
 	body, err := json.Marshal(q)
 	if err != nil {
 		return dispatch.Job{}, err
 	}
 	return dispatch.Job{
-		Service:     q.Model,
-		Account:     g.account,
-		Fingerprint: quarantine.Fingerprint(q.Model, g.account, engine.CompletionsPath, whole),
-		MinVersion:  g.oldestAllowed(),
-		Idempotent:  true,
-		Exclude:     g.avoid,
+		Service:    q.Model,
+		Account:    g.account,
+		MinVersion: g.oldestAllowed(),
+		Idempotent: true,
+		Owed:       true,
+		Alone:      g.alone,
+		Exclude:    g.avoid,
 		Out: forward.Outgoing{
 			RequestID: uuid.NewString(), Method: http.MethodPost, Path: engine.CompletionsPath,
 			ContentType: "application/json", Accept: "text/event-stream",
--- a/internal/rollout/metrics.go
+++ b/internal/rollout/metrics.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/apricotstream/apricotstream/internal/result"
 )
 
 // Metrics of rollouts.
@@ -19,10 +17,10 @@
 )
 
 // observeDelivered updates the metrics for samples that are sent for the first time. It
-// skips void positions and failed samples.
+// skips void positions.
 func observeDelivered(samples []Sample, oldestAllowed uint64) {
 	for _, s := range samples {
-		if s.Void || s.Failed != result.OK {
+		if s.Void {
 			continue
 		}
 		samplesDelivered.Inc()
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 // Limits and intervals of the run of one step.
@@ -45,6 +47,8 @@
 	changed       chan struct{} // closed and replaced at every change of stream
 	running       int           // samples being generated
 	lastRequestAt time.Time     // latest request of the trainer
+	crashes       crashBackoff
+	interrupted   map[int]partialSample // partial outputs that a crash has interrupted, by slot
 
 	detectorMu    sync.Mutex // protects the fields below
 	detector      *StragglerDetector
@@ -56,7 +60,7 @@
 	r := &run{
 		m: m, id: s.ID, request: q, changed: make(chan struct{}), lastRequestAt: time.Now(),
 		detector: NewStragglerDetector(m.MaxMoves), cancelAttempt: map[int]context.CancelCauseFunc{},
-		stream: NewStream(s.Total, q.PerGroup, s.Slots, s.Acked),
+		stream: NewStream(s.Total, q.PerGroup, s.Slots, s.Acked), interrupted: map[int]partialSample{},
 	}
 	s.Slots = nil
 	r.step = s
@@ -149,50 +153,59 @@
 // generateMore starts the generation of as many slots as possible.
 func (r *run) generateMore() {
 	for {
-		slot, ok := r.nextSlot()
+		slot, alone, ok := r.nextSlot()
 		if !ok {
 			return
 		}
-		go r.generate(slot)
+		go r.generate(slot, alone)
 	}
 }
 
-// nextSlot returns a slot to generate and counts it as running; false if there is none or
+// nextSlot returns a slot to generate and counts it as running. alone reports whether its
+// sample must run alone on its upstream. ok is false if no slot may start or
 // maxParallelSamples are running.
-func (r *run) nextSlot() (int, bool) {
+func (r *run) nextSlot() (slot int, alone, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.running >= maxParallelSamples {
-		return 0, false
+		return 0, false, false
 	}
-	slot, ok := r.stream.Next()
-	if ok {
-		r.running++
+	now := time.Now()
+	slot, ok = r.stream.Next(func(group int) bool { return r.crashes.mayStart(now, group) })
+	if !ok {
+		return 0, false, false
 	}
-	return slot, ok
+	r.running++
+	return slot, r.crashes.start(r.group(slot)), true
 }
 
-// generate generates the sample of a slot and stores it in the stream. If the request is
-// quarantined, the sample is stored as failed. After any other error the slot waits to be
-// generated again.
-func (r *run) generate(slot int) {
+// group returns the group of a slot.
+func (r *run) group(slot int) int { return slot / r.request.PerGroup }
+
+// generate generates the sample of a slot and stores it in the stream. After an error the
+// slot waits to be generated again. The partial output that a crash has interrupted is kept.
+func (r *run) generate(slot int, alone bool) {
 	step := r.current()
 	g := r.generator(step, slot)
+	g.alone = alone
 	s, err := g.run(r.ctx)
-	if c := result.CodeOf(err); c == result.Quarantined || c == result.QuarantinedNow {
-		// This result is final, so that a prompt that crashes upstreams doesn't block the step.
-		s, err = Sample{Failed: result.Quarantined}, nil
-	}
 	if err != nil {
 		r.m.log.Debug("Could not generate the sample.", "step", r.id, "slot", slot, "err", err.Error())
 		periodic.Pause(r.ctx, retryDelay)
 	}
 	r.update(func(st *Stream) {
 		r.running--
+		if alone {
+			r.crashes.endAlone(r.group(slot))
+		}
 		if err != nil {
+			if g.crashed.Load() {
+				r.interrupted[slot] = g.partialSample
+			}
 			st.Failed(slot)
 			return
 		}
+		r.crashes.recordCompletion(r.group(slot))
 		st.Finished(slot, s)
 	})
 	if err == nil {
@@ -203,11 +216,11 @@
 // generator returns the generator for the sample of a slot. It avoids slow upstreams and
 // reports the progress to the straggler detector.
 func (r *run) generator(step state.Step, slot int) *generator {
-	group := r.request.Groups[slot/r.request.PerGroup]
+	group := r.request.Groups[r.group(slot)]
 	var avoid []string
 	r.withDetector(func(now time.Time) { avoid = r.avoided.list(now) })
 	return &generator{
-		avoid:  avoid,
+		avoid: avoid, partialSample: r.takeInterrupted(slot),
 		runner: r.m.runner, account: step.Account, oldestAllowed: r.oldestAllowed,
 		request: engine.CompletionRequest{
 			Model: step.Service, Messages: group.Messages, MaxTokens: r.request.MaxTokens,
@@ -227,7 +240,32 @@
 		},
 		onMove: func(upstream string) { r.withDetector(func(now time.Time) { r.avoided.recordMove(now, upstream) }) },
 		onEnd:  func() { r.withDetector(func(now time.Time) { r.detector.EndSample(now, slot) }) },
+		onCrash: func(u upstream.Announcement) {
+			r.m.log.Warn("An upstream crashed while it ran a sample.", "step", r.id, "slot", slot, "upstream", u.ID, "incarnation", u.Incarnation)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.crashes.recordCrash(time.Now(), r.group(slot), fmt.Sprintf("%s#%d", u.ID, u.Incarnation))
+		},
+		onSurvival: func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.crashes.recordSurvival(r.group(slot))
+		},
+	}
+}
+
+// takeInterrupted returns the partial output of a slot that a crash has interrupted; it is
+// empty if there is none within the staleness bound.
+func (r *run) takeInterrupted(slot int) partialSample {
+	oldestAllowed := r.oldestAllowed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.interrupted[slot]
+	delete(r.interrupted, slot)
+	if len(p.sample.Segments) > 0 && p.sample.OldestVersion() < oldestAllowed {
+		return partialSample{}
 	}
+	return p
 }
 
 // markPromptRan calls Stream.MarkPromptRan with mu locked.
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -1,10 +1,6 @@
 package rollout
 
-import (
-	"math"
-
-	"github.com/apricotstream/apricotstream/internal/result"
-)
+import "github.com/apricotstream/apricotstream/internal/result"
 
 // Segment is a sequence of tokens that one weight version produced.
 type Segment struct {
@@ -14,23 +10,18 @@
 
 // Sample is one delivered position of a step.
 type Sample struct {
-	Position  int         `json:"position"`         // from 1
-	Void      bool        `json:"void,omitempty"`   // no sample is delivered at this position
-	Failed    result.Code `json:"failed,omitempty"` // reason why the sample can't be generated; it then has no text
-	Group     int         `json:"group"`
-	Index     int         `json:"index"` // within the group
-	Text      string      `json:"text,omitempty"`
-	Segments  []Segment   `json:"segments,omitempty"`  // as reported by the engines, in order
-	Upstreams []string    `json:"upstreams,omitempty"` // that produced the sample, in order
-	RequestID string      `json:"request_id,omitempty"`
+	Position  int       `json:"position"`       // from 1
+	Void      bool      `json:"void,omitempty"` // no sample is delivered at this position
+	Group     int       `json:"group"`
+	Index     int       `json:"index"` // within the group
+	Text      string    `json:"text,omitempty"`
+	Segments  []Segment `json:"segments,omitempty"`  // as reported by the engines, in order
+	Upstreams []string  `json:"upstreams,omitempty"` // that produced the sample, in order
+	RequestID string    `json:"request_id,omitempty"`
 }
 
-// OldestVersion returns the oldest weight version of the segments. For a failed sample it
-// returns math.MaxUint64, since a failed sample never becomes stale.
+// OldestVersion returns the oldest weight version of the segments.
 func (s Sample) OldestVersion() uint64 {
-	if s.Failed != result.OK {
-		return math.MaxUint64
-	}
 	var oldest uint64
 	for i, g := range s.Segments {
 		if i == 0 || g.Version < oldest {
--- a/internal/rollout/stream.go
+++ b/internal/rollout/stream.go
@@ -65,13 +65,13 @@
 	}
 }
 
-// Next returns a slot to generate and marks it as running; false if there is none. Until an
-// upstream has generated a token for the prompt of a group, only one sample of the group
-// runs. Otherwise a prompt that crashes upstreams would crash as many of them at once as
-// its group has samples.
-func (s *Stream) Next() (int, bool) {
+// Next returns a slot to generate and marks it as running; false if there is none. Samples
+// start only of groups that allowed accepts. Until an upstream has generated a token for the
+// prompt of a group, only one sample of the group runs. Otherwise a prompt that crashes
+// upstreams would crash as many of them at once as its group has samples.
+func (s *Stream) Next(allowed func(group int) bool) (int, bool) {
 	for i, state := range s.slots {
-		if state == slotWaiting && s.mayStart(i) {
+		if state == slotWaiting && s.mayStart(i) && allowed(i/s.perGroup) {
 			s.slots[i] = slotRunning
 			return i, true
 		}
