Send reward requests again after upstreams crashed under them

Cause: the reward request of a batch item went through the quarantine of callers' requests. Two upstreams that crashed while they ran it blocked it at all daemons for 24 hours. The runner tried it every 150 ms in vain, and the item was aborted at the end of its lifetime.

Change: the proxy neither blocks background requests nor counts their crashes. Items themselves are sent by the batch runner, which has no quarantine.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -62,7 +62,7 @@
 // serve starts the first attempt and handles results, the hedge and the deadline until the
 // request ends.
 func (e *execution) serve(ctx context.Context) (*Answer, error) {
-	if e.proxy.crashes.Blocked(e.fingerprint) {
+	if e.blocked() {
 		return nil, result.New(result.Quarantined, "the request crashed upstreams before")
 	}
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline)
@@ -101,6 +101,12 @@
 	return e.finalResult()
 }
 
+// blocked reports whether the request must not run again because it crashed upstreams. A
+// background request is owed however many upstreams crash under it.
+func (e *execution) blocked() bool {
+	return !e.request.Background && e.proxy.crashes.Blocked(e.fingerprint)
+}
+
 // hedgeDelay returns the time from the start of the request to its hedge. Without a target
 // latency, and on streaming routes, it is the time until the deadline.
 func (e *execution) hedgeDelay() time.Duration {
@@ -149,7 +155,7 @@
 	}
 	if mayHaveRun(a.Err) {
 		e.ran++
-		if connectionLost(a.Err) {
+		if connectionLost(a.Err) && !e.request.Background {
 			e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, a)
 		}
 	} else {
@@ -158,7 +164,7 @@
 	e.recordFailure(a)
 	e.proxy.log.Info("Attempt failed.", "request", e.request.ID, "upstream", a.To.ID, "incarnation", a.To.Incarnation, "silent", a.To.Silent,
 		"status", a.status(), "code", int(result.CodeOf(a.Err)), "ms", time.Since(a.Began).Milliseconds(), "left_ms", time.Until(e.request.Deadline).Milliseconds())
-	if e.proxy.crashes.Blocked(e.fingerprint) {
+	if e.blocked() {
 		return nil, result.New(result.QuarantinedNow, "the request crashed upstreams"), true
 	}
 	if e.mayRetry() && e.startAttempt(ctx) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -23,8 +23,9 @@
 	Body     []byte
 	Deadline time.Time // from the caller's or the route's timeout
 	Routing  uint64    // version of the routing configuration that was used
-	// Background is set if no caller's connection waits for the response. The request is
-	// then not counted as usage.
+	// Background is set if no caller's connection waits for the response: the request belongs
+	// to work that was handed in for later. It is then not counted as usage, and it is not
+	// held to be the cause when upstreams crash under it.
 	Background bool
 }
 
