Try a batch item at every engine before one that hangs gets it again

Cause: an item avoided only the engine of its latest failed attempt. Engines that accept requests and send nothing, as those of a lost machine do, have all slots free and so the lowest cost. With two of them an item went back and forth, 3 s each time, while others had room.

Change: an item counts its failed attempts by engine, and each raises the cost of that engine for it. No engine is excluded: when all have failed as often the choice is as before. An engine that sent nothing within the timeout gets no items for 1 s, as one that could not be reached.

The tests of internal/batch pass with -race.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -26,13 +26,13 @@
 	phase           phase
 	events          []string // data of the events received so far
 	lastEventID     int
-	committedEvents int       // number of events that are committed or queued for a commit
-	versions        []uint64  // weight versions that produced events, in order of appearance
-	failures        int       // attempts answered with 500
-	rewardFailures  int       // reward requests answered with 500
-	avoidUpstream   string    // upstream of the latest attempt that failed or was moved
-	notBefore       time.Time // end of the retry delay
-	startedAt       time.Time // start of the latest attempt
+	committedEvents int            // number of events that are committed or queued for a commit
+	versions        []uint64       // weight versions that produced events, in order of appearance
+	failures        int            // attempts answered with 500
+	rewardFailures  int            // reward requests answered with 500
+	failedAt        map[string]int // attempts that failed or were moved, by upstream
+	notBefore       time.Time      // end of the retry delay
+	startedAt       time.Time      // start of the latest attempt
 }
 
 type phase int
@@ -53,7 +53,7 @@
 			continue
 		}
 		j.unfinishedItems[spec.Group]++
-		it := &item{job: j, spec: spec}
+		it := &item{job: j, spec: spec, failedAt: map[string]int{}}
 		it.restore(open.Partial[spec.ID])
 		j.items = append(j.items, it)
 	}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -16,6 +16,10 @@
 	// slots in use, including that for the new item, times its slowness, which counts as
 	// at least 1. Processing a shared prompt again takes the time of a few tokens.
 	promptReuseBonus = 0.15
+	// failedAttemptCost is added to the cost of an engine for each attempt of the item that
+	// failed there. It exceeds the cost of a full engine of median speed, so that an item is
+	// tried at the other engines first and returns to none before all had it as often.
+	failedAttemptCost = 2
 	// maxSlownessRatio is the slowness above which the cost of an engine is raised by 1,
 	// which is the cost of the last free slot of an engine of median speed. An engine of
 	// median speed with a free slot is therefore preferred.
@@ -139,9 +143,7 @@
 		if e.Slowness > maxSlownessRatio {
 			cost += 1
 		}
-		if e.Upstream.ID == it.avoidUpstream {
-			cost += 2
-		}
+		cost += failedAttemptCost * float64(it.failedAt[e.Upstream.ID])
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -185,7 +185,7 @@
 
 // Delays after failures.
 const (
-	unreachedBackoff = time.Second            // of an engine that could not be reached
+	unreachedBackoff = time.Second            // of an engine that could not be reached or sent nothing
 	busyBackoff      = 100 * time.Millisecond // of an engine that rejected a request
 	itemRetryDelay   = 50 * time.Millisecond  // of an item whose attempt failed
 	rewardRetryDelay = 150 * time.Millisecond // of a reward request that failed
@@ -221,24 +221,24 @@
 	code := result.CodeOf(a.err)
 	s.log.Info("Item attempt failed or was cancelled.", "item", it.spec.ID, "batch", it.job.batch.ID, "upstream", a.engine.ID, "events", it.lastEventID, "ran_ms", now.Sub(a.startedAt).Milliseconds(), "code", int(code), "err", result.From(a.err).Message)
 	switch code {
-	case result.UpstreamUnreached, result.UpstreamMoved:
+	case result.UpstreamUnreached, result.UpstreamMoved, result.UpstreamTimeout:
 		s.backoffUntil[a.engine.ID] = now.Add(unreachedBackoff)
-		it.avoidUpstream = a.engine.ID
+		it.failedAt[a.engine.ID]++
 	case result.UpstreamBusy:
 		s.backoffUntil[a.engine.ID] = now.Add(busyBackoff)
 	case result.SampleRefused:
 		s.abortItem(it, "the upstream rejected it")
 	case result.SampleFailed:
 		it.failures++
-		it.avoidUpstream = a.engine.ID
+		it.failedAt[a.engine.ID]++
 		it.notBefore = now.Add(itemRetryDelay)
 		if it.failures >= max(1, it.job.batch.MaxAttempts) {
 			s.abortItem(it, "it failed at every attempt")
 		}
 	case result.SampleMoved, result.StaleVersion:
-		it.avoidUpstream = a.engine.ID
+		it.failedAt[a.engine.ID]++
 	default:
-		it.avoidUpstream = a.engine.ID
+		it.failedAt[a.engine.ID]++
 		it.notBefore = now.Add(itemRetryDelay)
 	}
 }
