Begin a single-version item anew when its version is lost

Cause: on a route that asks for a single weight version, an item with a partial output was placed only on engines with exactly that version. When those had crashed and the others held newer weights, no engine could ever take it: it waited until the end of its lifetime beside free slots.

Evidence: TestSingleVersionItemBeginsAnewWhenItsVersionIsLost fails without the change: withdrawn: Expected <map[string]int | len:0>: {} to equal {"e1": 1}

Change: the partial output is dropped, and the item placed, when no engine that still announces itself holds its version and none with an older one may load it. While there is such an older one, it waits at most 2 s. It is dropped only when an engine can take the item at once.

Result: the tests of internal/batch pass with -race, among them TestSingleVersionItemResumesOnTheSameVersion as it was.

--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -161,3 +161,45 @@
 		}
 	})
 }
+
+// Guards against an item that is never placed again because the engines with the weight
+// version of its partial output are gone: it must begin anew on an engine with another
+// version, at once if that is newer, else after versionWait. While an engine that announces
+// itself holds the version, the item waits for it.
+func TestSingleVersionItemBeginsAnewWhenItsVersionIsLost(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		name   string
+		silent bool          // the engine with the version is still listed, as silent
+		others uint64        // version of the other engines
+		wait   time.Duration // until the item begins anew
+	}{
+		{name: "withdrawn", others: 5},
+		{name: "silent", silent: true, others: 5},
+		{name: "others are older", others: 3, wait: versionWait},
+	} {
+		scheduler := NewScheduler()
+		j := testJob("j", 1, 1, noon)
+		j.Batch.SingleVersion = true
+		scheduler.Update([]OpenJob{j})
+		it := scheduler.jobs["j"].items[0]
+		it.appendEvent(Event{ID: 1, Data: "x", Version: 4})
+		engines := testEngines(2, 8)
+		engines[0].Versions["m"], engines[1].Versions["m"] = 4, c.others
+		engines[0].BackingOff = true
+		g.Expect(scheduler.Schedule(noon, engines)).To(BeEmpty(), c.name)
+		now := noon.Add(time.Minute)
+		if c.silent {
+			engines[0].Upstream.Silent = true
+		} else {
+			engines = engines[1:]
+		}
+		if c.wait > 0 {
+			g.Expect(scheduler.Schedule(now, engines)).To(BeEmpty(), c.name)
+			now = now.Add(c.wait)
+		}
+		g.Expect(countByEngine(scheduler.Schedule(now, engines))).To(Equal(map[string]int{"e1": 1}), c.name)
+		g.Expect(it.lastEventID).To(BeZero())
+		g.Expect(it.events).To(BeEmpty())
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -11,6 +11,10 @@
 // clocks of successive leaders differ.
 const abortMargin = time.Second
 
+// versionWait is the time for which a partial output waits for an engine to load its weight
+// version.
+const versionWait = 2 * time.Second
+
 // job is an open batch job on the leader.
 type job struct {
 	batch           *state.Batch
@@ -33,6 +37,9 @@
 	failedAt        map[string]int // attempts that failed or were moved, by upstream
 	notBefore       time.Time      // end of the retry delay
 	startedAt       time.Time      // start of the latest attempt
+	// versionMissingSince is the time since which no engine holds the weight version of the
+	// partial output; zero if one does.
+	versionMissingSince time.Time
 }
 
 type phase int
@@ -75,9 +82,11 @@
 	}
 }
 
-// reset discards the partial output, because its weight versions are not allowed.
+// reset discards the partial output, because its weight versions are not allowed or no
+// engine can continue it.
 func (it *item) reset() {
 	it.events, it.versions, it.lastEventID, it.committedEvents = nil, nil, 0, 0
+	it.versionMissingSince = time.Time{}
 }
 
 // restore resumes from the partial output that an earlier leader committed, unless its
@@ -129,6 +138,32 @@
 	return true
 }
 
+// versionLost reports whether the partial output can't be continued: the job asks for a
+// single weight version, no engine that still announces itself holds that of the output,
+// and none with an older one has loaded it within versionWait.
+func (it *item) versionLost(now time.Time, engines []Engine) bool {
+	if !it.job.batch.SingleVersion || len(it.versions) == 0 {
+		return false
+	}
+	mayLoad := false
+	for _, e := range engines {
+		if e.Upstream.Service != it.job.batch.Service || e.Upstream.Silent {
+			continue
+		}
+		switch v := e.Versions[it.spec.Model]; {
+		case v == it.versions[0]:
+			it.versionMissingSince = time.Time{}
+			return false
+		case v < it.versions[0]:
+			mayLoad = true
+		}
+	}
+	if it.versionMissingSince.IsZero() {
+		it.versionMissingSince = now
+	}
+	return !mayLoad || now.Sub(it.versionMissingSince) >= versionWait
+}
+
 // estimatedTokens returns the estimated length of the item: the caller's estimate of the
 // output tokens or, if there is none, the maximum number of tokens of prompt and output.
 func (it *item) estimatedTokens() int {
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -85,12 +85,20 @@
 }
 
 // Schedule assigns items to the free slots of engines and marks these items as running.
-// It counts them in the Running field of the engines passed in.
+// It counts them in the Running field of the engines passed in. An item whose partial output
+// no engine can continue begins anew.
 func (s *Scheduler) Schedule(now time.Time, engines []Engine) []Assignment {
 	readyItems := s.readyItems(now)
 	var out []Assignment
 	for _, it := range readyItems {
 		e := s.pickEngine(now, it, engines)
+		if e == nil && it.versionLost(now, engines) {
+			begun := *it
+			begun.reset()
+			if e = s.pickEngine(now, &begun, engines); e != nil {
+				it.reset()
+			}
+		}
 		if e == nil {
 			continue
 		}
