Let one suspect request have an upstream for itself

Cause: a suspect request runs alone on an upstream that its entry reserves. The other entries heard of it by a notice, and the request was sent without waiting. Traced in a failing run of TestCrashingRequestKillsAtMostTwoUpstreams: the crashing request and another one that had shared its first upstream reserved the same second upstream at two entries within 0.7 ms. It crashed under both, so both were quarantined, the innocent one for its second crash.

Of two reservations of one upstream at the same time the one with the smaller owner holds; the other request takes another upstream.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -112,7 +112,7 @@
 		if record.Blocked() {
 			return quarantinedError(attemptErr)
 		}
-		u, release, ok := d.pickUpstream(req, record.Suspect() || job.Alone && d.mayReserve(job.Service))
+		u, release, ok := d.pickUpstream(ctx, req, record.Suspect() || job.Alone && d.mayReserve(job.Service))
 		if !ok {
 			break
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -66,6 +66,7 @@
 			f.attempts[name] = append(f.attempts[name], id)
 			f.mu.Unlock()
 			w.Header().Set(forward.HeaderRequestID, name)
+			r.Header.Set("X-Upstream", id) // for serve
 			serve(w, r)
 		}))
 		t.Cleanup(s.Close)
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -18,26 +18,43 @@
 	crashProbeInterval = 5 * time.Millisecond
 )
 
+// maxReservations is the number of upstreams that are tried for one attempt of a suspect
+// request, in case other requests reserve them at the same time.
+const maxReservations = 8
+
 // pickUpstream picks an upstream that is not reserved. For a suspect request it prefers one
 // that runs no requests of this entry and reserves it, so that no other requests are sent
 // there meanwhile. It also returns a function that must be called when the attempt has
 // ended. It returns false if no upstream can take the request.
-func (d *Dispatcher) pickUpstream(req picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
-	req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
+func (d *Dispatcher) pickUpstream(ctx context.Context, req picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
 	if !suspect {
+		req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
 		u, ok := d.chooser.Pick(req)
 		return u, func() {}, ok
 	}
+	for range maxReservations {
+		u, ok := d.pickIdle(req)
+		if !ok {
+			break
+		}
+		if release, ok := d.quarantine.Reserve(u.ID); ok {
+			return u, release, true
+		}
+		d.chooser.Release(ctx, u, result.New(result.NoUpstream, "another request has reserved the upstream"))
+	}
+	return upstream.Announcement{}, nil, false
+}
+
+// pickIdle picks an upstream that is not reserved, if possible one that runs no requests of
+// this entry.
+func (d *Dispatcher) pickIdle(req picker.Request) (upstream.Announcement, bool) {
+	req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
 	alone := req
 	alone.Exclude = slices.Concat(req.Exclude, d.chooser.InUse())
-	u, ok := d.chooser.Pick(alone)
-	if !ok {
-		u, ok = d.chooser.Pick(req)
-	}
-	if !ok {
-		return u, nil, false
+	if u, ok := d.chooser.Pick(alone); ok {
+		return u, true
 	}
-	return u, d.quarantine.Reserve(u.ID), true
+	return d.chooser.Pick(req)
 }
 
 // mayReserve reports whether an owed job may reserve an upstream of a service. At most half
--- a/internal/quarantine/notifier.go
+++ b/internal/quarantine/notifier.go
@@ -24,12 +24,15 @@
 }
 
 // Confirm implements Notifier. It returns after Timeout at the latest.
-func (n GroupNotifier) Confirm(method string, params any) {
+func (n GroupNotifier) Confirm(method string, params any) []Ack {
 	ctx, cancel := context.WithTimeout(context.Background(), n.Timeout)
 	defer cancel()
+	others := n.Others()
+	acks := make([]Ack, len(others))
 	var wg sync.WaitGroup
-	for _, a := range n.Others() {
-		wg.Go(func() { _, _ = peer.Call[Ack](ctx, n.Client, a, method, params) })
+	for i, a := range others {
+		wg.Go(func() { acks[i], _ = peer.Call[Ack](ctx, n.Client, a, method, params) })
 	}
 	wg.Wait()
+	return acks
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 )
@@ -25,21 +27,23 @@
 
 // Share contains records and changes of reservations.
 type Share struct {
-	Records []Record `json:"records,omitempty"`
-	Reserve string   `json:"reserve,omitempty"` // upstream to reserve for a suspect request
-	Free    string   `json:"free,omitempty"`    // upstream whose reservation ends
+	Records []Record     `json:"records,omitempty"`
+	Reserve *Reservation `json:"reserve_for,omitempty"`
+	Free    *Reservation `json:"free_of,omitempty"` // reservation that ends
 }
 
 // Ack acknowledges that a Share was applied.
-type Ack struct{}
+type Ack struct {
+	Taken bool `json:"taken,omitempty"` // the upstream to reserve has another reservation
+}
 
 // Notifier sends notices to all other daemons that are up.
 type Notifier interface {
 	// Broadcast sends a notice to all of them without waiting. The notice may be lost.
 	Broadcast(method string, params any)
-	// Confirm calls a method of all of them and waits until all have replied or a
-	// timeout has passed.
-	Confirm(method string, params any)
+	// Confirm calls a method of all of them, waits until all have replied or a timeout has
+	// passed, and returns the replies.
+	Confirm(method string, params any) []Ack
 }
 
 // Table holds the StateMachine of one daemon, and exchanges records with the other
@@ -61,11 +65,8 @@
 
 // Register adds the handlers of MethodShare to s.
 func (t *Table) Register(s *peer.Server) {
-	peer.HandleNotice(s, MethodShare, t.apply)
-	peer.Handle(s, MethodShare, func(_ context.Context, q Share) (Ack, error) {
-		t.apply(q)
-		return Ack{}, nil
-	})
+	peer.HandleNotice(s, MethodShare, func(q Share) { t.apply(q) })
+	peer.Handle(s, MethodShare, func(_ context.Context, q Share) (Ack, error) { return t.apply(q), nil })
 }
 
 // Run sends all live records every shareInterval until ctx ends.
@@ -112,20 +113,43 @@
 	return ok
 }
 
-// Reserve reserves an upstream for a suspect request until the returned function is
-// called.
-func (t *Table) Reserve(upstream string) func() {
+// Reserve reserves an upstream for a suspect request until the returned function is called.
+// It returns false if another request has reserved it. It returns when the other daemons have
+// replied or the notifier has timed out, so that two suspect requests never run there
+// together and are both blamed for a crash.
+func (t *Table) Reserve(upstream string) (free func(), ok bool) {
+	r := Reservation{Upstream: upstream, Owner: uuid.NewString()}
 	t.mu.Lock()
 	t.nonEmpty.Store(true)
-	t.machine.Reserve(t.clock(), upstream)
+	ok = t.machine.Reserve(t.clock(), r)
 	t.mu.Unlock()
-	t.broadcast(Share{Reserve: upstream})
-	return func() {
+	if !ok {
+		return nil, false
+	}
+	free = func() {
 		t.mu.Lock()
-		t.machine.Free(upstream)
+		t.machine.Free(r)
 		t.mu.Unlock()
-		t.broadcast(Share{Free: upstream})
+		t.broadcast(Share{Free: &r})
+	}
+	if t.notifier != nil && !t.confirmReservation(r) {
+		free()
+		return nil, false
+	}
+	return free, true
+}
+
+// confirmReservation tells the other daemons of r. It returns false if one of them knows of
+// another reservation that takes precedence.
+func (t *Table) confirmReservation(r Reservation) bool {
+	for _, a := range t.notifier.Confirm(MethodShare, Share{Reserve: &r}) {
+		if a.Taken {
+			return false
+		}
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.machine.Holds(t.clock(), r)
 }
 
 // Reserved returns the upstreams that are reserved for suspect requests.
@@ -148,19 +172,17 @@
 }
 
 // apply applies a Share of another daemon.
-func (t *Table) apply(s Share) {
+func (t *Table) apply(s Share) Ack {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.nonEmpty.Store(true)
 	for _, r := range s.Records {
 		t.machine.Merge(t.clock(), r)
 	}
-	if s.Reserve != "" {
-		t.machine.Reserve(t.clock(), s.Reserve)
-	}
-	if s.Free != "" {
-		t.machine.Free(s.Free)
+	if s.Free != nil {
+		t.machine.Free(*s.Free)
 	}
+	return Ack{Taken: s.Reserve != nil && !t.machine.MergeReservation(t.clock(), *s.Reserve)}
 }
 
 // broadcast sends s to the other daemons without waiting.
--- a/internal/quarantine/state_machine.go
+++ b/internal/quarantine/state_machine.go
@@ -29,12 +29,12 @@
 // provides the time and the locking.
 type StateMachine struct {
 	records  map[string]Record
-	reserved map[string]time.Time // end of the reservation, by upstream id
+	reserved reservations
 }
 
 // NewStateMachine returns an empty StateMachine.
 func NewStateMachine() *StateMachine {
-	return &StateMachine{records: map[string]Record{}, reserved: map[string]time.Time{}}
+	return &StateMachine{records: map[string]Record{}, reserved: reservations{byUpstream: map[string]reservationState{}}}
 }
 
 // Record returns the record of a request. The record has no crashed upstreams if the
@@ -83,28 +83,29 @@
 	return true
 }
 
-// Reserve reserves an upstream for a suspect request until Free is called or
-// reservationTTL has passed.
-func (m *StateMachine) Reserve(now time.Time, upstream string) {
-	m.reserved[upstream] = now.Add(reservationTTL)
+// Reserve adds a reservation of this daemon. It returns false if the upstream is reserved
+// already.
+func (m *StateMachine) Reserve(now time.Time, r Reservation) bool {
+	return m.reserved.holder(now, r.Upstream) == "" && m.reserved.merge(now, r)
 }
 
-// Free ends the reservation of an upstream.
-func (m *StateMachine) Free(upstream string) { delete(m.reserved, upstream) }
+// MergeReservation adds a reservation of another daemon, see reservations.merge.
+func (m *StateMachine) MergeReservation(now time.Time, r Reservation) bool {
+	return m.reserved.merge(now, r)
+}
 
-// Reserved returns the upstreams that are reserved for suspect requests.
-func (m *StateMachine) Reserved(now time.Time) []string {
-	var out []string
-	for u, until := range m.reserved {
-		if now.After(until) {
-			delete(m.reserved, u)
-			continue
-		}
-		out = append(out, u)
-	}
-	return out
+// Holds reports whether the owner of r has the upstream. A reservation of another daemon
+// may have replaced it.
+func (m *StateMachine) Holds(now time.Time, r Reservation) bool {
+	return m.reserved.holder(now, r.Upstream) == r.Owner
 }
 
+// Free ends a reservation.
+func (m *StateMachine) Free(r Reservation) { m.reserved.free(r) }
+
+// Reserved returns the upstreams that are reserved for suspect requests.
+func (m *StateMachine) Reserved(now time.Time) []string { return m.reserved.list(now) }
+
 // List returns the records that have not expired, oldest first, and removes the others.
 func (m *StateMachine) List(now time.Time) []Record {
 	maps.DeleteFunc(m.records, func(_ string, r Record) bool { return now.Sub(r.Since) > r.ttl() })
--- a/internal/quarantine/state_machine_test.go
+++ b/internal/quarantine/state_machine_test.go
@@ -68,7 +68,7 @@
 	g.Expect(m.Record(now.Add(suspicionTTL+time.Second), "other").Suspect()).To(BeFalse())
 	g.Expect(m.List(now.Add(2 * quarantineTTL))).To(BeEmpty())
 
-	m.Reserve(now, "u1")
+	g.Expect(m.Reserve(now, Reservation{Upstream: "u1", Owner: "b"})).To(BeTrue())
 	g.Expect(m.Reserved(now)).To(Equal([]string{"u1"}))
 	g.Expect(m.Reserved(now.Add(reservationTTL + time.Second))).To(BeEmpty())
 	for i := range maxRecords + 5 {
