Merge the items and samples that stay owed after crashes

A sample of a step, and the reward request of a batch item, is no longer given up because upstreams crashed under it; three more causes for which an item was not placed again.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -18,30 +18,61 @@
 	crashProbeInterval = 5 * time.Millisecond
 )
 
+// maxReservations is the number of upstreams that are tried for one attempt of a suspect
+// request, in case other requests reserve them at the same time.
+const maxReservations = 8
+
 // pickUpstream picks an upstream that is not reserved. For a suspect request it prefers one
 // that runs no requests of this entry and reserves it, so that no other requests are sent
 // there meanwhile. It also returns a function that must be called when the attempt has
 // ended. It returns false if no upstream can take the request.
-func (d *Dispatcher) pickUpstream(req picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
-	req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
+func (d *Dispatcher) pickUpstream(ctx context.Context, req picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
 	if !suspect {
+		req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
 		u, ok := d.chooser.Pick(req)
 		return u, func() {}, ok
 	}
+	for range maxReservations {
+		u, ok := d.pickIdle(req)
+		if !ok {
+			break
+		}
+		if release, ok := d.quarantine.Reserve(u.ID); ok {
+			return u, release, true
+		}
+		d.chooser.Release(ctx, u, result.New(result.NoUpstream, "another request has reserved the upstream"))
+	}
+	return upstream.Announcement{}, nil, false
+}
+
+// pickIdle picks an upstream that is not reserved, if possible one that runs no requests of
+// this entry.
+func (d *Dispatcher) pickIdle(req picker.Request) (upstream.Announcement, bool) {
+	req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
 	alone := req
 	alone.Exclude = slices.Concat(req.Exclude, d.chooser.InUse())
-	u, ok := d.chooser.Pick(alone)
-	if !ok {
-		u, ok = d.chooser.Pick(req)
+	if u, ok := d.chooser.Pick(alone); ok {
+		return u, true
 	}
-	if !ok {
-		return u, nil, false
+	return d.chooser.Pick(req)
+}
+
+// mayReserve reports whether an owed job may reserve an upstream of a service. At most half
+// of them are reserved, so that owed jobs that run alone leave room for other requests.
+func (d *Dispatcher) mayReserve(service string) bool {
+	reserved := d.quarantine.Reserved()
+	all := d.chooser.Upstreams(service)
+	n := 1
+	for _, u := range all {
+		if slices.Contains(reserved, u.ID) {
+			n++
+		}
 	}
-	return u, d.quarantine.Reserve(u.ID), true
+	return 2*n <= len(all)
 }
 
 // detectCrash checks after a failed attempt whether u crashed and, if so, records the crash
-// against job. A response that was cut off does not prove a crash by itself: the upstream
+// against job, or calls OnCrash of an owed job. A response that was cut off does not prove a crash by itself: the upstream
 // must also refuse connections or be listed with a newer incarnation.
 func (d *Dispatcher) detectCrash(ctx context.Context, job Job, u upstream.Announcement, err error) {
 	code := result.CodeOf(err)
@@ -50,18 +81,28 @@
 	}
 	for range crashProbeCount {
 		if upstream.RefusesConnections(u.Address) {
-			d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+			d.recordCrash(job, u)
 			return
 		}
 		time.Sleep(crashProbeInterval)
 	}
 	time.AfterFunc(upstream.RestartCheckDelay, func() {
 		if upstream.RefusesConnections(u.Address) || d.restarted(u) {
-			d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+			d.recordCrash(job, u)
 		}
 	})
 }
 
+// recordCrash records that u crashed while it ran job.
+func (d *Dispatcher) recordCrash(job Job, u upstream.Announcement) {
+	switch {
+	case !job.Owed:
+		d.quarantine.RecordCrash(job.Fingerprint, u.ID, u.Incarnation)
+	case job.OnCrash != nil:
+		job.OnCrash(u)
+	}
+}
+
 // restarted reports whether a newer incarnation of u is listed.
 func (d *Dispatcher) restarted(u upstream.Announcement) bool {
 	for _, a := range d.chooser.Upstreams(u.Service) {
