--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -191,7 +191,8 @@
 
 // sendAppend sends id the entries that it lacks, or a snapshot if they are compacted. A
 // snapshot message is sent without data; the caller fills it in from storage. Only
-// heartbeats are sent while a snapshot or MaxInFlightBytes of entries are in flight.
+// heartbeats are sent while a snapshot or MaxInFlightBytes of entries are in flight, and
+// to a replica that needs a snapshot and isn't recently active.
 // While probing, one append is sent per heartbeat interval unless a reply has arrived.
 func (n *Node) sendAppend(id ID) {
 	p := n.progress[id]
@@ -207,6 +208,13 @@
 	}
 	prev := p.next - 1
 	t, ok := n.log.term(prev)
+	if !ok && !n.recentlyActive(id) {
+		// A snapshot for a replica that doesn't answer would be sent for nothing, and
+		// again and again. A heartbeat shows whether it is back.
+		meta := n.log.snapshot
+		n.send(Message{Kind: MsgAppend, To: id, Index: meta.Index, LogTerm: meta.Term, Commit: n.commit, SentAt: n.now})
+		return
+	}
 	if !ok {
 		meta := n.log.snapshot
 		n.send(Message{Kind: MsgSnapshot, To: id, SentAt: n.now, Snapshot: &Snapshot{Meta: meta}})
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -66,6 +66,10 @@
 	r.log.Info("Control group membership changed.", "change", reason, "term", l.Term, "voters", next.Voters(), "members", len(next))
 }
 
+// loggedCatchUp is the shortest time for which a learner must have lacked entries for a log
+// line. Under load a learner lacks the newest entry at nearly any moment.
+const loggedCatchUp = 500 * time.Millisecond
+
 // logCatchUp logs when a learner that lacked committed entries holds them all: from then
 // on it can replace a lost voter.
 func (r *MembershipReconciler) logCatchUp(now time.Time, view MembershipView) {
@@ -76,7 +80,9 @@
 			r.behind[id] = now
 		case caughtUp && behind:
 			delete(r.behind, id)
-			r.log.Info("Learner has caught up.", "id", id, "voter", m.Voter, "commit", view.Commit, "ms", now.Sub(since).Milliseconds())
+			if took := now.Sub(since); took >= loggedCatchUp {
+				r.log.Info("Learner has caught up.", "id", id, "voter", m.Voter, "commit", view.Commit, "ms", took.Milliseconds())
+			}
 		}
 	}
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -76,7 +76,7 @@
 	retiring      map[consensus.ID]bool // replicas that are being retired; replaced, never changed
 
 	snapshotTransferMu sync.Mutex
-	sendingSnapshotTo  map[string]bool             // by peer address
+	sendingSnapshotTo  map[consensus.ID]bool
 	snapshotTransfers  map[uint64]chan SnapshotAck // being sent, by ID
 	receivedParts      map[consensus.ID][]byte     // of snapshots being received, by sender
 
@@ -132,7 +132,7 @@
 		senderAddresses:  map[consensus.ID]string{},
 		configChanged:    make(chan struct{}),
 		batchChanged:     map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
-		sendingSnapshotTo: map[string]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedParts: map[consensus.ID][]byte{},
+		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedParts: map[consensus.ID][]byte{},
 		done: make(chan struct{}),
 	}
 	r.node = consensus.New(consensus.Config{
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -67,11 +67,11 @@
 }
 
 // sendSnapshot sends the newest snapshot in the background, in parts that it reads from
-// the snapshot file. It does nothing while a snapshot is being sent to the same address.
+// the snapshot file. It does nothing while a snapshot is being sent to the same replica.
 func (r *Replica) sendSnapshot(address string, m consensus.Message) {
 	r.snapshotTransferMu.Lock()
 	defer r.snapshotTransferMu.Unlock()
-	if r.sendingSnapshotTo[address] {
+	if r.sendingSnapshotTo[m.To] {
 		return
 	}
 	f, err := r.disk.OpenSnapshot()
@@ -79,15 +79,15 @@
 		r.log.Error("Failed to open the snapshot file.", "err", err.Error())
 		return
 	}
-	r.sendingSnapshotTo[address] = true
+	r.sendingSnapshotTo[m.To] = true
 	_, size := r.disk.Snapshot()
 	go func() {
 		began := time.Now()
 		n, err := r.sendSnapshotParts(f, size, address, m)
 		f.Close()
-		r.log.Info("Snapshot transfer ended.", "to", address, "index", m.Snapshot.Meta.Index, "bytes", n, "ms", time.Since(began).Milliseconds(), "err", err)
+		r.log.Info("Snapshot transfer ended.", "to", m.To, "address", address, "index", m.Snapshot.Meta.Index, "bytes", n, "ms", time.Since(began).Milliseconds(), "err", err)
 		r.snapshotTransferMu.Lock()
-		delete(r.sendingSnapshotTo, address)
+		delete(r.sendingSnapshotTo, m.To)
 		r.snapshotTransferMu.Unlock()
 		select {
 		case r.tasks <- func() { r.node.SnapshotSent(r.now(), m.To, err == nil) }:
@@ -170,7 +170,7 @@
 		return
 	}
 	ack := SnapshotAck{Transfer: p.Transfer, Received: p.Offset + len(p.Data)}
-	err = r.checkCluster(p.Cluster)
+	err = r.checkSnapshotPart(p)
 	var whole []byte
 	if err == nil {
 		whole, err = r.appendPart(p)
@@ -185,6 +185,18 @@
 	}
 }
 
+// checkSnapshotPart rejects a part of another cluster, and one for a replica that ran at
+// this address before.
+func (r *Replica) checkSnapshotPart(p SnapshotPart) error {
+	if err := r.checkCluster(p.Cluster); err != nil {
+		return err
+	}
+	if id := r.Status().ID; p.Message.To != id {
+		return result.New(result.NotReplica, "the snapshot is for replica %s, not %s", p.Message.To, id)
+	}
+	return nil
+}
+
 // acceptSnapshot decodes a whole snapshot and passes it to the consensus core.
 func (r *Replica) acceptSnapshot(p SnapshotPart, whole []byte) {
 	s, err := storage.DecodeSnapshot("snapshot from "+p.Address, whole)
--- a/internal/control/snapshot_transfer_test.go
+++ b/internal/control/snapshot_transfer_test.go
@@ -30,6 +30,7 @@
 		inbox: make(chan StepNotice, 1), receivedParts: map[consensus.ID][]byte{}, snapshotTransfers: map[uint64]chan SnapshotAck{},
 		done: make(chan struct{}),
 	}
+	r.status.Store(&consensus.Status{ID: "b"})
 	s := peer.NewServer()
 	r.Register(s)
 	go s.Serve(context.Background(), l)
@@ -96,10 +97,15 @@
 func TestSnapshotTransferEndsWithAnErrorWhenRejectedOrUnanswered(t *testing.T) {
 	g := NewWithT(t)
 	from, to := transferReplica(t), transferReplica(t)
+	m := consensus.Message{To: "b", Snapshot: &consensus.Snapshot{}}
+	old := m
+	old.To = "b.lost"
+	_, err := from.sendSnapshotParts(bytes.NewReader(make([]byte, 10)), 10, to.address, old)
+	g.Expect(err).To(MatchError(ContainSubstring("is for replica b.lost, not b")))
 	to.cluster = "another"
-	_, err := from.sendSnapshotParts(bytes.NewReader(make([]byte, 10)), 10, to.address, consensus.Message{Snapshot: &consensus.Snapshot{}})
+	_, err = from.sendSnapshotParts(bytes.NewReader(make([]byte, 10)), 10, to.address, m)
 	g.Expect(err).To(MatchError(ContainSubstring("belongs to cluster another")))
-	_, err = from.sendSnapshotParts(bytes.NewReader(make([]byte, 10)), 10, "127.0.0.1:1", consensus.Message{Snapshot: &consensus.Snapshot{}})
+	_, err = from.sendSnapshotParts(bytes.NewReader(make([]byte, 10)), 10, "127.0.0.1:1", m)
 	g.Expect(err).To(MatchError(errSnapshotStalled))
 }
 
