Leave the description of a successor on another VM alone

Cause: a daemon on a VM that was cut off and replaced renewed its description against that of its successor under the same name, which renewed its own, without end, and each made the other vanish.

Evidence: the test of the review, "keeps the successor of a daemon whose earlier process comes back", failed with 200 renewals where at most 2 are needed.

Change: a description is renewed only against one with the same address.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -98,10 +98,11 @@
 }
 
 // Renew makes this daemon's description newer than the one that makes another daemon
-// reject it. It reports whether the description changed and must be announced.
+// reject it. It reports whether the description changed and must be announced. A
+// description with another address is that of a successor on another VM, which stays.
 func (t *Table) Renew(r Rejection) bool {
 	order := r.Known.compareVersion(t.self)
-	if r.Known.ID != t.self.ID || order < 0 || order == 0 && !r.Ejected {
+	if r.Known.ID != t.self.ID || r.Known.PeerAddress != t.self.PeerAddress || order < 0 || order == 0 && !r.Ejected {
 		return false
 	}
 	if e := r.Known.epoch(); e > t.self.Incarnation {
