--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -72,6 +72,7 @@
 	n.role = Leader
 	n.leader = n.id
 	n.leaderSince = n.now
+	n.recentCommit, n.sampledCommit, n.nextCommitSample = n.commit, n.commit, n.now
 	n.votes, n.rejections = nil, nil
 	n.progress = make(map[ID]*progress, len(n.members))
 	for id := range n.members {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -54,7 +54,8 @@
 	probeSentAt Time // when the newest probe was sent; 0: none since the last rejection
 	// snapshot is the index of the snapshot in flight; 0: none.
 	snapshot       uint64
-	snapshotSentAt Time // when that snapshot was sent
+	snapshotSentAt Time // when that snapshot was sent, or its transfer ended
+	transferring   bool // that snapshot is being transferred
 }
 
 // Node is the state machine of one replica. It isn't safe for concurrent use.
@@ -77,7 +78,12 @@
 	electionAt        Time // when to start an election
 	leaderSince       Time // when this replica became the leader
 	nextHeartbeatAt   Time
-	lastTick          Time // time of the newest tick
+	// recentCommit is what commit was one to two heartbeat intervals ago. Under load no
+	// learner holds the newest committed entry at the very moment at which it is asked.
+	recentCommit     uint64
+	sampledCommit    uint64 // the next value of recentCommit
+	nextCommitSample Time
+	lastTick         Time // time of the newest tick
 	// lastLateTick is the time of the newest tick that came more than half a heartbeat
 	// interval after the tick before it.
 	lastLateTick Time
@@ -151,6 +157,10 @@
 		n.becomeFollower(n.term, "")
 		return
 	}
+	if n.now >= n.nextCommitSample {
+		n.recentCommit, n.sampledCommit = n.sampledCommit, n.commit
+		n.nextCommitSample = n.now + n.cfg.HeartbeatInterval
+	}
 	if n.now >= n.nextHeartbeatAt {
 		n.broadcastAppend()
 	}
@@ -194,8 +204,14 @@
 		return 0, 0, ErrChangeTooLarge
 	}
 	active := 0
+	// A voter that takes the place of a lost one must hold every committed entry, since the
+	// lost one may have counted for its quorum. Other new voters may lack the newest ones.
+	mustHold := n.recentCommit
+	if !n.members.ChangesAtMostOneVoter(next) {
+		mustHold = n.commit
+	}
 	for id, m := range next {
-		if m.Voter && !n.members.IsVoter(id) && !n.caughtUp(id) {
+		if m.Voter && !n.members.IsVoter(id) && !n.caughtUp(id, mustHold) {
 			return 0, 0, ErrNotCaughtUp
 		}
 		if m.Voter && n.recentlyActive(id) {
@@ -217,11 +233,11 @@
 	return id == n.id || p != nil && n.now < p.ackedSentAt+n.cfg.ElectionTimeout
 }
 
-// caughtUp reports whether id has stored every committed entry durably and is recently
+// caughtUp reports whether id has stored the entries up to index i durably and is recently
 // active.
-func (n *Node) caughtUp(id ID) bool {
+func (n *Node) caughtUp(id ID, i uint64) bool {
 	p := n.progress[id]
-	return p != nil && p.match >= n.commit && n.recentlyActive(id)
+	return p != nil && p.match >= i && n.recentlyActive(id)
 }
 
 func (n *Node) appendAsLeader(kind EntryKind, data []byte) Entry {
@@ -277,7 +293,9 @@
 	LastIndex uint64
 	Members   Membership
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
-	Election  ElectionResult
+	// RecentCommit is what Commit was one to two heartbeat intervals ago; leader only.
+	RecentCommit uint64
+	Election     ElectionResult
 }
 
 // Status describes the replica now.
@@ -288,6 +306,7 @@
 		Members: n.members.Clone(), Election: n.election,
 	}
 	if n.role == Leader {
+		s.RecentCommit = n.recentCommit
 		s.Match = make(map[ID]uint64, len(n.progress))
 		for id, p := range n.progress {
 			s.Match[id] = p.match
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if m.Index >= p.snapshot {
-		p.snapshot = 0
+		p.snapshot, p.transferring = 0, false
 	}
 	if p.probing {
 		p.probing, p.next = false, m.Index+1
@@ -142,6 +142,12 @@
 // stepReject moves next back to where the logs may match and starts probing. While
 // probing, only the rejection of the newest probe counts.
 func (n *Node) stepReject(p *progress, m Message) {
+	if p.snapshot != 0 && m.Index == 0 && !p.transferring {
+		// The replica rejected the snapshot, since it came from an earlier term.
+		p.snapshot, p.next = 0, p.match+1
+		n.sendAppend(m.From)
+		return
+	}
 	if p.snapshot != 0 || m.Index < p.match || p.probing && m.Index != p.next-1 {
 		return
 	}
@@ -192,14 +198,14 @@
 // sendAppend sends id the entries that it lacks, or a snapshot if they are compacted. A
 // snapshot message is sent without data; the caller fills it in from storage. Only
 // heartbeats are sent while a snapshot or MaxInFlightBytes of entries are in flight, and
-// to a replica that needs a snapshot and isn't recently active.
+// to a replica that needs a snapshot and isn't recently active or is receiving one.
 // While probing, one append is sent per heartbeat interval unless a reply has arrived.
 func (n *Node) sendAppend(id ID) {
 	p := n.progress[id]
 	if p == nil {
 		return
 	}
-	if p.snapshot != 0 && n.now >= p.snapshotSentAt+n.cfg.SnapshotRetryInterval {
+	if p.snapshot != 0 && !p.transferring && n.now >= p.snapshotSentAt+n.cfg.SnapshotRetryInterval {
 		p.snapshot = 0
 		p.next = p.match + 1
 	}
@@ -208,7 +214,7 @@
 	}
 	prev := p.next - 1
 	t, ok := n.log.term(prev)
-	if !ok && !n.recentlyActive(id) {
+	if !ok && (p.transferring || !n.recentlyActive(id)) {
 		// A snapshot for a replica that doesn't answer would be sent for nothing, and
 		// again and again. A heartbeat shows whether it is back.
 		meta := n.log.snapshot
@@ -239,6 +245,14 @@
 	})
 }
 
+// SnapshotStarted tells the leader that the transfer of the snapshot in flight to id has
+// begun. No snapshot is sent to id until SnapshotSent is called.
+func (n *Node) SnapshotStarted(id ID) {
+	if p := n.progress[id]; p != nil && p.snapshot != 0 {
+		p.transferring = true
+	}
+}
+
 // SnapshotSent tells the leader that the transfer of the snapshot in flight to id has
 // ended. After a successful one the snapshot is sent again only if it isn't acknowledged
 // within SnapshotRetryInterval from now; after a failed one with the next append.
@@ -248,6 +262,7 @@
 	if n.role != Leader || p == nil || p.snapshot == 0 {
 		return
 	}
+	p.transferring = false
 	p.snapshotSentAt = n.now
 	if !ok {
 		p.snapshotSentAt -= n.cfg.SnapshotRetryInterval
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -75,7 +75,7 @@
 func (r *MembershipReconciler) logCatchUp(now time.Time, view MembershipView) {
 	for id, m := range view.Members {
 		since, behind := r.behind[id]
-		switch caughtUp := m.Voter || view.Match[id] >= view.Commit; {
+		switch caughtUp := m.Voter || view.Match[id] >= view.RecentCommit; {
 		case !caughtUp && !behind:
 			r.behind[id] = now
 		case caughtUp && behind:
@@ -90,7 +90,7 @@
 func (r *MembershipReconciler) view(now time.Time) MembershipView {
 	st := r.replica.Status()
 	v := MembershipView{
-		Self: st.ID, Members: st.Members, Match: st.Match, Commit: st.Commit, Live: r.live(),
+		Self: st.ID, Members: st.Members, Match: st.Match, Commit: st.Commit, RecentCommit: st.RecentCommit, Live: r.live(),
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
 	for _, m := range v.Live {
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -21,14 +21,18 @@
 // MembershipView is the input for the next membership change: what the leader knows about
 // the replicas of the control group.
 type MembershipView struct {
-	Self      consensus.ID
-	Members   consensus.Membership
-	Match     map[consensus.ID]uint64 // highest durable index by replica
-	Commit    uint64
-	Live      []consensus.Member             // replicas that announce themselves as running
-	SilentFor map[consensus.ID]time.Duration // time since each member was last live
-	Retiring  map[consensus.ID]bool          // replicas that are being retired
-	Voters    int                            // desired number of voters
+	Self    consensus.ID
+	Members consensus.Membership
+	Match   map[consensus.ID]uint64 // highest durable index by replica
+	Commit  uint64
+	// RecentCommit is what Commit was a short time ago. A learner that holds the entries up
+	// to there may become an additional voter; one that takes over a lost vote must hold
+	// every committed entry.
+	RecentCommit uint64
+	Live         []consensus.Member             // replicas that announce themselves as running
+	SilentFor    map[consensus.ID]time.Duration // time since each member was last live
+	Retiring     map[consensus.ID]bool          // replicas that are being retired
+	Voters       int                            // desired number of voters
 }
 
 // NextChange returns the membership after the next membership change and the reason for
@@ -61,7 +65,7 @@
 // runs at the same address. The learner gets the vote of the old replica, if it had one.
 // The old replica can never run again.
 func (v MembershipView) replaceLostReplica() (consensus.Membership, string, bool) {
-	for _, l := range v.caughtUpLearners() {
+	for _, l := range v.learnersWith(v.Commit) {
 		for _, id := range v.Members.IDs() {
 			old := v.Members[id]
 			if id == l.ID || old.Address != l.Address || v.live(id) {
@@ -91,7 +95,7 @@
 	if healthy >= v.Voters {
 		return nil, "", false
 	}
-	caughtUpLearners := v.caughtUpLearners()
+	caughtUpLearners := v.learnersWith(v.RecentCommit)
 	zones := map[string]int{}
 	for id, m := range v.Members {
 		if m.Voter && !v.shouldLeave(id) {
@@ -112,12 +116,14 @@
 }
 
 // removeOrDemoteVoter acts when there are more voters than desired. It removes a voter
-// that is dead or being retired. If there is none, it makes a surplus voter a learner.
+// that is dead or being retired. If there is none, it makes a surplus voter a learner, but
+// not while a voter does not run: that one may be dead.
 func (v MembershipView) removeOrDemoteVoter() (consensus.Membership, string, bool) {
 	if v.Members.Voters() <= v.Voters {
 		return nil, "", false
 	}
 	var surplus consensus.ID
+	allLive := true
 	for _, id := range v.Members.IDs() {
 		if !v.Members.IsVoter(id) {
 			continue
@@ -127,9 +133,10 @@
 		}
 		if id != v.Self {
 			surplus = id
+			allLive = allLive && v.live(id)
 		}
 	}
-	if surplus == "" {
+	if surplus == "" || !allLive {
 		return nil, "", false
 	}
 	next := v.Members.Clone()
@@ -169,12 +176,12 @@
 	return slices.ContainsFunc(v.Live, func(m consensus.Member) bool { return m.ID == id })
 }
 
-// caughtUpLearners lists the running learners that hold every committed log entry.
-func (v MembershipView) caughtUpLearners() []consensus.Member {
+// learnersWith lists the running learners that hold the log entries up to index i.
+func (v MembershipView) learnersWith(i uint64) []consensus.Member {
 	var out []consensus.Member
 	for _, id := range v.Members.IDs() {
 		m := v.Members[id]
-		if !m.Voter && v.live(id) && v.Match[id] >= v.Commit {
+		if !m.Voter && v.live(id) && v.Match[id] >= i {
 			out = append(out, m)
 		}
 	}
--- a/internal/control/membership_view_test.go
+++ b/internal/control/membership_view_test.go
@@ -20,7 +20,7 @@
 
 func newSimGroup(voters int) *simGroup {
 	g := &simGroup{machine: map[consensus.ID]int{}}
-	g.view = MembershipView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, SilentFor: map[consensus.ID]time.Duration{}, Retiring: map[consensus.ID]bool{}, Voters: voters}
+	g.view = MembershipView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, RecentCommit: 10, SilentFor: map[consensus.ID]time.Duration{}, Retiring: map[consensus.ID]bool{}, Voters: voters}
 	for i := range voters {
 		m := g.member(consensus.ID(fmt.Sprint("r", i)), i)
 		m.Voter = true
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -77,8 +77,8 @@
 
 	snapshotTransferMu sync.Mutex
 	sendingSnapshotTo  map[consensus.ID]bool
-	snapshotTransfers  map[uint64]chan SnapshotAck // being sent, by ID
-	receivedParts      map[consensus.ID][]byte     // of snapshots being received, by sender
+	snapshotTransfers  map[uint64]chan SnapshotAck       // being sent, by ID
+	receivedSnapshots  map[consensus.ID]receivedSnapshot // not complete yet, by sender
 
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
@@ -132,7 +132,7 @@
 		senderAddresses:  map[consensus.ID]string{},
 		configChanged:    make(chan struct{}),
 		batchChanged:     map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
-		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedParts: map[consensus.ID][]byte{},
+		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedSnapshots: map[consensus.ID]receivedSnapshot{},
 		done: make(chan struct{}),
 	}
 	r.node = consensus.New(consensus.Config{
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -80,6 +80,7 @@
 		return
 	}
 	r.sendingSnapshotTo[m.To] = true
+	r.node.SnapshotStarted(m.To)
 	_, size := r.disk.Snapshot()
 	go func() {
 		began := time.Now()
@@ -90,7 +91,7 @@
 		delete(r.sendingSnapshotTo, m.To)
 		r.snapshotTransferMu.Unlock()
 		select {
-		case r.tasks <- func() { r.node.SnapshotSent(r.now(), m.To, err == nil) }:
+		case r.tasks <- func() { r.node.SnapshotSent(r.now(), m.To, err == nil && m.Term == r.node.Status().Term) }:
 		case <-r.done:
 		}
 	}()
@@ -209,25 +210,35 @@
 	r.Step(StepNotice{Cluster: p.Cluster, Address: p.Address, Message: m})
 }
 
+// receivedSnapshot holds the parts of a snapshot that were received so far.
+type receivedSnapshot struct {
+	transfer uint64
+	data     []byte
+}
+
 // appendPart appends a part to those received from the same sender. After the last part
 // it returns the whole snapshot, else nil. It returns BodyMalformed and discards the parts
-// if a part is missing or the snapshot is too large.
+// if a part is missing, belongs to another transfer, or makes the snapshot too large.
 func (r *Replica) appendPart(p SnapshotPart) ([]byte, error) {
 	r.snapshotTransferMu.Lock()
 	defer r.snapshotTransferMu.Unlock()
+	from := p.Message.From
 	if p.Offset == 0 {
-		r.receivedParts[p.Message.From] = make([]byte, 0, min(max(p.Size, 0), maxSnapshotBytes))
+		r.receivedSnapshots[from] = receivedSnapshot{p.Transfer, make([]byte, 0, min(max(p.Size, 0), maxSnapshotBytes))}
+	}
+	received := r.receivedSnapshots[from]
+	if received.transfer != p.Transfer {
+		return nil, result.New(result.BodyMalformed, "the snapshot part at byte %d belongs to another transfer", p.Offset)
 	}
-	received := r.receivedParts[p.Message.From]
-	if len(received) != p.Offset || p.Offset+len(p.Data) > maxSnapshotBytes {
-		delete(r.receivedParts, p.Message.From)
+	if len(received.data) != p.Offset || p.Offset+len(p.Data) > maxSnapshotBytes {
+		delete(r.receivedSnapshots, from)
 		return nil, result.New(result.BodyMalformed, "the snapshot part at byte %d does not continue the received parts or makes the snapshot too large", p.Offset)
 	}
-	received = append(received, p.Data...)
+	received.data = append(received.data, p.Data...)
 	if !p.Last {
-		r.receivedParts[p.Message.From] = received
+		r.receivedSnapshots[from] = received
 		return nil, nil
 	}
-	delete(r.receivedParts, p.Message.From)
-	return received, nil
+	delete(r.receivedSnapshots, from)
+	return received.data, nil
 }
--- a/internal/control/snapshot_test.go
+++ b/internal/control/snapshot_test.go
@@ -11,7 +11,7 @@
 
 func TestSnapshotPartsMustBeContiguous(t *testing.T) {
 	g := NewWithT(t)
-	r := &Replica{receivedParts: map[consensus.ID][]byte{}}
+	r := &Replica{receivedSnapshots: map[consensus.ID]receivedSnapshot{}}
 	part := func(from consensus.ID, offset int, data string, last bool) ([]byte, error) {
 		return r.appendPart(SnapshotPart{Message: consensus.Message{From: from}, Offset: offset, Data: []byte(data), Last: last})
 	}
--- a/internal/control/snapshot_transfer_test.go
+++ b/internal/control/snapshot_transfer_test.go
@@ -27,7 +27,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	r := &Replica{
 		log: log.New(io.Discard), client: peer.NewClient(peer.DialFrom("")), cluster: "c", address: l.Addr().String(),
-		inbox: make(chan StepNotice, 1), receivedParts: map[consensus.ID][]byte{}, snapshotTransfers: map[uint64]chan SnapshotAck{},
+		inbox: make(chan StepNotice, 1), receivedSnapshots: map[consensus.ID]receivedSnapshot{}, snapshotTransfers: map[uint64]chan SnapshotAck{},
 		done: make(chan struct{}),
 	}
 	r.status.Store(&consensus.Status{ID: "b"})
