Make the name of a created data folder durable

Cause: Create synced the folder but not its parent. A loss of power could take the whole folder of a running replica. A founder that is started for the first time again would then vote again under the same identity.

Change: Create syncs each folder that gets a new name. If the folder exists already, a killed Create may have made it, so the parent is synced as well; an error is ignored then, because the parent may belong to somebody else. The simulated disk tracks folders, keeps the order of changes of one name, and a killed process writes nothing more.

--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -5,6 +5,32 @@
 // temporarySuffix ends the name of a file that replaceFile has not completed.
 const temporarySuffix = ".tmp"
 
+// createDir creates dir and its missing parents, and makes their names durable.
+func createDir(fs fileSystem, dir string) error {
+	var changed []string // folders that get a new name
+	for p := dir; p != filepath.Dir(p); p = filepath.Dir(p) {
+		if _, err := fs.readDir(p); err == nil {
+			break
+		}
+		changed = append(changed, filepath.Dir(p))
+	}
+	if err := fs.mkdirAll(dir); err != nil {
+		return err
+	}
+	if len(changed) == 0 {
+		// A killed process may have created dir without syncing its name. If others created
+		// it, this process may lack the right to read the parent.
+		_ = fs.syncDir(filepath.Dir(dir))
+		return nil
+	}
+	for _, p := range changed {
+		if err := fs.syncDir(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeFile atomically replaces the content of path by b and syncs it.
 func writeFile(fs fileSystem, path string, b []byte) error {
 	return replaceFile(fs, path, func(f file) error {
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -32,7 +32,7 @@
 }
 
 func create(fs fileSystem, dir string, id Identity, s consensus.Snapshot) error {
-	if err := fs.mkdirAll(dir); err != nil {
+	if err := createDir(fs, dir); err != nil {
 		return err
 	}
 	if err := removeInterruptedCreate(fs, dir); err != nil {
--- a/internal/storage/power_loss_test.go
+++ b/internal/storage/power_loss_test.go
@@ -169,3 +169,15 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(disk.names).NotTo(HaveKey(snapshotPath("data", 2) + temporarySuffix))
 }
+
+// The folder itself is a name in its parent. Guards against a loss of power that takes a
+// replica's whole folder, after which a founder would start again under the same identity.
+func TestCreatedFolderIsDurable(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	disk.losePower(noName, allMissing)
+	_, l, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(HaveLen(1))
+}
--- a/internal/storage/simulated_disk_test.go
+++ b/internal/storage/simulated_disk_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"io/fs"
@@ -102,6 +103,10 @@
 		}
 	}
 	d.pending = nil
+	maps.DeleteFunc(d.durable, func(path string, _ *simulatedFile) bool {
+		dir := filepath.Dir(path)
+		return dir != "." && d.durable[dir] == nil // the folder is lost
+	})
 	d.names = maps.Clone(d.durable)
 	for _, name := range slices.Sorted(maps.Keys(d.names)) {
 		f := d.names[name]
@@ -150,9 +155,18 @@
 	return nil
 }
 
-func (d *simulatedDisk) mkdirAll(string) error { return nil }
+// mkdirAll creates the name of dir, but not of its parents.
+func (d *simulatedDisk) mkdirAll(dir string) error {
+	if d.names[dir] != nil {
+		return nil
+	}
+	return d.change(nameChange{to: dir, file: &simulatedFile{}})
+}
 
 func (d *simulatedDisk) readDir(dir string) ([]string, error) {
+	if dir != "." && d.names[dir] == nil {
+		return nil, fs.ErrNotExist
+	}
 	var names []string
 	for _, path := range slices.Sorted(maps.Keys(d.names)) {
 		if filepath.Dir(path) == dir {
@@ -195,10 +209,33 @@
 
 func (d *simulatedDisk) remove(path string) error { return d.change(nameChange{from: path}) }
 
-func (d *simulatedDisk) syncDir(string) error {
+func (d *simulatedDisk) syncDir(dir string) error {
 	if err := d.step(opSyncDir); err != nil {
 		return err
 	}
-	d.durable, d.pending = maps.Clone(d.names), nil
+	d.makeDurable(func(c nameChange) bool { return filepath.Dir(cmp.Or(c.to, c.from)) == dir })
 	return nil
 }
+
+// syncCreated makes the name of a created file durable, and the earlier changes of that name.
+func (d *simulatedDisk) syncCreated(f *simulatedFile) {
+	k := slices.IndexFunc(d.pending, func(c nameChange) bool { return c.file == f })
+	if k < 0 {
+		return
+	}
+	created, later := d.pending[k].to, slices.Clone(d.pending[k+1:])
+	d.pending = d.pending[:k+1]
+	d.makeDurable(func(c nameChange) bool { return c.to == created || c.from == created })
+	d.pending = append(d.pending, later...)
+}
+
+// makeDurable makes some of the pending changes of names durable.
+func (d *simulatedDisk) makeDurable(synced func(nameChange) bool) {
+	d.pending = slices.DeleteFunc(d.pending, func(c nameChange) bool {
+		if !synced(c) {
+			return false
+		}
+		c.apply(d.durable)
+		return true
+	})
+}
--- a/internal/storage/simulated_file_test.go
+++ b/internal/storage/simulated_file_test.go
@@ -97,13 +97,13 @@
 
 // Write stores a part of p if the call kills the process or the disk is full.
 func (h *simulatedHandle) Write(p []byte) (int, error) {
+	if h.disk.killed || h.run != h.disk.run {
+		return 0, errKilled
+	}
 	err := h.step(opWrite)
 	if err == nil && h.disk.full {
 		err = errDiskFull
 	}
-	if h.run != h.disk.run {
-		return 0, err
-	}
 	if h.atEnd {
 		h.offset = len(h.file.content)
 	}
@@ -131,13 +131,7 @@
 		return err
 	}
 	h.file.durable, h.file.unsynced = slices.Clone(h.file.content), nil
-	h.disk.pending = slices.DeleteFunc(h.disk.pending, func(c nameChange) bool {
-		if c.file != h.file {
-			return false
-		}
-		c.apply(h.disk.durable)
-		return true
-	})
+	h.disk.syncCreated(h.file)
 	return nil
 }
 
