Test that a flipped bit of a record length is damage

Cause: no test failed when the check for a flipped bit in a header was taken out, because no record of the tests had a length that one bit makes zero.

Change: a record with a body of 256 bytes, with each bit flipped in turn.

--- a/internal/storage/torn_test.go
+++ b/internal/storage/torn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -76,20 +77,38 @@
 	}
 }
 
+// expectDamagedByAnyBit flips each bit of the record at offset in turn.
+func expectDamagedByAnyBit(t *testing.T, file []byte, offset int) {
+	for i := offset; i < len(file); i++ {
+		for bit := byte(1); bit != 0; bit <<= 1 {
+			file[i] ^= bit
+			if s := statusAt(file, offset); s != recordDamaged {
+				t.Fatalf("record at %d with a flipped bit in byte %d: status %d", offset, i, s)
+			}
+			file[i] ^= bit
+		}
+	}
+}
+
 // A flipped bit isn't a missing part, also in the last record. Guards against cutting a
 // record that was acknowledged.
 func TestFlippedBitIsNotTorn(t *testing.T) {
 	g := NewWithT(t)
 	for _, offset := range recordOffsets() {
-		file := fileWithRecord(g, offset)
-		for i := offset; i < len(file); i++ {
-			for bit := byte(1); bit != 0; bit <<= 1 {
-				file[i] ^= bit
-				if s := statusAt(file, offset); s != recordDamaged {
-					t.Fatalf("record at %d with a flipped bit in byte %d: status %d", offset, i, s)
-				}
-				file[i] ^= bit
-			}
-		}
+		expectDamagedByAnyBit(t, fileWithRecord(g, offset), offset)
 	}
 }
+
+// If the length of a body is a power of two, one flipped bit makes it zero. Guards against
+// taking that for a missing start of the header.
+func TestFlippedLengthIsNotTorn(t *testing.T) {
+	g := NewWithT(t)
+	const bodyBytes = 256
+	b, err := encodeRecord(record{Hard: &consensus.HardState{Vote: "v"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	vote := strings.Repeat("v", 1+bodyBytes-(len(b)-recordHeaderBytes))
+	b, err = encodeRecord(record{Hard: &consensus.HardState{Vote: consensus.ID(vote)}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(recordBytes(b)).To(Equal(recordHeaderBytes + bodyBytes))
+	expectDamagedByAnyBit(t, b, 0)
+}
