--- a/internal/storage/interrupted_folder_test.go
+++ b/internal/storage/interrupted_folder_test.go
@@ -24,7 +24,7 @@
 
 // interrupt ends the process, by a loss of power or not.
 func (f *interruptedFolder) interrupt(rt *rapid.T) {
-	f.open = nil
+	f.open, f.disk.full = nil, false
 	if rapid.Bool().Draw(rt, "power loss") {
 		f.disk.loseRandomly()
 		return
@@ -32,8 +32,9 @@
 	f.disk.restart()
 }
 
-// drawKill kills the process during the next call, at random.
-func (f *interruptedFolder) drawKill(rt *rapid.T) {
+// drawFault kills the process during the next call or fills the disk, at random.
+func (f *interruptedFolder) drawFault(rt *rapid.T) {
+	f.disk.full = rapid.IntRange(0, 7).Draw(rt, "full") == 0
 	if rapid.IntRange(0, 3).Draw(rt, "kill") == 0 {
 		f.disk.killAfter(rapid.IntRange(0, maxCallsToKill).Draw(rt, "calls to kill"))
 	}
@@ -41,9 +42,9 @@
 
 // reopen opens the folder, and checks that it is in a possible state.
 func (f *interruptedFolder) reopen(rt *rapid.T, g *WithT) {
-	f.drawKill(rt)
+	f.drawFault(rt)
 	d, l, err := open(f.disk, "data")
-	if errors.Is(err, errKilled) {
+	if errors.Is(err, errKilled) || errors.Is(err, errDiskFull) {
 		f.interrupt(rt)
 		return
 	}
@@ -62,22 +63,23 @@
 func (f *interruptedFolder) call(rt *rapid.T, g *WithT) {
 	m := f.possible[0]
 	c := m.drawCall(rt)
-	f.drawKill(rt)
+	f.drawFault(rt)
 	err := c.call(f.open)
 	f.disk.killAfter(-1)
 	if err == nil {
 		f.possible = []folderState{c.after}
 		return
 	}
-	g.Expect(err).To(MatchError(errKilled))
+	g.Expect(err).To(Or(MatchError(errKilled), MatchError(errDiskFull)))
 	between := folderState{hard: m.hard, snapshot: c.after.snapshot, entries: c.after.entries} // between the two calls of install
 	between.hard.Commit = max(between.hard.Commit, between.snapshot.Meta.Index)
 	f.possible = []folderState{m, c.after, between}
 	f.interrupt(rt)
 }
 
-// Any number of kills and losses of power, also while the folder is opened, must lose
-// nothing that a call stored or that Open returned, and Open must not refuse the folder.
+// Any number of kills, full disks and losses of power, also while the folder is opened, must
+// lose nothing that a call stored or that Open returned, and Open must not refuse the
+// folder.
 func TestFolderSurvivesKillsAndPowerLosses(t *testing.T) {
 	testkit.FixSeed()
 	rapid.Check(t, func(rt *rapid.T) {
