Cut a small torn record that lacks any of its bytes

Cause: the record of a hard state is smaller than a block.

Change: a record whose checksum is wrong is torn if it has a zero where none can have been written, unless one flipped bit makes it intact. A last record of no more than a header is short. The simulated disk loses parts of 8 bytes and more.

Result: TestSmallRecordWithMissingBytesIsTorn, which clears each range of bytes of two records, failed with "body of 60 bytes, record without bytes 1 to 5 Expected 2 to equal 1" (damaged, not torn) and passes now. Every flipped bit is still damage: TestFlippedBitIsNotTorn, TestFlippedLengthIsNotTorn and TestDamagedFileIsReported pass.

--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -48,8 +48,8 @@
 // file. size is the length of the record in bytes.
 func decodeRecord(file []byte, offset int) (r record, size int, status recordStatus) {
 	b := file[offset:]
-	if len(b) < recordHeaderBytes {
-		return record{}, 0, recordTorn
+	if len(b) <= recordHeaderBytes {
+		return record{}, 0, recordTorn // a body is never empty
 	}
 	if !validHeader(b[:recordHeaderBytes]) {
 		return record{}, 0, tornOrDamaged(headerTorn(file, offset) && !containsRecord(b[1:]))
@@ -60,7 +60,7 @@
 	}
 	body := b[recordHeaderBytes:size]
 	if !validBody(b, body) {
-		return record{}, 0, tornOrDamaged(len(b) == size && bodyTorn(body))
+		return record{}, 0, tornOrDamaged(len(b) == size && bodyTorn(b, body))
 	}
 	if json.Unmarshal(body, &r) != nil {
 		return record{}, 0, recordDamaged
--- a/internal/storage/simulated_file_test.go
+++ b/internal/storage/simulated_file_test.go
@@ -11,7 +11,7 @@
 const diskBlockBytes = 512
 
 // minTornBytes is the smallest part of a write that is lost without regard to blocks.
-const minTornBytes = 16
+const minTornBytes = 8
 
 // simulatedFile is a file of a simulatedDisk.
 type simulatedFile struct {
--- a/internal/storage/torn.go
+++ b/internal/storage/torn.go
@@ -1,22 +1,33 @@
 package storage
 
-import "bytes"
+import (
+	"bytes"
+	"encoding/binary"
+)
 
 // A torn write lacks any of its parts: where the file grew, a missing part is cut off or
-// holds zeros. A record is torn if its missing parts can be told from flipped bits: the
-// body is JSON text, which has no zero bytes, and the length of a body is never zero.
+// holds zeros. A record whose checksum is wrong is torn if it has zeros where none can
+// have been written. A flipped bit may also make a byte zero, so a record that one bit
+// makes intact is damaged. The body is JSON text, which has no zero bytes.
 
 const (
 	// blockBytes is the unit in which a disk stores or loses a part of a write.
 	blockBytes = 512
-	// lengthBytes is the size of the first number of a record header.
+	// lengthBytes is the size of the first number of a record header. A length is never 0.
 	lengthBytes = 4
 )
 
-// bodyTorn reports whether a part of a body whose checksum is wrong was never written. One
-// zero byte inside the text may be a flipped bit.
-func bodyTorn(body []byte) bool {
-	return body[0] == 0 || body[len(body)-1] == 0 || bytes.Contains(body, []byte{0, 0})
+// bodyTorn reports whether a part of a body whose checksum is wrong was never written.
+func bodyTorn(header, body []byte) bool {
+	switch zeros := bytes.Count(body, []byte{0}); zeros {
+	case 0:
+		return false
+	case 1:
+		k := bytes.IndexByte(body, 0)
+		return !oneBitFlipped(body, k, k+1, func(b []byte) bool { return validBody(header, b) })
+	default:
+		return true
+	}
 }
 
 // headerTorn reports whether a part of the header at offset, whose checksum is wrong, was
@@ -24,27 +35,42 @@
 func headerTorn(file []byte, offset int) bool {
 	b := file[offset:]
 	header := b[:recordHeaderBytes]
-	if len(b) == recordHeaderBytes && header[recordHeaderBytes-1] == 0 {
+	// If the first bytes of the header are the end of a block that is zero, that block is
+	// missing, even if one bit would make the header valid.
+	n := blockBytes - offset%blockBytes
+	if n <= lengthBytes && allZeros(header[:n]) && !oneBitFlipped(header, n, recordHeaderBytes, validHeader) {
 		return true
 	}
-	if len(b) > recordHeaderBytes && b[recordHeaderBytes] == 0 {
-		return true // the end of the header and the start of the body
+	if oneBitFlipped(header, 0, recordHeaderBytes, validHeader) {
+		return false
 	}
-	if allZeros(header[:lengthBytes]) && !oneBitFlipped(header, 0) {
-		return true // the start of the header
+	return allZeros(header[:lengthBytes]) ||
+		bytes.IndexByte(header[lengthBytes:], 0) >= 0 || // in one of the checksums
+		b[recordHeaderBytes] == 0 || // at the start of the body
+		lengthTorn(b)
+}
+
+// lengthTorn reports whether only the length of the record b lacks some bytes, if the record
+// ends with the file.
+func lengthTorn(b []byte) bool {
+	header := bytes.Clone(b[:recordHeaderBytes])
+	binary.LittleEndian.PutUint32(header, uint32(len(b)-recordHeaderBytes))
+	for i := range lengthBytes {
+		if b[i] != 0 && b[i] != header[i] {
+			return false
+		}
 	}
-	n := blockBytes - offset%blockBytes // bytes of the header in its first block
-	return n <= lengthBytes && allZeros(header[:n]) && !oneBitFlipped(header, n)
+	return validHeader(header)
 }
 
-// oneBitFlipped reports whether one flipped bit at or after byte from explains the wrong
-// checksum of a header.
-func oneBitFlipped(header []byte, from int) bool {
-	b := bytes.Clone(header)
-	for i := from; i < len(b); i++ {
+// oneBitFlipped reports whether one flipped bit in the bytes of b between two offsets
+// explains that b isn't valid.
+func oneBitFlipped(b []byte, from, to int, valid func([]byte) bool) bool {
+	b = bytes.Clone(b)
+	for i := from; i < to; i++ {
 		for bit := byte(1); bit != 0; bit <<= 1 {
 			b[i] ^= bit
-			if validHeader(b) {
+			if valid(b) {
 				return true
 			}
 			b[i] ^= bit
--- a/internal/storage/torn_test.go
+++ b/internal/storage/torn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/bits"
 	"strings"
 	"testing"
 
@@ -77,6 +78,49 @@
 	}
 }
 
+// The record of a hard state is smaller than a block, and any of its bytes may be missing. It
+// is torn unless what is missing is one bit, which may have been flipped. Guards against
+// the same refusal.
+func TestSmallRecordWithMissingBytesIsTorn(t *testing.T) {
+	g := NewWithT(t)
+	for _, bodyBytes := range []int{60, 300} {
+		file := recordOfSize(g, bodyBytes)
+		for from := range file {
+			for to := from + 1; to <= len(file); to++ {
+				torn := clearBytes(file, from, to)
+				expected := recordTorn
+				switch missingBits(file, torn) {
+				case 0:
+					expected = recordIntact
+				case 1:
+					expected = recordDamaged
+				}
+				g.Expect(statusAt(torn, 0)).To(Equal(expected), "body of %d bytes, record without bytes %d to %d", bodyBytes, from, to)
+			}
+		}
+	}
+}
+
+// missingBits returns the number of bits in which two files differ.
+func missingBits(a, b []byte) int {
+	n := 0
+	for i := range a {
+		n += bits.OnesCount8(a[i] ^ b[i])
+	}
+	return n
+}
+
+// recordOfSize returns the record of a hard state whose body has a size.
+func recordOfSize(g *WithT, bodyBytes int) []byte {
+	b, err := encodeRecord(record{Hard: &consensus.HardState{Vote: "v"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	vote := strings.Repeat("@", 1+bodyBytes-(len(b)-recordHeaderBytes)) // one flipped bit makes @ zero
+	b, err = encodeRecord(record{Hard: &consensus.HardState{Vote: consensus.ID(vote)}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b).To(HaveLen(recordHeaderBytes + bodyBytes))
+	return b
+}
+
 // expectDamagedByAnyBit flips each bit of the record at offset in turn.
 func expectDamagedByAnyBit(t *testing.T, file []byte, offset int) {
 	for i := offset; i < len(file); i++ {
@@ -103,12 +147,5 @@
 // taking that for a missing start of the header.
 func TestFlippedLengthIsNotTorn(t *testing.T) {
 	g := NewWithT(t)
-	const bodyBytes = 256
-	b, err := encodeRecord(record{Hard: &consensus.HardState{Vote: "v"}})
-	g.Expect(err).NotTo(HaveOccurred())
-	vote := strings.Repeat("v", 1+bodyBytes-(len(b)-recordHeaderBytes))
-	b, err = encodeRecord(record{Hard: &consensus.HardState{Vote: consensus.ID(vote)}})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(recordBytes(b)).To(Equal(recordHeaderBytes + bodyBytes))
-	expectDamagedByAnyBit(t, b, 0)
+	expectDamagedByAnyBit(t, recordOfSize(g, 256), 0)
 }
