Find the group although no seed runs a replica

Cause: a process without data asked only the seeds for the group, and did not listen until one had answered. Replicas with data looked for other daemons only at the seeds. When the seeds still in use had lost their disks, as after the retirement of one of three and a final fault that takes the disks of the other two, each waited for the others for ever, no replica found another by gossip, and a restarted entry found no replica: it had no configuration, although the survivors had a leader.

Evidence: TestGroupIsFoundAfterDiskLossOfOnlySeed failed: "the seed did not find the group". TestAcknowledgedUpdatesAreReadableAfterFinalFault failed for replaced/0 and /2: "an entry finds no replica 15s after the machines are back".

Change: a process that waits for the group listens and takes part in the gossip, and asks also the replicas that it learns of. The gossip also uses the addresses of the newest known membership as seeds. A daemon answers a call to a method that it does not serve with NotReplica, so that the caller asks another one and counts the call as not run.

--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -54,10 +54,11 @@
 func founderID(address string) consensus.ID { return consensus.ID("f." + address) }
 
 // JoinCluster writes the data folder of a learner of the running control group. It asks
-// the replicas at addresses for the cluster ID until one of them replies or ctx ends.
-func JoinCluster(ctx context.Context, dir, daemon string, client *peer.Client, addresses []string, logger *log.Logger) (storage.Identity, error) {
+// the replicas at the addresses that addresses returns for the cluster ID, until one of
+// them replies or ctx ends.
+func JoinCluster(ctx context.Context, dir, daemon string, client *peer.Client, addresses func() []string, logger *log.Logger) (storage.Identity, error) {
 	for tries := 0; ; tries++ {
-		for _, a := range addresses {
+		for _, a := range addresses() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			reply, err := peer.Call[MembersReply](callCtx, client, a, MethodMembers, MembersRequest{})
 			cancel()
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// madeKnownTo reports whether the gossip of p has reached the running machine m, at one of
+// the addresses of which p knows.
+func (p *simProcess) madeKnownTo(m *simMachine) bool {
+	up := !m.gone && (m.process != nil || m.joining)
+	return up && p.s.connected(p.machine, m) && p.s.now >= max(m.bootAt, p.machine.bootAt)+simSeedRetry
+}
+
 // knowsLeader reports whether the replica can relay a call to the leader.
 func (p *simProcess) knowsLeader() bool {
 	st := p.node.Status()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 func (d *Daemon) buildControl() {
 	d.follower = control.NewFollower(d.sources, d.cfg.FreshnessLease, d.log.WithPrefix("follow"))
 	d.proposer = control.NewProposer(d.replica, d.client, d.replicaAddresses, d.health)
-	d.gossip = member.NewGossip(d.client, d.cfg.Peers, d.self)
+	d.gossip = member.NewGossip(d.client, func() []string { return d.cfg.Peers }, d.self)
 	d.gossip.Register(d.server)
 	d.directory = upstream.NewDirectory(d.gossip)
 	d.directory.Register(d.server)
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -26,7 +26,7 @@
 // Gossip keeps a Table up to date by exchanging messages with the other daemons.
 type Gossip struct {
 	client *peer.Client
-	seeds  []string
+	seeds  func() []string
 	self   func() Daemon
 
 	mu    sync.Mutex
@@ -34,9 +34,9 @@
 	rnd   *rand.Rand
 }
 
-// NewGossip returns a Gossip. It finds the other daemons through the peer addresses in
-// seeds. self returns the current description of this daemon.
-func NewGossip(client *peer.Client, seeds []string, self func() Daemon) *Gossip {
+// NewGossip returns a Gossip. It finds the other daemons through the peer addresses that
+// seeds returns. self returns the current description of this daemon.
+func NewGossip(client *peer.Client, seeds func() []string, self func() Daemon) *Gossip {
 	return &Gossip{
 		client: client, seeds: seeds, self: self, table: NewTable(self()),
 		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -231,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, a := range g.seeds {
+	for _, a := range g.seeds() {
 		if !known[a] {
 			wg.Go(func() { g.pull(ctx, a) })
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,8 @@
 	started  time.Time
 	client   *peer.Client
 	server   *peer.Server
-	replica  *control.Replica // nil without a data folder
-	identity storage.Identity
+	replica  *control.Replica                 // nil without a data folder
+	identity atomic.Pointer[storage.Identity] // zero without a data folder and while joining
 	follower *control.Follower
 	health   *control.Health
 	proposer *control.Proposer
@@ -72,20 +72,22 @@
 // New returns a node; Start runs it. A replica with an empty data folder forms the control
 // group together with the other founders on the first start of the deployment. Otherwise it
 // joins the running group as a learner, which blocks until that group answers or ctx ends.
+// Meanwhile the node listens on its peer address.
 func New(ctx context.Context, cfg Config, deps Dependencies, logger *log.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
 		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), versionTable: weights.NewVersionTable(), demand: map[string]float64{}, versionLag: map[string]uint64{},
 	}
+	n.identity.Store(&storage.Identity{})
+	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
+	n.gossip = member.NewGossip(n.client, n.seeds, n.self)
+	n.gossip.Register(n.server)
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
 			return nil, err
 		}
 	}
-	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health)
-	n.gossip = member.NewGossip(n.client, n.seeds(), n.self)
-	n.gossip.Register(n.server)
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
@@ -104,8 +106,7 @@
 
 // openReplica opens the data folder. It first creates its contents if it is empty.
 func (n *Node) openReplica(ctx context.Context) error {
-	var err error
-	n.replica, n.identity, err = control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	err := n.openFolder()
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
@@ -114,16 +115,44 @@
 		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
 	} else {
 		var id storage.Identity
-		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.seeds(), n.log.WithPrefix("control"))
+		id, err = n.join(ctx)
 		n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
 	}
 	if err != nil {
 		return err
 	}
-	n.replica, n.identity, err = control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	return n.openFolder()
+}
+
+func (n *Node) openFolder() error {
+	replica, id, err := control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	n.replica = replica
+	n.identity.Store(&id)
 	return err
 }
 
+// join writes the data folder of a learner of the running group. Until the group answers,
+// the node takes part in the gossip: replicas that know its address from their membership
+// make themselves known to it, and through it to processes that know only the founders.
+func (n *Node) join(ctx context.Context) (storage.Identity, error) {
+	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
+	if err != nil {
+		return storage.Identity{}, err
+	}
+	server := peer.NewServer()
+	n.gossip.Register(server)
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { server.Serve(ctx, listener) })
+	wg.Go(func() { n.gossip.Run(ctx) })
+	id, err := control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+	cancel()
+	listener.Close()
+	server.Close()
+	wg.Wait()
+	return id, err
+}
+
 func (n *Node) isFounder() bool { return slices.Contains(n.cfg.Founders, n.cfg.PeerAddress) }
 
 // Start listens on the peer address and starts the node's goroutines, which run until ctx
@@ -205,7 +234,7 @@
 func (n *Node) self() member.Daemon {
 	return member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
-		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: string(n.identity.ID),
+		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: string(n.identity.Load().ID),
 		Fresh: n.follower.Fresh(), Draining: n.draining.Load(),
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,9 +11,15 @@
 	"github.com/apricotstream/apricotstream/internal/periodic"
 )
 
-// seeds returns the peer addresses of the founders other than this node.
+// seeds returns the peer addresses through which the gossip finds other daemons: those of
+// the founders and of the last known membership, without this node.
 func (n *Node) seeds() []string {
-	return slices.DeleteFunc(slices.Clone(n.cfg.Founders), func(a string) bool { return a == n.cfg.PeerAddress })
+	seeds := slices.DeleteFunc(slices.Clone(n.cfg.Founders), func(a string) bool { return a == n.cfg.PeerAddress })
+	members := n.follower.Members()
+	for _, id := range members.IDs() {
+		seeds = appendUnique(seeds, members[id].Address, n.cfg.PeerAddress)
+	}
+	return seeds
 }
 
 // replicaAddresses returns the peer addresses of the other replicas: the live ones first,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -110,7 +110,8 @@
 func (s *Server) handleCall(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, params json.RawMessage) {
 	f := s.calls[req.Method]
 	if f == nil {
-		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method})
+		// Replica methods are the only ones that some daemons lack.
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(result.New(result.NotReplica, "this daemon does not serve %s", req.Method)))
 		return
 	}
 	r, err := f(ctx, params)
