Count the silence of a member over changes of the leader

Cause: a new leader knew of no silence and waited another 2 s before it gave the vote of a lost member to another one. A machine that is gone for good, then a loss of power of the leader, and 6 s after the machines were back two more disks: no quorum was left.

Change: every replica records which members it sees live. A member that answers the leader's heartbeats counts as live, and a new leader takes none for dead in its first 0.5 s, since it may have been cut off itself.

The one schedule that still fails, for another cause, is a test of its own and listed.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -295,7 +295,10 @@
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
 	// RecentCommit is what Commit was one to two heartbeat intervals ago; leader only.
 	RecentCommit uint64
-	Election     ElectionResult
+	// Active are the replicas that have answered a heartbeat of the last election timeout;
+	// leader only.
+	Active   []ID
+	Election ElectionResult
 }
 
 // Status describes the replica now.
@@ -310,6 +313,9 @@
 		s.Match = make(map[ID]uint64, len(n.progress))
 		for id, p := range n.progress {
 			s.Match[id] = p.match
+			if n.recentlyActive(id) {
+				s.Active = append(s.Active, id)
+			}
 		}
 	}
 	return s
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -279,17 +279,23 @@
 func (p *simProcess) reconcile() {
 	r := p.reconciler
 	st := p.replica.status.Load()
-	if _, ok := p.node.ReadIndex(p.s.now); !ok || p.changing || st == nil || st.Role != consensus.Leader {
+	if st == nil {
 		return
 	}
-	if st.Term != r.term {
-		r.term, r.lastLive = st.Term, map[consensus.ID]time.Time{}
-	}
 	p.replica.retiring = map[consensus.ID]bool{}
 	for _, id := range p.retired {
 		p.replica.retiring[consensus.ID(id)] = true
 	}
-	view := r.view(simEpoch.Add(p.s.now))
+	now := simEpoch.Add(p.s.now)
+	_, leased := p.node.ReadIndex(p.s.now)
+	leads := leased && st.Role == consensus.Leader
+	if leads && st.Term != r.term {
+		r.beginTerm(now, st.Term)
+	}
+	view := r.view(now)
+	if !leads || p.changing {
+		return
+	}
 	next, reason, ok := view.NextChange()
 	if !ok {
 		return
--- a/internal/control/group_sim_schedule_test.go
+++ b/internal/control/group_sim_schedule_test.go
@@ -269,6 +269,7 @@
 var groupFailedSeeds = map[string][]uint64{
 	"retirement":        {141, 155},
 	"lost, leader down": {92, 103},
+	"random":            {132, 148},
 	"replaced":          {105, 208},
 	"split, two lost":   {60},
 }
@@ -284,13 +285,24 @@
 		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				s := newSimDeployment(seed)
-				s.play(groupSchedules[name])
-				if *groupTrace && s.failure != "" {
-					t.Log(strings.Join(s.trace, "\n"))
-				}
-				NewWithT(t).Expect(s.failure).To(BeEmpty())
+				playGroupSchedule(t, name, seed)
 			})
 		}
 	}
 }
+
+// Guards against a learner that does not catch up because the leader compacts its log
+// during each transfer of a snapshot, so that a lost vote is not replaced in time.
+func TestLearnerCatchesUpWhileLeaderCompacts(t *testing.T) {
+	playGroupSchedule(t, "split, two lost", 31)
+}
+
+func playGroupSchedule(t *testing.T, name string, seed uint64) {
+	t.Helper()
+	s := newSimDeployment(seed)
+	s.play(groupSchedules[name])
+	if *groupTrace && s.failure != "" {
+		t.Log(strings.Join(s.trace, "\n"))
+	}
+	NewWithT(t).Expect(s.failure).To(BeEmpty())
+}
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,7 +22,7 @@
 	live     func() []consensus.Member // replicas that run now
 	voters   func() int                // desired number of voters
 	log      *log.Logger
-	lastLive map[consensus.ID]time.Time // when each member was last live, as seen in term
+	lastLive map[consensus.ID]time.Time // when each member was last live, as seen by this process
 	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
 	term     uint64
 }
@@ -29,7 +30,7 @@
 // NewMembershipReconciler returns a reconciler for the control group of replica. live
 // returns the replicas that run now, and voters the desired number of voters.
 func NewMembershipReconciler(replica *Replica, live func() []consensus.Member, voters func() int, logger *log.Logger) *MembershipReconciler {
-	return &MembershipReconciler{replica: replica, live: live, voters: voters, log: logger}
+	return &MembershipReconciler{replica: replica, live: live, voters: voters, log: logger, lastLive: map[consensus.ID]time.Time{}}
 }
 
 // Run reconciles the membership until ctx ends.
@@ -38,15 +39,16 @@
 }
 
 func (r *MembershipReconciler) reconcile(ctx context.Context) {
+	now := time.Now()
 	l := r.replica.Leadership()
+	if l.Valid() && l.Term != r.term {
+		r.beginTerm(now, l.Term)
+	}
+	view := r.view(now)
 	if !l.Valid() {
 		return
 	}
-	if l.Term != r.term {
-		r.term, r.lastLive, r.behind = l.Term, map[consensus.ID]time.Time{}, map[consensus.ID]time.Time{}
-	}
-	view := r.view(time.Now())
-	r.logCatchUp(time.Now(), view)
+	r.logCatchUp(now, view)
 	next, reason, ok := view.NextChange()
 	if !ok {
 		return
@@ -66,6 +68,20 @@
 	r.log.Info("Control group membership changed.", "change", reason, "term", l.Term, "voters", next.Voters(), "members", len(next))
 }
 
+// newLeaderGrace is the time for which a new leader takes no member for dead. Members that
+// it has not heard of while it was cut off answer its heartbeats meanwhile.
+const newLeaderGrace = 500 * time.Millisecond
+
+// beginTerm prepares the reconciler for a term in which its replica leads.
+func (r *MembershipReconciler) beginTerm(now time.Time, term uint64) {
+	r.term, r.behind = term, map[consensus.ID]time.Time{}
+	for id, t := range r.lastLive {
+		if earliest := now.Add(newLeaderGrace - voterDeadAfter); t.Before(earliest) {
+			r.lastLive[id] = earliest
+		}
+	}
+}
+
 // loggedCatchUp is the shortest time for which a learner must have lacked entries for a log
 // line. Under load a learner lacks the newest entry at nearly any moment.
 const loggedCatchUp = 500 * time.Millisecond
@@ -87,6 +103,9 @@
 	}
 }
 
+// view records which members are live, and returns the input for the next change. It also
+// runs while the replica is not the leader, so that a new leader knows for how long a
+// member has been silent: otherwise a lost voter would stay as long as leaders change.
 func (r *MembershipReconciler) view(now time.Time) MembershipView {
 	st := r.replica.Status()
 	v := MembershipView{
@@ -96,13 +115,20 @@
 	for _, m := range v.Live {
 		r.lastLive[m.ID] = now
 	}
+	for _, id := range st.Active {
+		r.lastLive[id] = now
+	}
 	for id := range st.Members {
 		if _, ok := r.lastLive[id]; !ok {
-			r.lastLive[id] = now // not seen in this term before: wait the full timeout from now
+			r.lastLive[id] = now // not seen before: wait the full timeout from now
 		}
 		if id != st.ID {
 			v.SilentFor[id] = now.Sub(r.lastLive[id])
 		}
 	}
+	maps.DeleteFunc(r.lastLive, func(id consensus.ID, _ time.Time) bool {
+		_, ok := st.Members[id]
+		return !ok
+	})
 	return v
 }
