Let a replica start that was killed while it created its data folder

A process that is killed between the two leaves a folder without an identity. The next start creates the folder again, Create refuses because it is not empty, and the process ends. So does every later start: the machine is lost until somebody empties its folder, although it counts as back.

TestCreateAfterInterruptedCreate failed before with "404 already-exists: data folder ... is not empty".

A folder that was opened has a log and is left alone, also without its identity (TestCreateKeepsFilesOfOthers, which passed before too).

--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 )
 
+// temporarySuffix ends the name of a file that is not completely written.
+const temporarySuffix = ".tmp"
+
 // writeFile atomically replaces the content of path by b and syncs it.
 func writeFile(path string, b []byte) error {
 	return replaceFile(path, func(f *os.File) error {
@@ -16,7 +19,7 @@
 // replaceFile atomically replaces the content of path by what write writes, and syncs it.
 // After a crash the file has either the old or the new content.
 func replaceFile(path string, write func(*os.File) error) error {
-	tmp := path + ".tmp"
+	tmp := path + temporarySuffix
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -24,19 +25,15 @@
 	return crc32.Checksum([]byte(i.Cluster+" "+string(i.ID)), castagnoliTable)
 }
 
-// Create initialises a data folder with an identity and a first snapshot. It returns
-// AlreadyExists if the folder isn't empty.
+// Create initialises a data folder with an identity and a first snapshot. It replaces what
+// an interrupted Create has left and returns AlreadyExists if the folder holds other files.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	names, err := os.ReadDir(dir)
-	if err != nil {
+	if err := removeInterruptedCreate(dir); err != nil {
 		return err
 	}
-	if len(names) > 0 {
-		return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
-	}
 	if err := writeSnapshot(dir, s); err != nil {
 		return err
 	}
@@ -50,6 +47,29 @@
 	return writeFile(filepath.Join(dir, identityFile), b)
 }
 
+// removeInterruptedCreate removes the files of a Create that did not finish: a snapshot and
+// incomplete files. It removes nothing and returns AlreadyExists if there are others. A
+// folder that was opened has a log, so its snapshot stays even without its identity.
+func removeInterruptedCreate(dir string) error {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(f.Name(), temporarySuffix)
+		isSnapshot := strings.HasPrefix(name, "snapshot-") && strings.HasSuffix(name, ".json")
+		if !isSnapshot && f.Name() != identityFile+temporarySuffix {
+			return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
+		}
+	}
+	for _, f := range files {
+		if err := os.Remove(filepath.Join(dir, f.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func readIdentity(dir string) (Identity, error) {
 	var id Identity
 	b, err := os.ReadFile(filepath.Join(dir, identityFile))
