Report a retirement as completed when its end is committed

Cause: the answer to /retire looked at the newest membership in the leader's log, committed or not. When the leader has only appended the removal, the answer already says completed, the retired machine is switched off, and the removal is lost with the leader's disk. The other voters then still count the retired one. With the removal between 6 and 5 voters (quorum 4), the retired machine gone and two disks lost, 3 voters are left: no leader for good.

Change: the status of a replica says whether its membership is still pending, and a retirement is completed only when it isn't. While another change is pending the answer is "running" a little longer.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -273,8 +273,10 @@
 	Commit    uint64
 	Applied   uint64
 	LastIndex uint64
-	Members   Membership
+	Members   Membership    // newest membership in the log, committed or not
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
+	// ChangePending reports whether Members is not known to be committed.
+	ChangePending bool
 }
 
 // Status describes the replica now.
@@ -282,7 +284,7 @@
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
-		Members: n.members.Clone(),
+		Members: n.members.Clone(), ChangePending: n.changePending(),
 	}
 	if n.role == Leader {
 		s.Match = make(map[ID]uint64, len(n.progress))
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -54,7 +54,8 @@
 			return RetireReply{}, err
 		}
 	}
-	return RetireReply{Done: member == ""}, nil
+	// A removal that is not committed may be lost with the leader's disk.
+	return RetireReply{Done: member == "" && !st.ChangePending}, nil
 }
 
 // publishRetiring makes the set of retiring replicas readable outside the loop. It runs
