Move samples away from upstreams that died without closing connections

Cause: an attempt of a sample had no bound when its upstream stopped sending with the connection open, as that of a lost or frozen machine does. Only the detector of stragglers moved such a sample, at most twice, and never one with many tokens. A third such upstream kept the sample, and with it the step, for good.

Change: an attempt of an owed job ends as failed when its upstream has sent no byte for 5 s and is not listed any more; the sample goes on from its tokens at another upstream. Listed upstreams may pause (they may be loading weights), and those that leave gracefully may go on sending. Requests of callers are as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -218,6 +218,29 @@
 	return d.retryBudget(service).TryWithdraw()
 }
 
+// send sends job to u and passes the response to consume. An owed job leaves an upstream
+// that has died without closing its connection.
+func (d *Dispatcher) send(ctx context.Context, job Job, u upstream.Announcement, consume Consumer) error {
+	var watch *silenceWatch
+	if job.Owed {
+		var stop func()
+		ctx, watch, stop = d.watchSilence(ctx, job, u)
+		defer stop()
+	}
+	resp, err := d.forwarder.Send(ctx, u.Address, job.Out)
+	if err == nil {
+		defer resp.Body.Close()
+		if watch != nil {
+			resp.Body = watch.body(resp.Body)
+		}
+		err = consume(resp, u)
+	}
+	if err != nil && context.Cause(ctx) == errSilent {
+		return errSilent
+	}
+	return err
+}
+
 // attempt sends job to u once and passes the response to consume.
 func (d *Dispatcher) attempt(ctx context.Context, job Job, u upstream.Announcement, consume Consumer) error {
 	ctx, span := d.tracer.Start(ctx, "upstream", trace.WithAttributes(
@@ -226,11 +249,7 @@
 	if job.OnAttempt != nil {
 		job.OnAttempt(u)
 	}
-	resp, err := d.forwarder.Send(ctx, u.Address, job.Out)
-	if err == nil {
-		defer resp.Body.Close()
-		err = consume(resp, u)
-	}
+	err := d.send(ctx, job, u, consume)
 	code := result.CodeOf(err)
 	span.SetAttributes(attribute.Int("code", int(code)))
 	d.detectCrash(ctx, job, u, err)
--- a/internal/rollout/crash_test.go
+++ b/internal/rollout/crash_test.go
@@ -33,19 +33,28 @@
 	*simFleet
 	crashes    func(body string) bool
 	crashDelay time.Duration
+	hangs      func(body string) bool // may be nil; the engine is not listed from then on
 
-	mu   sync.Mutex
-	live []upstream.Announcement
+	mu      sync.Mutex
+	live    []upstream.Announcement
+	removed map[string]bool // by id
 }
 
 func (f *restartingFleet) Service(string) []upstream.Announcement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.live)
+	return slices.DeleteFunc(slices.Clone(f.live), func(a upstream.Announcement) bool { return f.removed[a.ID] })
+}
+
+// remove takes an engine off the list.
+func (f *restartingFleet) remove(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removed[fmt.Sprint("e", i)] = true
 }
 
 func newRestartingFleet(t *testing.T, engines int, crashDelay time.Duration, crashes func(body string) bool) *restartingFleet {
-	f := &restartingFleet{simFleet: newSimFleet(t), crashes: crashes, crashDelay: crashDelay}
+	f := &restartingFleet{simFleet: newSimFleet(t), crashes: crashes, crashDelay: crashDelay, removed: map[string]bool{}}
 	f.dispatchTo(f)
 	for i := range engines {
 		f.live = append(f.live, upstream.Announcement{ID: fmt.Sprint("e", i), Service: "s", Concurrency: 8, Version: 1})
@@ -80,6 +89,11 @@
 			crash()
 			panic(http.ErrAbortHandler)
 		}
+		if f.hangs != nil && f.hangs(string(body)) {
+			f.remove(i)
+			<-r.Context().Done()
+			return
+		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		engine.ServeHTTP(w, r)
 	}))
@@ -167,3 +181,25 @@
 	g.Expect(resumed).To(BeNumerically(">", 0))
 	g.Expect(f.simFleet.crashes.Load()).To(BeNumerically(">", 0))
 }
+
+// Guards against a sample that stays for ever on an engine that has died without closing its
+// connections: three engines stop in turn in a sample of one prompt and are not listed any
+// more. The samples must go on at another engine.
+func TestSampleLeavesSilentEngines(t *testing.T) {
+	const burst = 3
+	g := NewWithT(t)
+	var hung atomic.Int32
+	f := newRestartingFleet(t, 5, 0, func(string) bool { return false })
+	f.hangs = func(body string) bool {
+		return strings.Contains(body, crashingPrompt) && hung.Add(1) <= burst
+	}
+	began := time.Now()
+	for _, s := range f.fetchStep(t, 3, 64) {
+		words := strings.Fields(s.Text)
+		g.Expect(s.Tokens()).To(Equal(len(words)))
+		for i, w := range words {
+			g.Expect(w).To(Equal(fmt.Sprintf("t%d@1", i)))
+		}
+	}
+	g.Expect(time.Since(began)).To(BeNumerically("<", 45*time.Second))
+}
