Count the silence of a voter from before the leader's term

Cause: a voter that is gone was replaced after 2 s of silence, counted anew by each leader. With a loss of power of the leader in between, a machine that was replaced at another address still had its vote when two more disks were lost 6 s after the new machine had started: 2 of 5 voters were left for good.

Change: each replica keeps when each member was last live, whether it leads or not. A replica that was cut off may have a list of live daemons that is too short when it becomes the leader; therefore a member that answers the leader's heartbeats counts as live too. Status names these members.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -275,6 +275,9 @@
 	LastIndex uint64
 	Members   Membership
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
+	// Answering holds, on the leader only, the replicas that have answered a heartbeat sent
+	// within the last election timeout.
+	Answering map[ID]bool
 }
 
 // Status describes the replica now.
@@ -286,8 +289,10 @@
 	}
 	if n.role == Leader {
 		s.Match = make(map[ID]uint64, len(n.progress))
+		s.Answering = make(map[ID]bool, len(n.progress))
 		for id, p := range n.progress {
 			s.Match[id] = p.match
+			s.Answering[id] = n.recentlyActive(id)
 		}
 	}
 	return s
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -277,19 +277,17 @@
 
 // reconcile does what MembershipReconciler.reconcile does, in virtual time.
 func (p *simProcess) reconcile() {
-	r := p.reconciler
-	st := p.replica.status.Load()
-	if _, ok := p.node.ReadIndex(p.s.now); !ok || p.changing || st == nil || st.Role != consensus.Leader {
-		return
-	}
-	if st.Term != r.term {
-		r.term, r.lastLive = st.Term, map[consensus.ID]time.Time{}
-	}
 	p.replica.retiring = map[consensus.ID]bool{}
 	for _, id := range p.retired {
 		p.replica.retiring[consensus.ID(id)] = true
 	}
-	view := r.view(simEpoch.Add(p.s.now))
+	if p.replica.status.Load() == nil {
+		return
+	}
+	view := p.reconciler.view(simEpoch.Add(p.s.now))
+	if _, ok := p.node.ReadIndex(p.s.now); !ok || p.changing {
+		return
+	}
 	next, reason, ok := view.NextChange()
 	if !ok {
 		return
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -21,8 +21,7 @@
 	live     func() []consensus.Member // replicas that run now
 	voters   func() int                // desired number of voters
 	log      *log.Logger
-	lastLive map[consensus.ID]time.Time // when each member was last live, as seen in term
-	term     uint64
+	lastLive map[consensus.ID]time.Time // when each member was last live, as seen by this replica
 }
 
 // NewMembershipReconciler returns a reconciler for the control group of replica. live
@@ -38,13 +37,12 @@
 
 func (r *MembershipReconciler) reconcile(ctx context.Context) {
 	l := r.replica.Leadership()
+	// The view is needed at a follower too: the time for which a member was silent counts
+	// from before this replica became the leader.
+	view := r.view(time.Now())
 	if !l.Valid() {
 		return
 	}
-	if l.Term != r.term {
-		r.term, r.lastLive = l.Term, map[consensus.ID]time.Time{}
-	}
-	view := r.view(time.Now())
 	next, reason, ok := view.NextChange()
 	if !ok {
 		return
@@ -70,16 +68,17 @@
 		Self: st.ID, Members: st.Members, Match: st.Match, Commit: st.Commit, Live: r.live(),
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
-	for _, m := range v.Live {
-		r.lastLive[m.ID] = now
-	}
+	lastLive := make(map[consensus.ID]time.Time, len(st.Members))
 	for id := range st.Members {
-		if _, ok := r.lastLive[id]; !ok {
-			r.lastLive[id] = now // not seen in this term before: wait the full timeout from now
+		last, ok := r.lastLive[id]
+		if !ok || st.Answering[id] || v.live(id) {
+			last = now // a member seen for the first time counts as live
 		}
+		lastLive[id] = last
 		if id != st.ID {
-			v.SilentFor[id] = now.Sub(r.lastLive[id])
+			v.SilentFor[id] = now.Sub(last)
 		}
 	}
+	r.lastLive = lastLive
 	return v
 }
