Keep log entries that a running replica still needs

A replica that missed a few entries during a compaction, for example at a restart, got the whole state instead.

Evidence: TestLearnerCatchesUpWhileLeaderCompacts ("what was acknowledged can't be read 15s after the machines are back") and TestLearnersCatchUpWhileTheLogIsCompacted ("no group within 40s") failed.

Change: the log in memory keeps the entries that a replica which answers heartbeats needs after what it holds or is being sent, up to 32 MB; the files are replaced as before. The simulation now tells the core when a transfer begins and ends, and tells transfers apart by replica, as the replica does.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -282,6 +282,13 @@
 	n.log.compact(meta)
 }
 
+// FirstIndex returns the index of the first log entry that is not compacted.
+func (n *Node) FirstIndex() uint64 { return n.log.firstIndex() }
+
+// DataBytes returns the total data size of the log entries from index i up to, but not
+// including, end.
+func (n *Node) DataBytes(i, end uint64) int { return n.log.dataBytes(i, end) }
+
 // Status is a copy of a replica's state.
 type Status struct {
 	ID        ID
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -269,6 +269,20 @@
 	}
 }
 
+// NeededAfter returns the lowest index after which an active replica still needs log
+// entries, so that it need not receive a snapshot, or another one. Replicas that need a
+// snapshot anyway don't count. Without such a replica it returns the last index.
+func (n *Node) NeededAfter() uint64 {
+	needed := n.log.lastIndex()
+	for id, p := range n.progress {
+		held := max(p.match, p.snapshot)
+		if id != n.id && n.recentlyActive(id) && held >= n.log.snapshot.Index {
+			needed = min(needed, held)
+		}
+	}
+	return needed
+}
+
 // advanceCommit advances the commit index to the newest entry that a quorum has stored
 // durably, if that entry is from the current term.
 func (n *Node) advanceCommit() {
--- a/internal/consensus/snapshot_retry_test.go
+++ b/internal/consensus/snapshot_retry_test.go
@@ -47,6 +47,9 @@
 			l.SnapshotSent(now, "b", ok)
 			if !ok {
 				g.Expect(tick(DefaultHeartbeatInterval)).To(Equal(1), "a failed transfer is repeated at once")
+				for range 4 {
+					g.Expect(tick(DefaultHeartbeatInterval)).To(Equal(0), "and only once")
+				}
 				return
 			}
 			resent := 0
--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -69,6 +69,35 @@
 	if err := r.disk.ActivateSnapshot(p.meta, p.size, r.node.EntriesAfter(p.meta.Index)); err != nil {
 		return err
 	}
-	r.node.Compact(p.meta)
+	r.compactTo = p.meta
+	r.compactLog()
 	return nil
 }
+
+// maxRetainedBytes bounds the data of the log entries that are kept in memory although the
+// newest snapshot covers them.
+const maxRetainedBytes = 32 << 20
+
+// compactLog discards the log entries that the newest snapshot covers, apart from those
+// that a running replica still needs. A replica that receives a snapshot would need
+// another one at its end if the entries after it were gone.
+func (r *Replica) compactLog() {
+	if r.compactTo.Index < r.node.FirstIndex() {
+		return // done
+	}
+	r.node.Compact(compactionEnd(r.node, r.compactTo))
+}
+
+// compactionEnd returns the end of the log entries to discard, which is at most that of
+// the snapshot.
+func compactionEnd(n *consensus.Node, snapshot consensus.SnapshotMeta) consensus.SnapshotMeta {
+	needed := n.NeededAfter()
+	if needed >= snapshot.Index || n.DataBytes(needed+1, snapshot.Index+1) > maxRetainedBytes {
+		return snapshot
+	}
+	term, ok := n.TermAt(needed)
+	if !ok {
+		return snapshot
+	}
+	return consensus.SnapshotMeta{Index: needed, Term: term, Members: n.MembersAt(needed)}
+}
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -21,7 +21,7 @@
 	busy       bool
 	inbox      []func()
 	senders    map[consensus.ID]string
-	sendingTo  map[string]bool
+	sendingTo  map[consensus.ID]bool
 	pending    map[uint64]simProposal
 	changing   bool
 	writing    bool // a snapshot
@@ -37,7 +37,7 @@
 }
 
 func newSimProcess(m *simMachine) {
-	p := &simProcess{s: m.s, machine: m, id: m.disk.id, disk: m.disk, senders: map[consensus.ID]string{}, sendingTo: map[string]bool{}, pending: map[uint64]simProposal{}}
+	p := &simProcess{s: m.s, machine: m, id: m.disk.id, disk: m.disk, senders: map[consensus.ID]string{}, sendingTo: map[consensus.ID]bool{}, pending: map[uint64]simProposal{}}
 	m.process = p
 	p.node = consensus.New(consensus.Config{
 		ID: p.id, Hard: p.disk.hard, Snapshot: p.disk.snapshot.Meta, Entries: p.disk.entries,
@@ -87,6 +87,8 @@
 	}
 	p.inbox = nil
 	p.node.Tick(p.s.now)
+	p.replica.node = p.node
+	p.replica.compactLog()
 	for {
 		rd := p.node.Ready()
 		if rd.Empty() {
@@ -172,7 +174,7 @@
 			p.writing = false
 			if meta.Index > p.disk.snapshot.Meta.Index {
 				p.disk.snapshot, p.disk.entries = next, p.node.EntriesAfter(meta.Index)
-				p.node.Compact(meta)
+				p.replica.node, p.replica.compactTo = p.node, meta
 			}
 		})
 	})
@@ -185,10 +187,11 @@
 	}
 	delay := p.s.between(200*time.Microsecond, 3*time.Millisecond)
 	if m.Kind == consensus.MsgSnapshot {
-		if p.sendingTo[address] {
+		if p.sendingTo[m.To] {
 			return
 		}
-		p.sendingTo[address] = true
+		p.sendingTo[m.To] = true
+		p.node.SnapshotStarted(m.To)
 		snapshot := p.disk.snapshot
 		m.Snapshot = &snapshot
 		delay = p.s.between(p.s.transfer/2, p.s.transfer)
@@ -202,13 +205,17 @@
 		process = receiver.process
 	}
 	p.s.after(delay, func() {
+		received := process != nil && process.runs() && p.s.connected(p.machine, receiver)
 		if m.Kind == consensus.MsgSnapshot {
-			delete(p.sendingTo, address)
+			delete(p.sendingTo, m.To)
 			if !p.runs() {
 				return
 			}
+			p.enqueue(func() {
+				p.node.SnapshotSent(p.s.now, m.To, received && m.Term == p.node.Status().Term)
+			})
 		}
-		if process != nil && process.runs() && p.s.connected(p.machine, receiver) {
+		if received {
 			process.enqueue(func() {
 				process.senders[m.From] = p.machine.address
 				process.node.Step(process.s.now, m)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -56,8 +56,9 @@
 	tasks            chan func()
 	preparedSnapshot chan preparedSnapshot
 
-	writingSnapshot bool           // a snapshot is being written in the background
-	snapshotWriter  sync.WaitGroup // the goroutine that writes it
+	writingSnapshot bool                   // a snapshot is being written in the background
+	compactTo       consensus.SnapshotMeta // newest snapshot that replaces log entries; see compactLog
+	snapshotWriter  sync.WaitGroup         // the goroutine that writes it
 
 	pendingProposals   map[uint64]*proposal    // by log index
 	senderAddresses    map[consensus.ID]string // newest address from which each replica sent a message
@@ -163,7 +164,7 @@
 	r.phases.last = clock.Now()
 	for {
 		var err error
-		task := func() {}
+		var task func()
 		select {
 		case <-ctx.Done():
 			r.failPendingProposals()
@@ -171,6 +172,7 @@
 		case p := <-r.preparedSnapshot:
 			task = func() { err = r.activateSnapshot(p) }
 		case <-ticker.C:
+			task = r.compactLog
 		case n := <-r.inbox:
 			task = func() { r.stepCore(n) }
 		case p := <-r.proposals:
