Pass over a learner that does not answer when a vote is given

Cause: the next change took the first learner that was listed as live and had once held enough. One that does not answer the leader is refused each time, and no other learner was tried.

Evidence: TestLearnerThatDoesNotAnswerIsPassedOver failed before: "replica b becomes a voter", where b does not answer.

Change: only replicas that have answered within the last election timeout count with what they hold.

Result: the tests of control that play the membership pass.

--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -109,7 +109,7 @@
 func (r *MembershipReconciler) view(now time.Time) MembershipView {
 	st := r.replica.Status()
 	v := MembershipView{
-		Self: st.ID, Members: st.Members, Match: st.Match, Commit: st.Commit, RecentCommit: st.RecentCommit, Live: r.live(),
+		Self: st.ID, Members: st.Members, Match: map[consensus.ID]uint64{}, Commit: st.Commit, RecentCommit: st.RecentCommit, Live: r.live(),
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
 	for _, m := range v.Live {
@@ -117,6 +117,7 @@
 	}
 	for _, id := range st.Active {
 		r.lastLive[id] = now
+		v.Match[id] = st.Match[id]
 	}
 	for id := range st.Members {
 		if _, ok := r.lastLive[id]; !ok {
