--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -23,7 +23,7 @@
 type MembershipView struct {
 	Self    consensus.ID
 	Members consensus.Membership
-	Match   map[consensus.ID]uint64 // highest durable index by replica
+	Match   map[consensus.ID]uint64 // highest durable index of the replicas that answer
 	Commit  uint64
 	// RecentCommit is what Commit was a short time ago. A learner that holds the entries up
 	// to there may become an additional voter; one that takes over a lost vote must hold
