Measure lifetimes with a time of the group instead of wall clocks

Cause: each command carried the wall-clock time of the leader that proposed it, and lifetimes were the differences of these times. A leader whose clock was wrong, or was set right, made everything older at once.

A command now also carries the time of the group. A replica advances it with its boot clock from the newest command that it knows, so it runs evenly over leaders and restarts; it stands still while the whole group is down, so lifetimes only get longer. Open batch jobs are handed to the runner with a local monotonic time of acceptance. The wall-clock time stays for display and for usage intervals.

--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -42,9 +43,10 @@
 	Done    bool                `json:"done,omitempty"` // the batch job is no longer open; results after Next may remain
 }
 
-// OpenBatch is a batch job whose items may still run. Only the replica's loop may
-// access Ended, Results and Partial of Batch, because they change. The rest is immutable.
+// OpenBatch is a batch job whose items may still run.
 type OpenBatch struct {
+	// Batch is a copy without Results and Partial. Its Accepted is a local time with a
+	// monotonic reading, so that a step of the wall clock does not change its age.
 	Batch  *state.Batch
 	Listed map[string]bool // items with a result
 	// Partial holds the known partial output by item ID.
@@ -124,6 +126,7 @@
 	}
 	return callInLoop(ctx, r, func() []OpenBatch {
 		var out []OpenBatch
+		now, groupNow := time.Now(), r.groupClock.now(clock.Now(), r.wallClock())
 		for _, b := range r.state.Ledger.Batches {
 			if !b.Open() {
 				continue
@@ -136,7 +139,10 @@
 			for id, p := range b.Partial {
 				partial[id] = *p
 			}
-			out = append(out, OpenBatch{Batch: b, Listed: listed, Partial: partial})
+			open := *b
+			open.Accepted = now.Add(-groupNow.Sub(b.Accepted))
+			open.Results, open.Partial = nil, nil
+			out = append(out, OpenBatch{Batch: &open, Listed: listed, Partial: partial})
 		}
 		return out
 	})
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -87,6 +87,8 @@
 	Step    *state.StepView `json:"step,omitempty"`
 	Claim   *state.Claim    `json:"claim,omitempty"`
 	Orders  []state.Order   `json:"orders,omitempty"`
+	// Time is the time of the control group, with which the times of Orders compare.
+	Time time.Time `json:"time,omitzero"`
 	// LastOrder is the Seq of the newest order ever committed.
 	LastOrder uint64               `json:"last_order,omitempty"`
 	Windows   []state.Window       `json:"windows,omitempty"`
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -50,6 +50,9 @@
 	startedAt time.Duration // on the boot clock; origin of the times of node
 	openedAt  time.Duration // on the boot clock; before the data folder was read
 	phases    phaseTimer
+	// wallClock is time.Now; tests set it.
+	wallClock  func() time.Time
+	groupClock groupClock
 
 	inbox            chan StepNotice
 	proposals        chan *proposal
@@ -124,7 +127,7 @@
 	}
 	r := &Replica{
 		log: logger, client: client, cluster: l.Identity.Cluster, address: address,
-		disk: disk, state: st, startedAt: clock.Now(), openedAt: openedAt,
+		disk: disk, state: st, startedAt: clock.Now(), openedAt: openedAt, wallClock: time.Now,
 		inbox:            make(chan StepNotice, 4096),
 		proposals:        make(chan *proposal, 4096),
 		tasks:            make(chan func(), 256),
@@ -140,6 +143,7 @@
 		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	r.groupClock = groupClock{}.advanceTo(st.Ledger.Time, r.startedAt).advanceTo(lastCommandTime(l.Entries), r.startedAt)
 	r.leadership.Store(&Leadership{})
 	logger.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
 		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
@@ -225,7 +229,8 @@
 	if p.change != nil {
 		index, term, err = r.node.ProposeMembers(r.now(), p.change(r.node.Status().Members))
 	} else {
-		p.command.At = time.Now().UTC()
+		wall := r.wallClock().UTC()
+		p.command.At, p.command.GroupTime = wall, r.groupClock.now(clock.Now(), wall)
 		var b []byte
 		if b, err = p.command.Encode(); err == nil {
 			index, term, err = r.node.Propose(r.now(), b)
@@ -292,6 +297,7 @@
 		return err
 	}
 	r.state = st
+	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now())
 	r.changes, r.changeBytes = nil, nil
 	r.bytesSinceSnapshot = 0
 	r.notifyAllBatches()
@@ -326,6 +332,7 @@
 		}
 		before := r.state.Config.Version
 		o = r.state.Apply(c)
+		r.groupClock = r.groupClock.advanceTo(c.Time(), clock.Now())
 		r.notifyBatchReaders(c)
 		if c.RetireMark != nil {
 			r.publishRetiring()
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -179,6 +180,7 @@
 	return callInLoop(ctx, r, func() QueryReply {
 		reply := queryLedger(r.state.Ledger, q)
 		reply.Step = r.state.StepView(q.Step)
+		reply.Time = r.groupClock.now(clock.Now(), r.wallClock())
 		return reply
 	})
 }
--- a/internal/daemon/duty_orders.go
+++ b/internal/daemon/duty_orders.go
@@ -56,7 +56,7 @@
 func (duty *orderDuty) plan(ctx context.Context, r control.QueryReply) control.QueryReply {
 	live := duty.daemon.directory.Live()
 	for name, s := range duty.daemon.follower.Config().Services {
-		in := capacity.Input{Now: time.Now(), Doc: s.Parsed, Live: live, Orders: r.Orders}
+		in := capacity.Input{Now: r.Time, Doc: s.Parsed, Live: live, Orders: r.Orders}
 		decision := capacity.Plan(in, duty.tracker)
 		capacity.PublishMetrics(name, r.Orders)
 		for _, c := range decision.OrderUpdates {
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -24,7 +24,7 @@
 	RunDeadline   time.Duration `json:"run_deadline"` // nanoseconds after Accepted
 	ItemTTL       time.Duration `json:"item_ttl"`     // nanoseconds after Accepted
 	Retention     time.Duration `json:"keep"`         // nanoseconds after Accepted
-	Accepted      time.Time     `json:"accepted"`     // wall-clock time of the leader
+	Accepted      time.Time     `json:"accepted"`     // time of the control group
 	Items         []BatchItem   `json:"items"`
 
 	Ended   bool          `json:"ended,omitempty"`
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -12,8 +12,13 @@
 	// Op identifies the operation. Commands with the same Op are applied once and get
 	// the same outcome. Op is empty for commands that are idempotent by their content.
 	Op string `json:"op,omitempty"`
-	// At is the wall-clock time of the leader when it proposed the command.
+	// At is the wall-clock time of the leader when it proposed the command. It is shown to
+	// people; nothing is measured with it.
 	At time.Time `json:"at"`
+	// GroupTime is the time of the control group when the command was proposed. It advances
+	// evenly over leaders and restarts, whatever happens to their wall clocks. Lifetimes are
+	// measured with it. It is zero in the logs of earlier versions.
+	GroupTime time.Time `json:"group_time,omitzero"`
 
 	AccountCreate *AccountCreate `json:"account_create,omitempty"`
 	AccountRemove *AccountRemove `json:"account_remove,omitempty"`
@@ -83,9 +88,18 @@
 	Account string `json:"account"` // of the key that published the version
 }
 
+// Time returns the time with which lifetimes are measured. Earlier versions measured them
+// with the wall clock.
+func (c Command) Time() time.Time {
+	if c.GroupTime.IsZero() {
+		return c.At
+	}
+	return c.GroupTime
+}
+
 // contentHash returns a hash of c without the time of its proposal.
 func (c Command) contentHash() uint64 {
-	c.At = time.Time{}
+	c.At, c.GroupTime = time.Time{}, time.Time{}
 	b, err := json.Marshal(c)
 	if err != nil {
 		return 0
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -4,6 +4,7 @@
 
 // Ledger is the part of the state that stays on the replicas.
 type Ledger struct {
+	Time       time.Time // of the control group at the newest command
 	Claims     map[ClaimID]Claim
 	ClaimOrder []ClaimID // ordered by first claim, oldest first
 	Steps      map[string]Step
@@ -75,6 +76,7 @@
 
 // ledgerImage is the encoded form of a ledger in a snapshot, without derived fields.
 type ledgerImage struct {
+	Time       time.Time              `json:"time,omitzero"`
 	Claims     []Claim                `json:"claims"`
 	Steps      map[string]Step        `json:"steps"`
 	Orders     map[string]Order       `json:"orders"`
@@ -95,7 +97,7 @@
 
 func (l *Ledger) image() ledgerImage {
 	im := ledgerImage{
-		Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
+		Time: l.Time, Steps: l.Steps, Orders: l.Orders, LastOrder: l.LastOrder, Sources: l.Sources, Pending: l.Pending, Windows: l.Windows,
 		LastWindow: l.LastWindow, LastEnd: l.LastEnd, Ops: l.Ops, OpOrder: l.OpOrder, History: l.History,
 		Batches: l.Batches, Intervals: l.Intervals, Source: l.Source, Retired: l.Retired,
 	}
@@ -108,7 +110,7 @@
 // ledger returns the ledger with the contents of im.
 func (im ledgerImage) ledger() *Ledger {
 	l := &Ledger{
-		Claims: map[ClaimID]Claim{}, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
+		Time: im.Time, Claims: map[ClaimID]Claim{}, Steps: im.Steps, Orders: im.Orders, LastOrder: im.LastOrder, Sources: im.Sources, Pending: im.Pending,
 		Windows: im.Windows, LastWindow: im.LastWindow, LastEnd: im.LastEnd, Ops: im.Ops, OpOrder: im.OpOrder, History: im.History,
 		Batches: im.Batches, Intervals: im.Intervals, Source: im.Source, Retired: im.Retired,
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -55,6 +55,9 @@
 // Apply executes c. A command with a known operation ID is not executed again: it gets
 // the outcome of the first execution, or is rejected if it is a different command.
 func (s *State) Apply(c Command) Outcome {
+	if t := c.Time(); t.After(s.Ledger.Time) {
+		s.Ledger.Time = t
+	}
 	if c.Op != "" {
 		if applied, ok := s.Ledger.Ops[c.Op]; ok {
 			return applied.outcomeFor(c)
@@ -80,29 +83,30 @@
 	if c.IsConfig() {
 		return s.applyConfig(c)
 	}
+	now := s.Ledger.Time
 	switch {
 	case c.ClaimBegin != nil:
-		return s.claimBegin(c.ClaimBegin, c.At)
+		return s.claimBegin(c.ClaimBegin, now)
 	case c.ClaimFinish != nil:
-		return s.claimFinish(c.ClaimFinish, c.At)
+		return s.claimFinish(c.ClaimFinish, now)
 	case c.StepOpen != nil:
-		return s.stepOpen(c.StepOpen, c.At)
+		return s.stepOpen(c.StepOpen, now)
 	case c.StepCommit != nil:
-		return s.stepCommit(c.StepCommit, c.At)
+		return s.stepCommit(c.StepCommit, now)
 	case c.StepAck != nil:
-		return s.stepAck(c.StepAck, c.At)
+		return s.stepAck(c.StepAck, now)
 	case c.StepMove != nil:
-		return s.stepMove(c.StepMove, c.At)
+		return s.stepMove(c.StepMove, now)
 	case c.OrderCreate != nil:
-		return s.orderCreate(c.OrderCreate, c.At)
+		return s.orderCreate(c.OrderCreate, now)
 	case c.OrderUpdate != nil:
-		return s.orderUpdate(c.OrderUpdate, c.At)
+		return s.orderUpdate(c.OrderUpdate, now)
 	case c.UsageDelta != nil:
-		return s.usageDelta(c.UsageDelta, c.At)
+		return s.usageDelta(c.UsageDelta, c.At, now)
 	case c.WindowClose != nil:
-		return s.windowClose(c.WindowClose, c.At)
+		return s.windowClose(c.WindowClose, now)
 	case c.BatchAccept != nil:
-		return s.batchAccept(c.BatchAccept, c.At)
+		return s.batchAccept(c.BatchAccept, now)
 	case c.BatchRecord != nil:
 		return s.batchRecord(c.BatchRecord)
 	case c.BatchEnd != nil:
--- a/internal/state/usage.go
+++ b/internal/state/usage.go
@@ -66,14 +66,16 @@
 // usageKey identifies a usage item when items are merged.
 type usageKey struct{ account, service string }
 
-func (s *State) usageDelta(c *UsageDelta, at time.Time) Outcome {
+// usageDelta adds a delta to the pending usage. wall is the wall-clock time of the leader,
+// which is compared with that of the sender.
+func (s *State) usageDelta(c *UsageDelta, wall, now time.Time) Outcome {
 	if c.Seq <= s.Ledger.Sources[c.Source].Seq {
 		return Outcome{} // resent because the reply was lost
 	}
-	if at.Sub(c.Created) > maxDeltaAge {
+	if wall.Sub(c.Created) > maxDeltaAge {
 		return reject(result.DeltaOld, "the usage delta is too old to tell whether it was counted")
 	}
-	s.Ledger.Sources[c.Source] = UsageSource{Seq: c.Seq, At: at}
+	s.Ledger.Sources[c.Source] = UsageSource{Seq: c.Seq, At: now}
 	s.Ledger.Pending = merge(s.Ledger.Pending, c.Items)
 	return Outcome{}
 }
