Judge the silence of a peer connection with the boot clock

After a clock that was ahead had been set right, a silent connection counted as active for as long as the clock had been ahead, and calls to that daemon timed out instead of opening a new connection; a step back closed a connection that was in use.

No test failed before: a process cannot step its own wall clock. The tests of silent and of busy connections pass as before.

--- a/internal/peer/activity_conn.go
+++ b/internal/peer/activity_conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/apricotstream/apricotstream/internal/clock"
 )
 
 // Timeouts to detect dead connections that were not reset.
@@ -24,22 +26,22 @@
 // activityConn records when bytes last arrived.
 type activityConn struct {
 	net.Conn
-	lastReadUnixNano atomic.Int64
+	lastRead atomic.Int64 // reading of the boot clock in nanoseconds
 }
 
 // Read implements net.Conn.
 func (c *activityConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.lastReadUnixNano.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(clock.Now()))
 	}
 	return n, err
 }
 
 // nothingReadSince reports whether conn is the current connection and nothing has arrived
-// on it since t.
-func (e *endpoint) nothingReadSince(conn *jsonrpc2.Conn, t time.Time) bool {
+// on it since the boot clock showed t.
+func (e *endpoint) nothingReadSince(conn *jsonrpc2.Conn, t time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn == conn && e.activity != nil && e.activity.lastReadUnixNano.Load() < t.UnixNano()
+	return e.conn == conn && e.activity != nil && e.activity.lastRead.Load() < int64(t)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
@@ -198,7 +199,7 @@
 	if err != nil {
 		return r, err
 	}
-	startedAt := time.Now()
+	startedAt := clock.Now()
 	err = conn.Call(ctx, method, params, &r)
 	var rpc *jsonrpc2.Error
 	switch {
@@ -207,7 +208,7 @@
 	case errors.As(err, &rpc):
 		return r, decodeError(err)
 	case ctx.Err() != nil:
-		if time.Since(startedAt) >= minSilence && e.nothingReadSince(conn, startedAt) {
+		if clock.Now()-startedAt >= minSilence && e.nothingReadSince(conn, startedAt) {
 			e.closeConn(conn)
 		}
 		return r, ctx.Err()
