Acknowledge a repeated withdrawal only if the other daemons were told

An upstream whose withdrawal was refused, because the daemon it asked was cut off, got a 200 when it asked that daemon again. The other daemons knew nothing of the withdrawal and went on sending requests.

Cause: withdraw returned at once when its own record said that the incarnation leaves. That record is made by the first attempt, even if that attempt is refused, and also by a notice of another daemon.

A record now says whether this daemon has acknowledged the withdrawal of its incarnation. Only then a repetition is acknowledged without asking the others again; any other one is sent to them, and refused while the daemon is cut off. A draining upstream repeats its heartbeat every second, so the others are still told once for each daemon that it reports to.

--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -39,12 +39,12 @@
 
 // withdraw records that an upstream accepts no more work, and sends this to the other
 // daemons. It returns NotLeader unless this daemon is a replica that has heard from the
-// leader lately: otherwise the others may not have received it. A repeated withdrawal
-// succeeds at once.
+// leader lately: otherwise the others may not have received it. A withdrawal that this
+// daemon has acknowledged before succeeds at once. One that it only knows of is sent again,
+// because the others may not have it.
 func (n *Node) withdraw(a upstream.Announcement) error {
 	a.TTL = announcementTTL.Seconds()
-	known, _ := n.directory.Get(a.ID)
-	if known.Leaving && known.Incarnation == a.Incarnation {
+	if n.directory.Confirmed(a.ID, a.Incarnation) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
@@ -55,6 +55,7 @@
 	if !n.leaderKnown() {
 		return result.NewRetryAfter(result.NotLeader, withdrawRetryAfter, "this daemon is disconnected from the others")
 	}
+	n.directory.MarkConfirmed(a.ID, a.Incarnation)
 	return nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -96,6 +96,20 @@
 	return len(failed)
 }
 
+// MarkConfirmed records that the withdrawal of an incarnation was acknowledged.
+func (d *Directory) MarkConfirmed(id string, incarnation int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.MarkConfirmed(id, incarnation)
+}
+
+// Confirmed reports whether this daemon has acknowledged the withdrawal of an incarnation.
+func (d *Directory) Confirmed(id string, incarnation int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Confirmed(id, incarnation)
+}
+
 // Get returns the newest announcement of an upstream.
 func (d *Directory) Get(id string) (Announcement, bool) {
 	d.mu.Lock()
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -16,6 +16,7 @@
 	a          Announcement
 	expiresAt  time.Time
 	notifiedAt time.Time // when all daemons were last notified
+	confirmed  bool      // the withdrawal of this incarnation was acknowledged to the upstream
 }
 
 // Registry is a pure state machine over announcements. The caller provides the time and
@@ -49,10 +50,25 @@
 	if a.Leaving {
 		until = now.Add(tombstoneTTL)
 	}
-	r.byID[a.ID] = record{a, until, old.notifiedAt}
+	r.byID[a.ID] = record{a, until, old.notifiedAt, old.confirmed && a.Incarnation == old.a.Incarnation}
 	return true
 }
 
+// MarkConfirmed records that the withdrawal of an incarnation was acknowledged to the
+// upstream, so that it need not be sent to the other daemons again.
+func (r *Registry) MarkConfirmed(id string, incarnation int64) {
+	if k, ok := r.byID[id]; ok && k.a.Incarnation == incarnation && k.a.Leaving {
+		k.confirmed = true
+		r.byID[id] = k
+	}
+}
+
+// Confirmed reports whether MarkConfirmed was called for an incarnation.
+func (r *Registry) Confirmed(id string, incarnation int64) bool {
+	k, ok := r.byID[id]
+	return ok && k.a.Incarnation == incarnation && k.confirmed
+}
+
 // ShouldNotify reports whether the other daemons need a: it differs in more than the
 // load, or their record expires soon. It must be called before Record.
 func (r *Registry) ShouldNotify(now time.Time, a Announcement) bool {
