Apply a withdrawal by id alone to the incarnation that each daemon knows

An upstream that sent only the call that removes its id, to a daemon that did not know it yet, got a 200 and went on getting requests from the other daemons.

Cause: such a daemon, just started, sends the withdrawal with incarnation 0. The others confirmed it and ignored it as older than the incarnation that they know.

The call of a withdrawal now applies to the known incarnation if it names none. Announcements of an exchange do not: there the record of such a withdrawal may be older than a new incarnation.

The test was first written against Record, which is what the handler of the call used: it failed (not recorded, the upstream stays known). It passes now: go test -race -run TestWithdrawalWithoutIncarnation ./internal/upstream

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,6 +44,9 @@
 		if a.ID == "" {
 			return Confirmed{}, result.New(result.BodyMalformed, "announcement has no id")
 		}
+		d.mu.Lock()
+		a = d.registry.Withdrawal(a)
+		d.mu.Unlock()
 		d.record(a, true)
 		return Confirmed{}, nil
 	})
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -54,6 +54,18 @@
 	return true
 }
 
+// Withdrawal returns the withdrawal to record for a, which another daemon sends. One
+// without an incarnation comes from a daemon that does not know the upstream, and applies to
+// the current incarnation. It must not be used for announcements of an exchange, where such
+// a record may be older than the current incarnation.
+func (r *Registry) Withdrawal(a Announcement) Announcement {
+	if known, ok := r.Get(a.ID); ok && a.Incarnation == 0 {
+		a = known
+	}
+	a.Leaving = true
+	return a
+}
+
 // MarkConfirmed records that the withdrawal of an incarnation was acknowledged to the
 // upstream, so that it need not be sent to the other daemons again.
 func (r *Registry) MarkConfirmed(id string, incarnation int64) {
--- a/internal/upstream/registry_test.go
+++ b/internal/upstream/registry_test.go
@@ -54,3 +54,20 @@
 	g.Expect(r.Known(later)[0].Silent).To(BeTrue())
 	g.Expect(r.Known(now.Add(time.Minute))).To(BeEmpty())
 }
+
+// Guards against a withdrawal by id alone that has no effect: a daemon that does not know
+// the upstream, because it has just started, sends it to daemons that do.
+func TestWithdrawalWithoutIncarnationAppliesToTheKnownOne(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	r := NewRegistry()
+	r.Record(now, newAnnouncement("a", 5, 7))
+	byID := Announcement{ID: "a", TTL: 2, Leaving: true}
+	g.Expect(r.Record(now, byID)).To(BeFalse(), "in an exchange it may be older than the current incarnation")
+	g.Expect(r.Record(now, r.Withdrawal(byID))).To(BeTrue())
+	g.Expect(r.Known(now)).To(BeEmpty())
+	g.Expect(r.Record(now, newAnnouncement("a", 5, 8))).To(BeTrue())
+	g.Expect(r.Known(now)).To(BeEmpty(), "a late announcement does not revive the upstream")
+	g.Expect(r.Record(now, newAnnouncement("a", 6, 1))).To(BeTrue())
+	g.Expect(r.Known(now)).To(HaveLen(1), "the withdrawal does not affect the next incarnation")
+}
