Tell callers of a service without upstreams to come back after a heartbeat

When the last upstream of a service left, callers were rejected at once, but were told to come back after 200 ms. That is the time in which a full upstream gets a free slot; without any upstream they came back in vain, up to five times a second.

Another upstream is known from its first heartbeat on, and heartbeats come about every second. Retry-After is now 1 s while no upstream of the service is listed, also if the last one left during the request, and stays 200 ms otherwise.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -74,7 +74,7 @@
 		}
 	}()
 	if !e.startAttempt(ctx) {
-		return nil, result.NewRetryAfter(result.NoUpstream, retryAfter, "no upstream of %s can take the request", e.request.Service)
+		return nil, result.NewRetryAfter(result.NoUpstream, e.retryAfter(), "no upstream of %s can take the request", e.request.Service)
 	}
 	hedge := time.NewTimer(e.hedgeDelay())
 	defer hedge.Stop()
@@ -208,11 +208,19 @@
 	}
 	failure := result.From(e.bestFailure.Err)
 	if !mayHaveRun(failure) {
-		return nil, result.NewRetryAfter(result.NoUpstream, retryAfter, "no upstream of %s accepted the request: %s", e.request.Service, failure.Message)
+		return nil, result.NewRetryAfter(result.NoUpstream, e.retryAfter(), "no upstream of %s accepted the request: %s", e.request.Service, failure.Message)
 	}
 	return nil, e.bestFailure.Err
 }
 
+// retryAfter returns the delay after which an upstream may take the request.
+func (e *execution) retryAfter() time.Duration {
+	if len(e.proxy.chooser.Upstreams(e.request.Service)) == 0 {
+		return unlistedRetryAfter
+	}
+	return retryAfter
+}
+
 // contextError returns the error of a request whose deadline has passed or whose caller has
 // disconnected.
 func (e *execution) contextError(ctx context.Context) error {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,10 +27,14 @@
 	hedgeDelayShare = 0.55
 	// minHedgeDelay keeps a short target latency from doubling every request.
 	minHedgeDelay = 40 * time.Millisecond
-	// retryAfter is the delay that callers are told to wait when upstreams are full or
-	// missing. It is about the time that an upstream takes to respond, so that a
-	// concurrency slot is free by then.
+	// retryAfter is the delay that callers are told to wait when upstreams are full. It is
+	// about the time that an upstream takes to respond, so that a concurrency slot is free
+	// by then.
 	retryAfter = 200 * time.Millisecond
+	// unlistedRetryAfter is the delay when the service has no upstream, for example because
+	// the last one leaves. Another one is known from its first heartbeat on, and heartbeats
+	// come about every second.
+	unlistedRetryAfter = time.Second
 )
 
 // Proxy sends callers' requests to upstreams for one daemon.
