Explain a rejection with what happened to the upstreams of its service

For a request that was rejected because its service had no upstream, `explain` showed no change of state of any upstream: it shows those of the upstreams that the request was sent to, and this one was sent to none.

For such a request it now shows the changes of the upstreams of its service at that process. Requests that were sent to an upstream are explained as before.

--- a/internal/explain/context_filter.go
+++ b/internal/explain/context_filter.go
@@ -7,12 +7,14 @@
 
 // contextFilter selects the state changes that may explain what happened to an id: those of
 // its batch job, and those in the processes that wrote the matched lines. Of the latter it
-// omits the state changes of upstreams that were not involved.
+// omits the state changes of upstreams that were not involved. For a request that was sent
+// to no upstream, those of its service are involved.
 type contextFilter struct {
 	id          string
 	from, until time.Time
 	sources     []string
 	upstreams   []string
+	services    []string // of requests that were sent to no upstream
 	batchID     string
 }
 
@@ -26,6 +28,9 @@
 		if u := l.Get("upstream"); u != "" {
 			f.upstreams = append(f.upstreams, u)
 		}
+		if service := l.Get("service"); service != "" && l.Get("tried") == noneTried {
+			f.services = append(f.services, service)
+		}
 		if b := l.Get("batch"); b != "" && b != id {
 			f.batchID = b
 		}
@@ -48,5 +53,8 @@
 		return false
 	}
 	u := l.Get("upstream")
-	return u == "" || slices.Contains(f.upstreams, u)
+	return u == "" || slices.Contains(f.upstreams, u) || slices.Contains(f.services, l.Get("service"))
 }
+
+// noneTried is the value of the field "tried" of a request that was sent to no upstream.
+const noneTried = "[]"
--- a/internal/explain/search_test.go
+++ b/internal/explain/search_test.go
@@ -87,3 +87,24 @@
 		}
 	})
 }
+
+// Guards against a rejected request whose cause is not shown: its service had no upstream
+// left because the last one said in the answer to another request that it leaves.
+func TestSearchShowsTheDepartureThatLeftNoUpstream(t *testing.T) {
+	g := NewWithT(t)
+	entry := testLog("entry", `time=2026-12-04T02:00:01.000Z level=info msg="Upstream says that it leaves." upstream=i-1 service=s1 incarnation=5 answered=r1 status=200 before=ready
+time=2026-12-04T02:00:01.100Z level=info msg="Upstream says that it leaves." upstream=i-2 service=s2 incarnation=5 answered=r9 status=200 before=ready
+time=2026-12-04T02:00:02.000Z level=warn prefix=proxy msg="Request failed." request=r2 service=s1 code=203 class="not run" tried=[] ms=0
+time=2026-12-04T02:00:02.500Z level=warn prefix=proxy msg="Request failed." request=r3 service=s1 code=206 class=unknown tried=[i-3] ms=9
+`)
+	s, err := Search([]Log{entry}, "r2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Context).To(HaveLen(1))
+	g.Expect(s.Context[0].Get("upstream")).To(Equal("i-1"))
+	s, err = Search([]Log{entry}, "r3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Context).To(BeEmpty(), "it was sent to another upstream")
+	s, err = Search([]Log{entry}, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Matched).To(HaveLen(1), "the request whose answer said it")
+}
