Cut an event that has no end

What callers saw: nothing yet; a server in trouble may send bytes without end until the caller closes.

Cause: readEvents bounded a line, not an event, and nothing bounded the lines that it skips (comments, empty lines, events without an id or without data), which took processor time until the watchdog of the attempt.

--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -14,9 +14,9 @@
 	// maxBatchWait is the longest time that a read waits for a result. It is below
 	// callTimeout and relayTimeout, so that a read that waits does not exceed them.
 	maxBatchWait = 400 * time.Millisecond
-	// maxResultBytes bounds the results in one reply, which must stay under the 1 MB
+	// MaxResultBytes bounds the results in one reply, which must stay under the 1 MB
 	// that readers accept.
-	maxResultBytes = 900_000
+	MaxResultBytes = 900_000
 	// resultOverheadBytes is the allowance for the field names and the weight versions
 	// of one result.
 	resultOverheadBytes = 200
@@ -107,7 +107,7 @@
 	for reply.Next < len(b.Results) {
 		res := b.Results[reply.Next]
 		size += len(res.Text) + len(res.Item) + resultOverheadBytes
-		if size > maxResultBytes && len(reply.Results) > 0 {
+		if size > MaxResultBytes && len(reply.Results) > 0 {
 			break
 		}
 		reply.Results = append(reply.Results, res)
--- /dev/null
+++ b/internal/overlong/overlong.go
@@ -0,0 +1,25 @@
+// Package overlong counts the answers that were cut because they exceeded a bound.
+package overlong
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/apricotstream/apricotstream/internal/result"
+)
+
+// Kind is the part of an answer that exceeded its bound.
+type Kind string
+
+// Kinds, the values of the label of the counter.
+const (
+	Event Kind = "event" // an event of a stream, with the lines that are skipped before it
+)
+
+// Cut counts an answer that is cut and returns the error that says so. An upstream whose
+// answer has no end is in trouble: what it sent is no answer, and the request may have run.
+func Cut(k Kind, format string, args ...any) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf("apricotstream_answers_cut_total{kind=%q}", k)).Inc()
+	return result.New(result.AnswerCut, format, args...)
+}
