Bound the output of a batch item

What callers saw: nothing yet; a server in trouble may send valid events without end.

Cause: nothing bounded the events or the text of an item, though the item says its tokens, and a page of results holds 1 MB.

Change: an item has at most as many events as tokens (an event has at least one), and 256 bytes of text for each token, at most a page of results; items with few or no tokens count as 1,024 tokens. The attempt that exceeds this is cancelled with AnswerCut, which closes the connection. All its events are dropped: the upstream does not keep to the request, and nothing tells its sound events from the others. Progress of it that was committed is replaced at once, so that the next leader does not resume from it. Events of earlier attempts are kept and the item resumes after the last of them; the third such attempt in a row without a new event means that they may themselves be at fault, and the item begins anew. The attempt counts as failed on that upstream, and the upstream gets no items for a second. Kinds item_events and item_bytes of apricotstream_answers_cut_total count this; the log line is that of a failed attempt.

TestValidEventsWithoutEndAreCut failed before: 65,536 events of 1 KB, all that the fake sent, were committed as the result of an item of 2,000 tokens. Now the item has the 20 sound events of another engine, after one attempt at the engine in trouble, which was cut at 512,000 bytes. Run: go test -race ./internal/batch.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -30,8 +30,13 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc // cancels the attempt with the given cause
 
-	mu             sync.Mutex
-	events         []Event
+	limit    outputLimit // of the whole item
+	earlier  int         // events of earlier attempts
+	mu       sync.Mutex
+	events   []Event
+	bytes    int   // of the item's text, including the events of earlier attempts
+	overlong error // set when the limit was exceeded; the attempt has no events then
+
 	firstEventAt   time.Time
 	reportedEvents int       // events that progress has returned so far, without the first
 	reportedAt     time.Time // time of the latest progress call, or of the first event
@@ -41,7 +46,7 @@
 
 func newAttempt(ctx context.Context, it *item, engine upstream.Announcement) *attempt {
 	b := it.job.batch
-	a := &attempt{item: it, engine: engine, startedAt: time.Now()}
+	a := &attempt{item: it, engine: engine, startedAt: time.Now(), limit: limitOf(it.spec), earlier: len(it.events), bytes: textBytes(it.events)}
 	a.request = GenerateRequest{
 		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body,
 		LastEventID: it.lastEventID, Priority: batchPriority, Deadline: it.job.expiresAt(),
@@ -55,7 +60,7 @@
 const batchPriority = 5
 
 // run generates the item and sets err. It cancels the attempt with UpstreamTimeout when no
-// event arrives in time. If the generation fails after the attempt was cancelled, err is the
+// event arrives in time, and with AnswerCut when the output exceeds its limit. If the generation fails after the attempt was cancelled, err is the
 // cause of the cancellation.
 func (a *attempt) run(engines Engines) {
 	defer a.cancel(nil)
@@ -70,12 +75,27 @@
 	if cause := context.Cause(a.ctx); err != nil && cause != nil {
 		err = cause
 	}
+	if a.overlong != nil {
+		err = a.overlong // also when the stream ended before the cancellation took effect
+	}
 	a.err = err
 }
 
+// appendEvent keeps an event. If the output of the item exceeds its limit, the upstream
+// does not keep to the request, and nothing tells its sound events from the others: the
+// attempt is cancelled and all its events are dropped.
 func (a *attempt) appendEvent(e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.overlong != nil {
+		return
+	}
+	a.bytes += len(e.Data) + 1
+	if a.overlong = a.limit.check(a.earlier+len(a.events)+1, a.bytes); a.overlong != nil {
+		a.events = nil
+		a.cancel(a.overlong)
+		return
+	}
 	if len(a.events) == 0 {
 		a.firstEventAt = time.Now()
 		a.reportedAt = a.firstEventAt
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -32,6 +32,7 @@
 	lastEventID     int
 	committedEvents int            // number of events that are committed or queued for a commit
 	versions        []uint64       // weight versions that produced events, in order of appearance
+	overlong        int            // attempts since the latest event that exceeded the limit of the output
 	failures        int            // attempts answered with 500
 	rewardFailures  int            // reward requests answered with 500
 	failedAt        map[string]int // attempts that failed or were moved, by upstream
@@ -77,6 +78,7 @@
 func (it *item) appendEvent(e Event) {
 	it.events = append(it.events, e.Data)
 	it.lastEventID = e.ID
+	it.overlong = 0
 	if !slices.Contains(it.versions, e.Version) {
 		it.versions = append(it.versions, e.Version)
 	}
@@ -87,14 +89,39 @@
 func (it *item) reset() {
 	it.events, it.versions, it.lastEventID, it.committedEvents = nil, nil, 0, 0
 	it.versionMissingSince = time.Time{}
+	it.overlong = 0
+}
+
+// maxOverlongAttempts is the number of attempts in a row whose output exceeds the limit
+// after which an item begins anew. Two upstreams in trouble do not cost it its output.
+const maxOverlongAttempts = 3
+
+// dropOverlong handles an attempt whose output exceeded its limit. Its events are dropped;
+// those of earlier attempts are kept, so that the item resumes after the last of them.
+// After maxOverlongAttempts they may themselves be what exceeds the limit, and the item
+// begins anew. It returns the progress that replaces dropped events which were committed,
+// or nil.
+func (it *item) dropOverlong() *state.BatchProgress {
+	committed := it.committedEvents
+	if it.overlong++; it.overlong >= maxOverlongAttempts {
+		it.reset()
+	}
+	if committed <= len(it.events) {
+		return nil
+	}
+	it.committedEvents = len(it.events)
+	return &state.BatchProgress{
+		Batch: it.job.batch.ID, Item: it.spec.ID,
+		Partial: state.Partial{Events: slices.Clone(it.events), LastID: it.lastEventID, Versions: slices.Clone(it.versions)},
+	}
 }
 
 // restore resumes from the partial output that an earlier leader committed, unless its
-// weight versions are not allowed.
+// weight versions are not allowed or it exceeds its limit.
 func (it *item) restore(p state.Partial) {
 	it.events, it.versions = slices.Clone(p.Events), slices.Clone(p.Versions)
 	it.lastEventID, it.committedEvents = p.LastID, len(p.Events)
-	if !it.versionsAllowed() {
+	if !it.versionsAllowed() || limitOf(it.spec).exceeded(len(it.events), textBytes(it.events)) {
 		it.reset()
 	}
 }
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -186,6 +186,7 @@
 // Delays after failures.
 const (
 	unreachedBackoff = time.Second            // of an engine that could not be reached or sent nothing
+	overlongBackoff  = time.Second            // of an engine whose output exceeded its limit
 	busyBackoff      = 100 * time.Millisecond // of an engine that rejected a request
 	itemRetryDelay   = 50 * time.Millisecond  // of an item whose attempt failed
 	rewardRetryDelay = 150 * time.Millisecond // of a reward request that failed
@@ -219,6 +220,12 @@
 	}
 	it.phase = phaseWaiting
 	code := result.CodeOf(a.err)
+	if a.overlong != nil {
+		if p := it.dropOverlong(); p != nil {
+			s.resultCommitter.add(pendingRecord{progress: p})
+		}
+		s.backoffUntil[a.engine.ID] = now.Add(overlongBackoff)
+	}
 	s.log.Info("Item attempt failed or was cancelled.", "item", it.spec.ID, "batch", it.job.batch.ID, "upstream", a.engine.ID, "events", it.lastEventID, "ran_ms", now.Sub(a.startedAt).Milliseconds(), "code", int(code), "err", result.From(a.err).Message)
 	switch code {
 	case result.UpstreamUnreached, result.UpstreamMoved, result.UpstreamTimeout:
--- a/internal/overlong/overlong.go
+++ b/internal/overlong/overlong.go
@@ -14,7 +14,9 @@
 
 // Kinds, the values of the label of the counter.
 const (
-	Event Kind = "event" // an event of a stream, with the lines that are skipped before it
+	Event      Kind = "event"       // an event of a stream, with the lines that are skipped before it
+	ItemEvents Kind = "item_events" // the number of events of a batch item
+	ItemBytes  Kind = "item_bytes"  // the data of the events of a batch item
 )
 
 // Cut counts an answer that is cut and returns the error that says so. An upstream whose
