Write the last log record again before a reopened folder trusts it

Seen: nothing by a caller yet. A folder that is opened again after a failed sync returned the record whose sync had failed. The replica would then acknowledge it, and a loss of power would lose it.

Cause: after a failed sync common systems keep the pages in their cache and take them for stored. The process reads them back, and the next sync does nothing. Open relied on such a sync.

Change: Open writes the bytes of the last record of the newest log again, in place, before it syncs. Only the last record can be affected, because a write error is final for an open folder. The bytes are the same, so a loss of power during the write cannot harm a record that was durable; no new space is needed where files are overwritten in place.

The simulated disk now has syncs that fail: they store nothing, processes go on reading the writes, and the next sync does not repeat them. It still stores the length of the file, which is not a page. Its full disk now refuses a write only if the file would grow, because overwriting in place needs no space; all other writes of the package go to the end of a file, so nothing else changes.

Measured: TestRecordReadBackAfterFailedSyncIsDurable and, with failed syncs drawn, TestFolderSurvivesKillsAndPowerLosses (after 11 schedules) failed before.

--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,6 +1,9 @@
 package storage
 
-import "path/filepath"
+import (
+	"io"
+	"path/filepath"
+)
 
 // temporarySuffix ends the name of a file that replaceFile has not completed.
 const temporarySuffix = ".tmp"
@@ -74,12 +77,24 @@
 	return f.Truncate(size)
 }
 
-// syncFile makes the content of a file durable, including what earlier processes wrote.
-func syncFile(fs fileSystem, path string) error {
-	f, err := fs.openAppend(path)
+// syncFrom writes the bytes of a file from offset on again, in place, and syncs the file. A
+// plain sync may store nothing: after a failed sync the system keeps what it could not
+// store in its cache and takes it for stored.
+func syncFrom(fs fileSystem, path string, offset int64) error {
+	b, err := fs.readFile(path)
+	if err != nil {
+		return err
+	}
+	f, err := fs.openWrite(path)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
+	if _, err := f.Seek(offset, io.SeekStart); err != nil {
+		return err
+	}
+	if _, err := f.Write(b[offset:]); err != nil {
+		return err
+	}
 	return f.Sync()
 }
--- a/internal/storage/file_system.go
+++ b/internal/storage/file_system.go
@@ -12,6 +12,8 @@
 	open(path string) (io.ReadCloser, error)
 	// create opens an empty file for writing and replaces an existing one.
 	create(path string) (file, error)
+	// openWrite opens an existing file for writing at its start.
+	openWrite(path string) (file, error)
 	// openAppend opens a file whose writes go to its end, and creates it if needed.
 	openAppend(path string) (file, error)
 	rename(from, to string) error
--- a/internal/storage/interrupted_folder_test.go
+++ b/internal/storage/interrupted_folder_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 	"pgregory.net/rapid"
 
 	"github.com/apricotstream/apricotstream/internal/testkit"
@@ -24,7 +25,7 @@
 
 // interrupt ends the process, by a loss of power or not.
 func (f *interruptedFolder) interrupt(rt *rapid.T) {
-	f.open, f.disk.full = nil, false
+	f.open, f.disk.full, f.disk.failSync = nil, false, false
 	if rapid.Bool().Draw(rt, "power loss") {
 		f.disk.loseRandomly()
 		return
@@ -32,8 +33,15 @@
 	f.disk.restart()
 }
 
-// drawFault kills the process during the next call or fills the disk, at random.
+// fault is what an interrupted call returns.
+func fault() types.GomegaMatcher {
+	return Or(MatchError(errKilled), MatchError(errDiskFull), MatchError(errSyncFailed))
+}
+
+// drawFault kills the process during the next call, fills the disk or lets its syncs fail,
+// at random.
 func (f *interruptedFolder) drawFault(rt *rapid.T) {
+	f.disk.failSync = rapid.IntRange(0, 7).Draw(rt, "sync fails") == 0
 	f.disk.full = rapid.IntRange(0, 7).Draw(rt, "full") == 0
 	if rapid.IntRange(0, 3).Draw(rt, "kill") == 0 {
 		f.disk.killAfter(rapid.IntRange(0, maxCallsToKill).Draw(rt, "calls to kill"))
@@ -44,7 +52,7 @@
 func (f *interruptedFolder) reopen(rt *rapid.T, g *WithT) {
 	f.drawFault(rt)
 	d, l, err := open(f.disk, "data")
-	if errors.Is(err, errKilled) || errors.Is(err, errDiskFull) {
+	if errors.Is(err, errKilled) || errors.Is(err, errDiskFull) || errors.Is(err, errSyncFailed) {
 		f.interrupt(rt)
 		return
 	}
@@ -70,14 +78,14 @@
 		f.possible = []folderState{c.after}
 		return
 	}
-	g.Expect(err).To(Or(MatchError(errKilled), MatchError(errDiskFull)))
+	g.Expect(err).To(fault())
 	between := folderState{hard: m.hard, snapshot: c.after.snapshot, entries: c.after.entries} // between the two calls of install
 	between.hard.Commit = max(between.hard.Commit, between.snapshot.Meta.Index)
 	f.possible = []folderState{m, c.after, between}
 	f.interrupt(rt)
 }
 
-// Any number of kills, full disks and losses of power, also while the folder is opened, must
+// Any number of kills, full disks, failed syncs and losses of power, also while the folder is opened, must
 // lose nothing that a call stored or that Open returned, and Open must not refuse the
 // folder.
 func TestFolderSurvivesKillsAndPowerLosses(t *testing.T) {
--- a/internal/storage/os_files.go
+++ b/internal/storage/os_files.go
@@ -29,6 +29,10 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 }
 
+func (osFiles) openWrite(path string) (file, error) {
+	return os.OpenFile(path, os.O_WRONLY, 0o600)
+}
+
 func (osFiles) openAppend(path string) (file, error) {
 	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 }
--- a/internal/storage/power_loss_test.go
+++ b/internal/storage/power_loss_test.go
@@ -46,6 +46,23 @@
 	g.Expect(l.Entries).To(HaveLen(1))
 }
 
+// After a failed sync a process reads back what the disk does not hold, and the next sync
+// does not store it. Guards against a replica that acknowledges such a record.
+func TestRecordReadBackAfterFailedSyncIsDurable(t *testing.T) {
+	g := NewWithT(t)
+	disk, d := newSimulatedFolder(g)
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	disk.failSync = true
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(3)})).To(MatchError(errSyncFailed))
+	disk.failSync = false
+	_, read, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	disk.losePower(noName, allMissing)
+	_, l, err := open(disk, "data")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(l.Entries).To(Equal(read.Entries))
+}
+
 // A loss of power may keep a record and lose an earlier truncation that was not synced.
 // The rest of the torn record then follows the record. Guards against taking it for damage.
 func TestTruncationOfTornRecordIsDurable(t *testing.T) {
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -11,6 +11,7 @@
 // durable. It returns DataCorrupt if a record is damaged, or if a snapshot or log entries
 // are missing.
 func replay(fs fileSystem, logs []string, state *LoadedState) error {
+	lastRecord := 0 // offset of the last record in the newest file
 	for i, path := range logs {
 		f := logReplay{fs: fs, path: path, state: state, newest: i == len(logs)-1}
 		if path > logPath(filepath.Dir(path), state.Snapshot.Meta.Index) {
@@ -21,6 +22,7 @@
 		if err := f.replay(); err != nil {
 			return err
 		}
+		lastRecord = f.lastRecord
 		state.Hard.Commit = max(state.Hard.Commit, state.Snapshot.Meta.Index)
 		if last := state.Snapshot.Meta.Index + uint64(len(state.Entries)); state.Hard.Commit > last {
 			return result.New(result.DataCorrupt, "%s: the log ends at entry %d, but entry %d was committed", path, last, state.Hard.Commit)
@@ -30,8 +32,8 @@
 		return nil
 	}
 	// A process may have been killed between the write and the sync of the last record, or
-	// after the truncation of a torn one.
-	return syncFile(fs, logs[len(logs)-1])
+	// after the truncation of a torn one, or the sync may have failed.
+	return syncFrom(fs, logs[len(logs)-1], int64(lastRecord))
 }
 
 // logReplay replays one log file.
@@ -41,6 +43,7 @@
 	state            *LoadedState
 	newest           bool
 	startsAtSnapshot bool // the file follows the newest snapshot; false for an older file that a crash left behind
+	lastRecord       int  // offset of the last record
 	sameHistory      bool // the file's entries after the snapshot continue the snapshot's log
 }
 
@@ -65,6 +68,7 @@
 		if err := f.applyRecord(r); err != nil {
 			return err
 		}
+		f.lastRecord = offset
 		offset += size
 	}
 	return nil
--- a/internal/storage/simulated_disk_test.go
+++ b/internal/storage/simulated_disk_test.go
@@ -12,8 +12,9 @@
 )
 
 var (
-	errKilled   = errors.New("the process was killed")
-	errDiskFull = errors.New("no space left on the simulated disk")
+	errKilled     = errors.New("the process was killed")
+	errDiskFull   = errors.New("no space left on the simulated disk")
+	errSyncFailed = errors.New("the simulated disk failed to sync")
 )
 
 // simulatedDisk is a fileSystem in memory. It can kill the process at any call that changes
@@ -32,6 +33,7 @@
 	killed      bool   // until restart
 	run         int    // counts restarts; files of an earlier run are closed
 	full        bool   // writes store a part and fail
+	failSync    bool   // syncs of files store nothing and fail
 }
 
 // diskOp is a kind of call that changes something.
@@ -194,6 +196,13 @@
 	return &simulatedHandle{disk: d, file: f.(*simulatedHandle).file, run: d.run}, f.Truncate(0)
 }
 
+func (d *simulatedDisk) openWrite(path string) (file, error) {
+	if d.names[path] == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &simulatedHandle{disk: d, file: d.names[path], run: d.run}, nil
+}
+
 func (d *simulatedDisk) openAppend(path string) (file, error) {
 	if d.names[path] == nil {
 		if err := d.change(nameChange{to: path, file: &simulatedFile{}}); err != nil {
--- a/internal/storage/simulated_file_test.go
+++ b/internal/storage/simulated_file_test.go
@@ -95,18 +95,19 @@
 	return h.disk.step(o)
 }
 
-// Write stores a part of p if the call kills the process or the disk is full.
+// Write stores a part of p if the call kills the process, or if the disk is full and the
+// file would grow.
 func (h *simulatedHandle) Write(p []byte) (int, error) {
 	if h.disk.killed || h.run != h.disk.run {
 		return 0, errKilled
 	}
 	err := h.step(opWrite)
-	if err == nil && h.disk.full {
-		err = errDiskFull
-	}
 	if h.atEnd {
 		h.offset = len(h.file.content)
 	}
+	if err == nil && h.disk.full && h.offset+len(p) > len(h.file.content) {
+		err = errDiskFull
+	}
 	n := len(p)
 	if err != nil {
 		n = h.disk.rnd.IntN(len(p) + 1)
@@ -126,11 +127,22 @@
 	return nil
 }
 
+// Sync stores the unsynced writes and the length of the file. A sync that fails stores
+// nothing, and the next one does not try the same writes again, although processes still
+// read them: so do the page caches of common systems.
 func (h *simulatedHandle) Sync() error {
 	if err := h.step(opSync); err != nil {
 		return err
 	}
-	h.file.durable, h.file.unsynced = slices.Clone(h.file.content), nil
+	if h.disk.failSync {
+		h.file.unsynced = nil
+		return errSyncFailed
+	}
+	for _, w := range h.file.unsynced {
+		h.file.durable = w.apply(h.file.durable)
+	}
+	h.file.durable = simulatedWrite{offset: len(h.file.content), truncate: true}.apply(h.file.durable)
+	h.file.unsynced = nil
 	h.disk.syncCreated(h.file)
 	return nil
 }
