--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -12,7 +12,6 @@
 	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
-	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
@@ -87,23 +86,6 @@
 	done       chan struct{}
 }
 
-// proposal is a command or membership change that waits for its commit.
-type proposal struct {
-	command state.Command
-	change  memberChange // set instead of command for a membership change
-	term    uint64
-	reply   chan proposalResult
-}
-
-// memberChange returns the next membership, given the newest one. It runs in the loop,
-// because otherwise it could undo a change made between reading and proposing.
-type memberChange func(consensus.Membership) consensus.Membership
-
-type proposalResult struct {
-	outcome state.Outcome
-	err     error
-}
-
 // appliedWait waits until the log entry at index is applied; then ready is closed.
 type appliedWait struct {
 	index uint64
@@ -218,37 +200,6 @@
 	r.node.Step(r.now(), n.Message)
 }
 
-// startProposal proposes p to the consensus core and registers it under its log index.
-func (r *Replica) startProposal(p *proposal) {
-	var index, term uint64
-	var err error
-	if p.change != nil {
-		index, term, err = r.node.ProposeMembers(r.now(), p.change(r.node.Status().Members))
-	} else {
-		p.command.At = time.Now().UTC()
-		var b []byte
-		if b, err = p.command.Encode(); err == nil {
-			index, term, err = r.node.Propose(r.now(), b)
-		}
-	}
-	if err != nil {
-		p.reply <- proposalResult{err: proposeError(err)}
-		return
-	}
-	p.term = term
-	if old := r.pendingProposals[index]; old != nil {
-		old.reply <- proposalResult{err: errEntryReplaced()}
-	}
-	r.pendingProposals[index] = p
-}
-
-func proposeError(err error) error {
-	if err == consensus.ErrNotLeader {
-		return result.NewRetryAfter(result.NotLeader, time.Second, "this replica is not the leader")
-	}
-	return result.New(result.MemberConflict, "%v", err)
-}
-
 // processReady stores, sends and applies what the consensus core returns, in the order
 // that the core requires.
 func (r *Replica) processReady() error {
@@ -282,23 +233,6 @@
 	}
 }
 
-// installSnapshot stores a snapshot from the leader and replaces the state with it.
-func (r *Replica) installSnapshot(s consensus.Snapshot) error {
-	st, err := state.Decode(s.Data)
-	if err != nil {
-		return err
-	}
-	if err := r.disk.SaveSnapshot(s, nil); err != nil {
-		return err
-	}
-	r.state = st
-	r.changes, r.changeBytes = nil, nil
-	r.bytesSinceSnapshot = 0
-	r.notifyAllBatches()
-	r.publishRetiring()
-	return nil
-}
-
 func (r *Replica) send(ms []consensus.Message) {
 	members := r.node.Status().Members
 	for _, m := range ms {
@@ -316,41 +250,6 @@
 	}
 }
 
-// apply applies a committed log entry and replies to its proposal, if there is one here.
-func (r *Replica) apply(e consensus.Entry) error {
-	var o state.Outcome
-	if e.Kind == consensus.EntryCommand {
-		c, err := state.DecodeCommand(e.Data)
-		if err != nil {
-			return result.New(result.DataCorrupt, "log entry %d: %v", e.Index, err)
-		}
-		before := r.state.Config.Version
-		o = r.state.Apply(c)
-		r.notifyBatchReaders(c)
-		if c.RetireMark != nil {
-			r.publishRetiring()
-		}
-		if v := r.state.Config.Version; v != before {
-			r.changes = append(r.changes, Change{Version: v, Command: c.WithoutRoutingSource()})
-			r.changes = r.changes[max(0, len(r.changes)-maxChanges):]
-			r.changeBytes = append(r.changeBytes, len(e.Data))
-			r.trimChanges()
-		}
-	}
-	r.bytesSinceSnapshot += len(e.Data)
-	p := r.pendingProposals[e.Index]
-	if p == nil {
-		return nil
-	}
-	delete(r.pendingProposals, e.Index)
-	if p.term != e.Term {
-		p.reply <- proposalResult{err: errEntryReplaced()}
-		return nil
-	}
-	p.reply <- proposalResult{outcome: o}
-	return nil
-}
-
 // publish makes status, leadership and configuration readable outside the loop, and
 // notifies the goroutines that wait for a new configuration or an applied index.
 func (r *Replica) publish() {
@@ -381,20 +280,6 @@
 	}
 }
 
-// errEntryReplaced returns the error of a proposal whose log entry another leader replaced.
-func errEntryReplaced() error {
-	return result.NewRetryAfter(result.NotLeader, time.Second, "another leader replaced the log entry of the proposal")
-}
-
-// failPendingProposals fails the pending proposals with CommitUnknown, because the next
-// leader may have them in its log. This replica will not learn their outcome.
-func (r *Replica) failPendingProposals() {
-	for i, p := range r.pendingProposals {
-		delete(r.pendingProposals, i)
-		p.reply <- proposalResult{err: result.NewRetryAfter(result.CommitUnknown, time.Second, "the leader changed or the replica stopped before the commit was confirmed")}
-	}
-}
-
 // Leadership returns the current leader lease of this replica.
 func (r *Replica) Leadership() Leadership { return *r.leadership.Load() }
 
