Keep a replica running while its disk refuses writes

Each end breaks off the requests of its callers, and with three voters it takes the spare of the quorum.

Cause: any error of a write or sync made Replica.Run return, and the daemon ended with it.

Change: a replica whose disk refuses writes is suspended. It fails its pending proposals with an unknown outcome, drops the consensus core, which may be ahead of the disk, and with it lead, votes and messages, and does not announce itself, so that a caught-up learner takes its vote and others do not call it. Entries and control calls of its process go to the other replicas, as they do without a leader. Every 0.1 to 1 s it stores a file of 1 MiB; once that works it opens the folder as a new process does and applies what is committed. The folder must be that of the same replica and hold the term, the vote and the committed entries that were stored, else the replica stops with DataCorrupt (506), as it does with a damaged or missing folder. A folder that fails again within 30 s is tried less often, up to every 10 s. There is one log line for the failure and one for the return, and metrics for both. A folder that cannot be opened for such a reason at the start is handled in the same way if its identity can be read.

A write that hangs for 2 s takes the replica off the list as well, and calls through it go on to the others at once. Its lease ended before by itself.

Why it works: what others have received from this replica was synced before; the rest is forgotten together with the core. The new core waits an election timeout before it votes, as after a restart.

Measured: TestReplicaSurvivesFailedWrite failed before ("the replica has stopped"). The other tests need the new access to the folder and did not run on the old code: full disks of three leaders in turn, a leader whose disk hangs, a start with a full disk, and folders that come back damaged or older. All pass with -race. A real full file system was not tried.

--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -1,6 +1,9 @@
 package control
 
-import "github.com/apricotstream/apricotstream/internal/consensus"
+import (
+	"github.com/apricotstream/apricotstream/internal/clock"
+	"github.com/apricotstream/apricotstream/internal/consensus"
+)
 
 // trimChanges discards the oldest configuration changes until the rest is within
 // maxChangeBytes; it keeps at least one. A follower that needs a discarded change gets
@@ -66,6 +69,8 @@
 	if newest, _ := r.disk.Snapshot(); p.err != nil || p.meta.Index <= newest.Index {
 		return p.err
 	}
+	r.writingSince.Store(int64(clock.Now()))
+	defer r.writingSince.Store(0)
 	if err := r.disk.ActivateSnapshot(p.meta, p.size, r.node.EntriesAfter(p.meta.Index)); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/control/data_folder.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"io"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/storage"
+)
+
+// dataFolder is an open data folder. *storage.Disk implements it; tests let it fail.
+type dataFolder interface {
+	Append(hs *consensus.HardState, es []consensus.Entry) error
+	SaveSnapshot(s consensus.Snapshot, tail []consensus.Entry) error
+	PrepareSnapshot(s consensus.Snapshot) error
+	ActivateSnapshot(meta consensus.SnapshotMeta, snapshotBytes int, tail []consensus.Entry) error
+	Snapshot() (meta consensus.SnapshotMeta, snapshotBytes int)
+	OpenSnapshot() (io.ReadCloser, error)
+	Failed() error
+	Close() error
+}
+
+// folderAccess opens data folders.
+type folderAccess struct {
+	open          func(dir string) (dataFolder, storage.LoadedState, error)
+	checkWritable func(dir string) error
+}
+
+var osFolders = folderAccess{
+	open: func(dir string) (dataFolder, storage.LoadedState, error) {
+		d, l, err := storage.Open(dir)
+		if err != nil {
+			return nil, l, err // not d, which would be a dataFolder that is not nil
+		}
+		return d, l, nil
+	},
+	checkWritable: storage.CheckWritable,
+}
+
+// mayHeal reports whether a data folder that failed with err may work again by itself. A
+// damaged or missing folder must be replaced.
+func mayHeal(err error) bool {
+	code := result.CodeOf(err)
+	return code != result.DataCorrupt && code != result.DataMissing
+}
--- /dev/null
+++ b/internal/control/faulty_folder_test.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/storage"
+)
+
+// faultyFolder gives access to a data folder whose disk refuses writes or hangs.
+type faultyFolder struct {
+	full   atomic.Bool
+	frozen sync.RWMutex                       // locked while writes hang
+	change func(*storage.LoadedState, *error) // of what opening the folder returns; may be nil
+}
+
+func (f *faultyFolder) access() folderAccess {
+	return folderAccess{
+		open: func(dir string) (dataFolder, storage.LoadedState, error) {
+			d, l, err := osFolders.open(dir)
+			if err == nil && f.full.Load() {
+				d.Close()
+				return nil, l, syscall.ENOSPC
+			}
+			if f.change != nil {
+				f.change(&l, &err)
+			}
+			return &faultyDisk{dataFolder: d, folder: f}, l, err
+		},
+		checkWritable: func(dir string) error {
+			if f.full.Load() {
+				return syscall.ENOSPC
+			}
+			return storage.CheckWritable(dir)
+		},
+	}
+}
+
+// faultyDisk is an open faultyFolder. Only the loop uses failed.
+type faultyDisk struct {
+	dataFolder
+	folder *faultyFolder
+	failed error
+}
+
+func (d *faultyDisk) Append(hs *consensus.HardState, es []consensus.Entry) error {
+	if hs == nil && len(es) == 0 {
+		return d.failed
+	}
+	d.folder.frozen.RLock()
+	defer d.folder.frozen.RUnlock()
+	if d.folder.full.Load() {
+		d.failed = syscall.ENOSPC
+	}
+	if d.failed != nil {
+		return d.failed
+	}
+	return d.dataFolder.Append(hs, es)
+}
+
+func (d *faultyDisk) Failed() error {
+	if d.failed != nil {
+		return d.failed
+	}
+	return d.dataFolder.Failed()
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -43,7 +43,9 @@
 	client    *peer.Client
 	cluster   string
 	address   string // own peer address
-	disk      *storage.Disk
+	dir       string
+	folders   folderAccess
+	disk      dataFolder
 	node      *consensus.Node
 	state     *state.State
 	startedAt time.Duration // on the boot clock; origin of the times of node
@@ -80,6 +82,11 @@
 	snapshotTransfers  map[uint64]chan SnapshotAck       // being sent, by ID
 	receivedSnapshots  map[consensus.ID]receivedSnapshot // not complete yet, by sender
 
+	stored       consensus.HardState // newest one that was synced
+	reopenPolicy reopenPolicy
+	suspended    atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
+	writingSince atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
+
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
 	config     atomic.Pointer[state.Config]
@@ -93,20 +100,20 @@
 }
 
 // Open loads a replica from its data folder. The caller must then call Run. address is
-// the replica's own peer address.
+// the replica's own peer address. If the disk refuses the folder for now, Run tries again.
 func Open(dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
+	return openReplica(osFolders, dir, address, client, logger)
+}
+
+func openReplica(folders folderAccess, dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
 	openedAt := clock.Now()
-	disk, l, err := storage.Open(dir)
-	if err != nil {
-		return nil, l.Identity, err
-	}
-	st, err := state.Decode(l.Snapshot.Data)
-	if err != nil {
+	disk, l, err := folders.open(dir)
+	if err != nil && (!mayHeal(err) || l.Identity.ID == "") {
 		return nil, l.Identity, err
 	}
 	r := &Replica{
 		log: logger, client: client, cluster: l.Identity.Cluster, address: address,
-		disk: disk, state: st, startedAt: clock.Now(), openedAt: openedAt,
+		dir: dir, folders: folders, startedAt: clock.Now(), openedAt: openedAt,
 		inbox:            make(chan StepNotice, 4096),
 		proposals:        make(chan *proposal, 4096),
 		tasks:            make(chan func(), 256),
@@ -118,29 +125,77 @@
 		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedSnapshots: map[consensus.ID]receivedSnapshot{},
 		done: make(chan struct{}),
 	}
-	r.node = consensus.New(consensus.Config{
-		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
 	r.leadership.Store(&Leadership{})
-	logger.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
-		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
+	if err != nil {
+		r.state = state.New()
+		r.suspend(l.Identity.ID, consensus.SnapshotMeta{Members: consensus.Membership{}}, err)
+	} else if err := r.load(disk, l); err != nil {
+		disk.Close()
+		return nil, l.Identity, err
+	}
 	r.publishRetiring()
 	r.publish()
 	return r, l.Identity, nil
 }
 
+// load starts the consensus core and the state from what disk holds.
+func (r *Replica) load(disk dataFolder, l storage.LoadedState) error {
+	st, err := state.Decode(l.Snapshot.Data)
+	if err != nil {
+		return err
+	}
+	r.disk, r.state, r.stored = disk, st, l.Hard
+	r.node = consensus.New(consensus.Config{
+		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries, Now: r.now(),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	r.log.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
+		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
+	return nil
+}
+
 // now returns the time since Open on the boot clock. It includes the time during which
 // the machine was suspended, as leases require.
 func (r *Replica) now() consensus.Time { return clock.Now() - r.startedAt }
 
-// Run is the replica's loop. It returns nil when ctx ends, or an error when the data
-// folder fails.
+// Run is the replica's loop. It returns nil when ctx ends, or an error when the data folder
+// is damaged. While the disk refuses writes, the replica takes no part in the control group.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
-	defer r.disk.Close()
+	defer func() {
+		if !r.suspended.Load() {
+			r.disk.Close()
+		}
+	}()
 	defer r.snapshotWriter.Wait()
 	defer r.leadership.Store(&Leadership{})
+	for {
+		var err error
+		if r.suspended.Load() {
+			err = r.recoverFolder(ctx)
+		} else {
+			err = r.runLoop(ctx)
+		}
+		switch {
+		case ctx.Err() != nil:
+			r.failPendingProposals()
+			return nil
+		case err == nil:
+		case !r.suspended.Load() && r.disk.Failed() != nil && mayHeal(err):
+			st := r.node.Status()
+			r.disk.Close()
+			r.suspend(st.ID, consensus.SnapshotMeta{Index: st.Applied, Term: r.stored.Term, Members: st.Members}, err)
+		default:
+			r.log.Error("Data folder failed and the replica stops.", "err", err.Error())
+			r.failPendingProposals()
+			return err
+		}
+		r.publish()
+	}
+}
+
+// runLoop runs the loop until ctx ends, or until the data folder fails.
+func (r *Replica) runLoop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	r.phases.last = clock.Now()
@@ -149,7 +204,6 @@
 		var task func()
 		select {
 		case <-ctx.Done():
-			r.failPendingProposals()
 			return nil
 		case p := <-r.preparedSnapshot:
 			task = func() { err = r.activateSnapshot(p) }
@@ -170,8 +224,6 @@
 			err = r.processReady()
 		}
 		if err != nil {
-			r.log.Error("Data folder failed and the replica stops.", "err", err.Error())
-			r.failPendingProposals()
 			return err
 		}
 		r.publish()
@@ -208,12 +260,7 @@
 		if rd.Empty() {
 			return nil
 		}
-		if rd.Snapshot != nil {
-			if err := r.installSnapshot(*rd.Snapshot); err != nil {
-				return err
-			}
-		}
-		if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
+		if err := r.store(rd); err != nil {
 			return err
 		}
 		r.phases.end(phaseStore)
@@ -233,6 +280,24 @@
 	}
 }
 
+// store makes the snapshot, the hard state and the entries of rd durable.
+func (r *Replica) store(rd consensus.Ready) error {
+	r.writingSince.Store(int64(clock.Now()))
+	defer r.writingSince.Store(0)
+	if rd.Snapshot != nil {
+		if err := r.installSnapshot(*rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
+		return err
+	}
+	if rd.HardState != nil {
+		r.stored = *rd.HardState
+	}
+	return nil
+}
+
 func (r *Replica) send(ms []consensus.Message) {
 	members := r.node.Status().Members
 	for _, m := range ms {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -89,6 +89,9 @@
 
 // submit hands p to the loop and waits for its outcome.
 func (r *Replica) submit(ctx context.Context, p *proposal) (state.Outcome, error) {
+	if !r.Available() {
+		return state.Outcome{}, errUnavailable()
+	}
 	p.reply = make(chan proposalResult, 1)
 	select {
 	case r.proposals <- p:
@@ -110,6 +113,9 @@
 // runInLoop runs f in the loop and waits until it has run. If ctx ends first, f may still
 // run later.
 func (r *Replica) runInLoop(ctx context.Context, f func()) error {
+	if r.stalled() {
+		return errUnavailable()
+	}
 	ran := make(chan struct{})
 	select {
 	case r.tasks <- func() { f(); close(ran) }:
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -27,6 +27,9 @@
 	r.mu.Lock()
 	configChanged := r.configChanged
 	r.mu.Unlock()
+	if !q.Unproven && !r.Available() {
+		return SyncReply{}, errUnavailable()
+	}
 	if !q.Unproven && r.config.Load().Version <= q.After {
 		select {
 		case <-configChanged:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,9 +122,12 @@
 func (d *Daemon) self() member.Daemon {
 	m := member.Daemon{
 		ID: d.cfg.ID, Incarnation: d.started.UnixNano(), Zone: d.cfg.Zone, Region: d.cfg.Region,
-		CallerAddress: d.cfg.CallerAddress, PeerAddress: d.cfg.PeerAddress, Replica: string(d.identity.ID),
+		CallerAddress: d.cfg.CallerAddress, PeerAddress: d.cfg.PeerAddress,
 		Fresh: d.follower.Fresh(),
 	}
+	if d.replica != nil && d.replica.Available() { // else others replace its vote and do not call it
+		m.Replica = string(d.identity.ID)
+	}
 	if d.gateway != nil {
 		m.Draining = d.gateway.Drain().Draining()
 		m.InFlight = d.gateway.Drain().InFlight()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -241,11 +241,20 @@
 func (n *Node) self() member.Daemon {
 	return member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
-		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: string(n.identity.Load().ID),
+		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: n.announcedReplica(),
 		Fresh: n.follower.Fresh(), Draining: n.draining.Load(),
 	}
 }
 
+// announcedReplica returns the ID of the replica, or "" while it takes no part in the
+// control group: then the others replace its vote and do not call it.
+func (n *Node) announcedReplica() string {
+	if n.replica == nil || !n.replica.Available() {
+		return ""
+	}
+	return string(n.identity.Load().ID)
+}
+
 // updateTable compiles each new routing configuration into the active table until ctx ends.
 func (n *Node) updateTable(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -164,6 +164,10 @@
 	return d.log.Sync()
 }
 
+// Failed returns the error of the first write that failed, or nil. After one, the folder
+// must be opened again.
+func (d *Disk) Failed() error { return d.failed }
+
 // SaveSnapshot stores a snapshot, starts a new log with the hard state and the entries
 // after the snapshot, and removes the files that they replace. An error is final, as in
 // Append.
