--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -12,7 +12,6 @@
 	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
-	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
@@ -44,7 +43,9 @@
 	client    *peer.Client
 	cluster   string
 	address   string // own peer address
-	disk      *storage.Disk
+	dir       string
+	folders   folderAccess
+	disk      dataFolder
 	node      *consensus.Node
 	state     *state.State
 	startedAt time.Duration // on the boot clock; origin of the times of node
@@ -84,29 +85,17 @@
 	snapshotTransfers  map[uint64]chan SnapshotAck       // being sent, by ID
 	receivedSnapshots  map[consensus.ID]receivedSnapshot // not complete yet, by sender
 
+	stored       consensus.HardState // newest one that was synced
+	reopenPolicy reopenPolicy
+	suspended    atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
+	writingSince atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
+
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
 	config     atomic.Pointer[state.Config]
 	done       chan struct{}
 }
 
-// proposal is a command or membership change that waits for its commit.
-type proposal struct {
-	command state.Command
-	change  memberChange // set instead of command for a membership change
-	term    uint64
-	reply   chan proposalResult
-}
-
-// memberChange returns the next membership, given the newest one. It runs in the loop,
-// because otherwise it could undo a change made between reading and proposing.
-type memberChange func(consensus.Membership) consensus.Membership
-
-type proposalResult struct {
-	outcome state.Outcome
-	err     error
-}
-
 // appliedWait waits until the log entry at index is applied; then ready is closed.
 type appliedWait struct {
 	index uint64
@@ -114,20 +103,20 @@
 }
 
 // Open loads a replica from its data folder. The caller must then call Run. address is
-// the replica's own peer address.
+// the replica's own peer address. If the disk refuses the folder for now, Run tries again.
 func Open(dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
+	return openReplica(osFolders, dir, address, client, logger)
+}
+
+func openReplica(folders folderAccess, dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
 	openedAt := clock.Now()
-	disk, l, err := storage.Open(dir)
-	if err != nil {
-		return nil, l.Identity, err
-	}
-	st, err := state.Decode(l.Snapshot.Data)
-	if err != nil {
+	disk, l, err := folders.open(dir)
+	if err != nil && (!mayHeal(err) || l.Identity.ID == "") {
 		return nil, l.Identity, err
 	}
 	r := &Replica{
 		log: logger, client: client, cluster: l.Identity.Cluster, address: address,
-		disk: disk, state: st, startedAt: clock.Now(), openedAt: openedAt, wallClock: time.Now,
+		dir: dir, folders: folders, startedAt: clock.Now(), openedAt: openedAt, wallClock: time.Now,
 		inbox:            make(chan StepNotice, 4096),
 		proposals:        make(chan *proposal, 4096),
 		tasks:            make(chan func(), 256),
@@ -139,30 +128,78 @@
 		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedSnapshots: map[consensus.ID]receivedSnapshot{},
 		done: make(chan struct{}),
 	}
-	r.node = consensus.New(consensus.Config{
-		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
-	r.groupClock = groupClock{}.advanceTo(st.Ledger.Time, r.startedAt).advanceTo(lastCommandTime(l.Entries), r.startedAt)
 	r.leadership.Store(&Leadership{})
-	logger.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
-		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
+	if err != nil {
+		r.state = state.New()
+		r.suspend(l.Identity.ID, consensus.SnapshotMeta{Members: consensus.Membership{}}, err)
+	} else if err := r.load(disk, l); err != nil {
+		disk.Close()
+		return nil, l.Identity, err
+	}
 	r.publishRetiring()
 	r.publish()
 	return r, l.Identity, nil
 }
 
+// load starts the consensus core and the state from what disk holds.
+func (r *Replica) load(disk dataFolder, l storage.LoadedState) error {
+	st, err := state.Decode(l.Snapshot.Data)
+	if err != nil {
+		return err
+	}
+	r.disk, r.state, r.stored = disk, st, l.Hard
+	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now()).advanceTo(lastCommandTime(l.Entries), clock.Now())
+	r.node = consensus.New(consensus.Config{
+		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries, Now: r.now(),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	r.log.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
+		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
+	return nil
+}
+
 // now returns the time since Open on the boot clock. It includes the time during which
 // the machine was suspended, as leases require.
 func (r *Replica) now() consensus.Time { return clock.Now() - r.startedAt }
 
-// Run is the replica's loop. It returns nil when ctx ends, or an error when the data
-// folder fails.
+// Run is the replica's loop. It returns nil when ctx ends, or an error when the data folder
+// is damaged. While the disk refuses writes, the replica takes no part in the control group.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
-	defer r.disk.Close()
+	defer func() {
+		if !r.suspended.Load() {
+			r.disk.Close()
+		}
+	}()
 	defer r.snapshotWriter.Wait()
 	defer r.leadership.Store(&Leadership{})
+	for {
+		var err error
+		if r.suspended.Load() {
+			err = r.recoverFolder(ctx)
+		} else {
+			err = r.runLoop(ctx)
+		}
+		switch {
+		case ctx.Err() != nil:
+			r.failPendingProposals()
+			return nil
+		case err == nil:
+		case !r.suspended.Load() && r.disk.Failed() != nil && mayHeal(err):
+			st := r.node.Status()
+			r.disk.Close()
+			r.suspend(st.ID, consensus.SnapshotMeta{Index: st.Applied, Term: r.stored.Term, Members: st.Members}, err)
+		default:
+			r.log.Error("Data folder failed and the replica stops.", "err", err.Error())
+			r.failPendingProposals()
+			return err
+		}
+		r.publish()
+	}
+}
+
+// runLoop runs the loop until ctx ends, or until the data folder fails.
+func (r *Replica) runLoop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	r.phases.last = clock.Now()
@@ -171,7 +208,6 @@
 		var task func()
 		select {
 		case <-ctx.Done():
-			r.failPendingProposals()
 			return nil
 		case p := <-r.preparedSnapshot:
 			task = func() { err = r.activateSnapshot(p) }
@@ -192,8 +228,6 @@
 			err = r.processReady()
 		}
 		if err != nil {
-			r.log.Error("Data folder failed and the replica stops.", "err", err.Error())
-			r.failPendingProposals()
 			return err
 		}
 		r.publish()
@@ -222,38 +256,6 @@
 	r.node.Step(r.now(), n.Message)
 }
 
-// startProposal proposes p to the consensus core and registers it under its log index.
-func (r *Replica) startProposal(p *proposal) {
-	var index, term uint64
-	var err error
-	if p.change != nil {
-		index, term, err = r.node.ProposeMembers(r.now(), p.change(r.node.Status().Members))
-	} else {
-		wall := r.wallClock().UTC()
-		p.command.At, p.command.GroupTime = wall, r.groupClock.now(clock.Now(), wall)
-		var b []byte
-		if b, err = p.command.Encode(); err == nil {
-			index, term, err = r.node.Propose(r.now(), b)
-		}
-	}
-	if err != nil {
-		p.reply <- proposalResult{err: proposeError(err)}
-		return
-	}
-	p.term = term
-	if old := r.pendingProposals[index]; old != nil {
-		old.reply <- proposalResult{err: errEntryReplaced()}
-	}
-	r.pendingProposals[index] = p
-}
-
-func proposeError(err error) error {
-	if err == consensus.ErrNotLeader {
-		return result.NewRetryAfter(result.NotLeader, time.Second, "this replica is not the leader")
-	}
-	return result.New(result.MemberConflict, "%v", err)
-}
-
 // processReady stores, sends and applies what the consensus core returns, in the order
 // that the core requires.
 func (r *Replica) processReady() error {
@@ -262,12 +264,7 @@
 		if rd.Empty() {
 			return nil
 		}
-		if rd.Snapshot != nil {
-			if err := r.installSnapshot(*rd.Snapshot); err != nil {
-				return err
-			}
-		}
-		if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
+		if err := r.store(rd); err != nil {
 			return err
 		}
 		r.phases.end(phaseStore)
@@ -287,21 +284,21 @@
 	}
 }
 
-// installSnapshot stores a snapshot from the leader and replaces the state with it.
-func (r *Replica) installSnapshot(s consensus.Snapshot) error {
-	st, err := state.Decode(s.Data)
-	if err != nil {
-		return err
+// store makes the snapshot, the hard state and the entries of rd durable.
+func (r *Replica) store(rd consensus.Ready) error {
+	r.writingSince.Store(int64(clock.Now()))
+	defer r.writingSince.Store(0)
+	if rd.Snapshot != nil {
+		if err := r.installSnapshot(*rd.Snapshot); err != nil {
+			return err
+		}
 	}
-	if err := r.disk.SaveSnapshot(s, nil); err != nil {
+	if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
 		return err
 	}
-	r.state = st
-	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now())
-	r.changes, r.changeBytes = nil, nil
-	r.bytesSinceSnapshot = 0
-	r.notifyAllBatches()
-	r.publishRetiring()
+	if rd.HardState != nil {
+		r.stored = *rd.HardState
+	}
 	return nil
 }
 
@@ -322,42 +319,6 @@
 	}
 }
 
-// apply applies a committed log entry and replies to its proposal, if there is one here.
-func (r *Replica) apply(e consensus.Entry) error {
-	var o state.Outcome
-	if e.Kind == consensus.EntryCommand {
-		c, err := state.DecodeCommand(e.Data)
-		if err != nil {
-			return result.New(result.DataCorrupt, "log entry %d: %v", e.Index, err)
-		}
-		before := r.state.Config.Version
-		o = r.state.Apply(c)
-		r.groupClock = r.groupClock.advanceTo(c.Time(), clock.Now())
-		r.notifyBatchReaders(c)
-		if c.RetireMark != nil {
-			r.publishRetiring()
-		}
-		if v := r.state.Config.Version; v != before {
-			r.changes = append(r.changes, Change{Version: v, Command: c.WithoutRoutingSource()})
-			r.changes = r.changes[max(0, len(r.changes)-maxChanges):]
-			r.changeBytes = append(r.changeBytes, len(e.Data))
-			r.trimChanges()
-		}
-	}
-	r.bytesSinceSnapshot += len(e.Data)
-	p := r.pendingProposals[e.Index]
-	if p == nil {
-		return nil
-	}
-	delete(r.pendingProposals, e.Index)
-	if p.term != e.Term {
-		p.reply <- proposalResult{err: errEntryReplaced()}
-		return nil
-	}
-	p.reply <- proposalResult{outcome: o}
-	return nil
-}
-
 // publish makes status, leadership and configuration readable outside the loop, and
 // notifies the goroutines that wait for a new configuration or an applied index.
 func (r *Replica) publish() {
@@ -388,20 +349,6 @@
 	}
 }
 
-// errEntryReplaced returns the error of a proposal whose log entry another leader replaced.
-func errEntryReplaced() error {
-	return result.NewRetryAfter(result.NotLeader, time.Second, "another leader replaced the log entry of the proposal")
-}
-
-// failPendingProposals fails the pending proposals with CommitUnknown, because the next
-// leader may have them in its log. This replica will not learn their outcome.
-func (r *Replica) failPendingProposals() {
-	for i, p := range r.pendingProposals {
-		delete(r.pendingProposals, i)
-		p.reply <- proposalResult{err: result.NewRetryAfter(result.CommitUnknown, time.Second, "the leader changed or the replica stopped before the commit was confirmed")}
-	}
-}
-
 // Leadership returns the current leader lease of this replica.
 func (r *Replica) Leadership() Leadership { return *r.leadership.Load() }
 
