Log steps of the wall clock and renewed descriptions

An on-call engineer could not tell a replica that the others do not take for running, because its clock was set back, from one that waits for a leader: the trace of the incident showed it only by a line that was missing. Each daemon on the platform now logs a step of its wall clock, and each daemon logs that others knew a later description of it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,7 @@
 	d.follower = control.NewFollower(d.sources, d.cfg.FreshnessLease, d.log.WithPrefix("follow"))
 	d.proposer = control.NewProposer(d.replica, d.client, d.replicaAddresses, d.health)
 	d.gossip = member.NewGossip(d.client, func() []string { return d.cfg.Peers }, d.self)
+	d.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(d.log, known, renewed) }
 	d.gossip.Register(d.server)
 	d.directory = upstream.NewDirectory(d.gossip)
 	d.directory.Register(d.server)
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -25,6 +25,11 @@
 
 // Gossip keeps a Table up to date by exchanging messages with the other daemons.
 type Gossip struct {
+	// OnRenew is called when another daemon rejects the description of this one, with the
+	// description that it knows and the renewed one. It may be nil and must be set before
+	// the first message.
+	OnRenew func(known, renewed Daemon)
+
 	client *peer.Client
 	seeds  func() []string
 	self   func() Daemon
@@ -174,9 +179,13 @@
 	renewed := g.table.Renew(*r)
 	self := g.table.Self()
 	g.mu.Unlock()
-	if renewed {
-		g.Broadcast(MethodAnnounce, self)
+	if !renewed {
+		return
+	}
+	if g.OnRenew != nil {
+		g.OnRenew(r.Known, self)
 	}
+	g.Broadcast(MethodAnnounce, self)
 }
 
 func (g *Gossip) handleIndirectPing(ctx context.Context, q IndirectPing) (IndirectPingReply, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	n.identity.Store(&storage.Identity{})
 	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
 	n.gossip = member.NewGossip(n.client, n.seeds, n.self)
+	n.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(n.log, known, renewed) }
 	n.gossip.Register(n.server)
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -12,14 +13,18 @@
 	n     *Node
 	fresh bool
 	known map[string]upstream.Announcement // by ID
+	steps clock.Steps
 }
 
 func newStatusLogger(n *Node) *statusLogger {
 	return &statusLogger{n: n, known: map[string]upstream.Announcement{}}
 }
 
-// logChanges logs what has changed since the last call. It writes one line for each change.
+// logChanges logs steps of the wall clock and what has changed since the last call. It writes one line for each change.
 func (l *statusLogger) logChanges() {
+	if step := l.steps.Observe(time.Now(), clock.Now()); step != 0 {
+		l.n.log.Warn("Wall clock has stepped.", "ms", step.Milliseconds())
+	}
 	if fresh := l.n.follower.Fresh(); fresh != l.fresh {
 		l.fresh = fresh
 		version := l.n.follower.Config().Version
