Bound the output of all batch attempts together

What callers saw: nothing yet. The bounds of an event and of an item hold for one attempt; a leader runs hundreds, and twenty upstreams may send bytes without end at once.

Cause: 160 attempts may each read an event of 900 KB; an upstream that sends nothing but skipped lines got the next item 50 ms later.

Change: complete events of all attempts share 8 MB; above that, an attempt that has more than its share is cut, but never one with no more than 64 bytes for each of its tokens. Incomplete events share 8 MB too, at least 16 KB each. An upstream whose stream was cut before a sound event gets no items for a second, like one that cannot be reached.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -34,7 +34,9 @@
 	earlier  int         // events of earlier attempts
 	mu       sync.Mutex
 	events   []Event
-	bytes    int   // of the item's text, including the events of earlier attempts
+	bytes    int // of the item's text, including the events of earlier attempts
+	budget   *outputBudget
+	memory   int64 // of the attempt's events in the budget
 	overlong error // set when the limit was exceeded; the attempt has no events then
 
 	firstEventAt   time.Time
@@ -44,12 +46,13 @@
 	err error // set by run before it returns
 }
 
-func newAttempt(ctx context.Context, it *item, engine upstream.Announcement) *attempt {
+func newAttempt(ctx context.Context, it *item, engine upstream.Announcement, budget *outputBudget) *attempt {
 	b := it.job.batch
-	a := &attempt{item: it, engine: engine, startedAt: time.Now(), limit: limitOf(it.spec), earlier: len(it.events), bytes: textBytes(it.events)}
+	a := &attempt{item: it, engine: engine, startedAt: time.Now(), budget: budget, limit: limitOf(it.spec), earlier: len(it.events), bytes: textBytes(it.events)}
 	a.request = GenerateRequest{
 		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body,
 		LastEventID: it.lastEventID, Priority: batchPriority, Deadline: it.job.expiresAt(),
+		ReadPause: func() time.Duration { return readPause(int(budget.attempts.Load())) }, MaxEventBytes: budget.maxEventBytes,
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
@@ -81,9 +84,9 @@
 	a.err = err
 }
 
-// appendEvent keeps an event. If the output of the item exceeds its limit, the upstream
-// does not keep to the request, and nothing tells its sound events from the others: the
-// attempt is cancelled and all its events are dropped.
+// appendEvent keeps an event. If the output of the item exceeds its limit or the attempt
+// its share of the budget, the upstream does not keep to the request, and nothing tells its
+// sound events from the others: the attempt is cancelled and all its events are dropped.
 func (a *attempt) appendEvent(e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -91,8 +94,13 @@
 		return
 	}
 	a.bytes += len(e.Data) + 1
-	if a.overlong = a.limit.check(a.earlier+len(a.events)+1, a.bytes); a.overlong != nil {
+	if a.overlong = a.limit.check(a.earlier+len(a.events)+1, a.bytes); a.overlong == nil {
+		a.memory, a.overlong = a.budget.add(a.memory, e, a.item.spec)
+	}
+	if a.overlong != nil {
 		a.events = nil
+		a.budget.release(a.memory)
+		a.memory = 0
 		a.cancel(a.overlong)
 		return
 	}
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -22,6 +22,10 @@
 	// ReadPause returns the pause before the next read of events. It is called before each
 	// read. Nil means no pause.
 	ReadPause func() time.Duration
+	// MaxEventBytes returns the size above which an event is cut, with what is skipped
+	// before it. It is called while events are read. Nil means that an event may be as large
+	// as a page of results.
+	MaxEventBytes func() int
 }
 
 // Event is one event of a generation.
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,7 +31,7 @@
 	scheduler       *Scheduler
 	speedTracker    *SpeedTracker
 	attempts        map[*item]*attempt
-	attemptCount    atomic.Int64         // len(attempts), read by the goroutines of attempts
+	output          outputBudget
 	lastScheduled   time.Time            // time of the latest scheduling
 	backoffUntil    map[string]time.Time // time until which an engine gets no items, by upstream
 	endedAttempts   chan *attempt
@@ -151,10 +150,9 @@
 	}
 	s.lastScheduled = now
 	for _, x := range s.scheduler.Schedule(now, s.engineStates(now)) {
-		a := newAttempt(ctx, x.item, x.Engine)
+		a := newAttempt(ctx, x.item, x.Engine, &s.output)
 		s.attempts[x.item] = a
-		s.attemptCount.Store(int64(len(s.attempts)))
-		a.request.ReadPause = func() time.Duration { return readPause(int(s.attemptCount.Load())) }
+		s.output.attempts.Store(int64(len(s.attempts)))
 		itemAttempts.Inc()
 		if x.item.lastEventID > 0 {
 			itemResumes.Inc()
@@ -185,8 +183,7 @@
 
 // Delays after failures.
 const (
-	unreachedBackoff = time.Second            // of an engine that could not be reached or sent nothing
-	overlongBackoff  = time.Second            // of an engine whose output exceeded its limit
+	unreachedBackoff = time.Second            // of an engine that could not be reached or sent no sound event
 	busyBackoff      = 100 * time.Millisecond // of an engine that rejected a request
 	itemRetryDelay   = 50 * time.Millisecond  // of an item whose attempt failed
 	rewardRetryDelay = 150 * time.Millisecond // of a reward request that failed
@@ -197,7 +194,8 @@
 func (s *session) handleEndedAttempt(ctx context.Context, a *attempt) {
 	it := a.item
 	delete(s.attempts, it)
-	s.attemptCount.Store(int64(len(s.attempts)))
+	s.output.attempts.Store(int64(len(s.attempts)))
+	s.output.release(a.memory)
 	if it.phase == phaseFinished {
 		return
 	}
@@ -224,7 +222,6 @@
 		if p := it.dropOverlong(); p != nil {
 			s.resultCommitter.add(pendingRecord{progress: p})
 		}
-		s.backoffUntil[a.engine.ID] = now.Add(overlongBackoff)
 	}
 	s.log.Info("Item attempt failed or was cancelled.", "item", it.spec.ID, "batch", it.job.batch.ID, "upstream", a.engine.ID, "events", it.lastEventID, "ran_ms", now.Sub(a.startedAt).Milliseconds(), "code", int(code), "err", result.From(a.err).Message)
 	switch code {
@@ -245,6 +242,9 @@
 	case result.SampleMoved, result.StaleVersion:
 		it.failedAt[a.engine.ID]++
 	default:
+		if code == result.AnswerCut && len(a.events) == 0 {
+			s.backoffUntil[a.engine.ID] = now.Add(unreachedBackoff)
+		}
 		it.failedAt[a.engine.ID]++
 		it.notBefore = now.Add(itemRetryDelay)
 	}
