--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -1,10 +1,16 @@
 package control
 
 import (
+	"time"
+
 	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 )
 
+// snapshotRetryInterval is the time until a snapshot that could not be written is tried
+// again.
+const snapshotRetryInterval = 5 * time.Second
+
 // trimChanges discards the oldest configuration changes until the rest is within
 // maxChangeBytes; it keeps at least one. A follower that needs a discarded change gets
 // the whole configuration.
@@ -25,13 +31,15 @@
 type preparedSnapshot struct {
 	meta consensus.SnapshotMeta
 	size int // of its data, in bytes
-	err  error
+	// logBytes is the size of the log entries from the last snapshot to this one.
+	logBytes int
+	err      error
 }
 
 // startSnapshot starts to write a snapshot once enough log entries follow the last one.
 // It is written in the background so that it does not delay a leader's heartbeats.
 func (r *Replica) startSnapshot() error {
-	if r.writingSnapshot {
+	if r.writingSnapshot || r.now() < r.nextSnapshotAt {
 		return nil
 	}
 	st := r.node.Status()
@@ -50,24 +58,37 @@
 		return err
 	}
 	meta := consensus.SnapshotMeta{Index: st.Applied, Term: term, Members: r.node.MembersAt(st.Applied)}
+	logBytes := r.bytesSinceSnapshot
 	r.writingSnapshot, r.bytesSinceSnapshot = true, 0
 	r.snapshotWriter.Go(func() {
 		data, err := frozen.Encode(size + size/4)
 		if err == nil {
 			err = r.disk.PrepareSnapshot(consensus.Snapshot{Meta: meta, Data: data})
 		}
-		r.preparedSnapshot <- preparedSnapshot{meta: meta, size: len(data), err: err}
+		r.preparedSnapshot <- preparedSnapshot{meta: meta, size: len(data), logBytes: logBytes, err: err}
 	})
 	return nil
 }
 
 // activateSnapshot makes p the current snapshot and discards the log entries that it
-// covers. It ignores p if the leader has sent a newer snapshot in the meantime, and
-// returns p.err if writing p failed.
+// covers. It ignores p if the leader has sent a newer snapshot in the meantime. If writing p
+// failed, the log stays, and the snapshot is tried again later.
 func (r *Replica) activateSnapshot(p preparedSnapshot) error {
 	r.writingSnapshot = false
-	if newest, _ := r.disk.Snapshot(); p.err != nil || p.meta.Index <= newest.Index {
-		return p.err
+	if p.err != nil {
+		if r.nextSnapshotAt == 0 {
+			r.log.Error("Failed to write a snapshot; the log is kept.", "index", p.meta.Index, "bytes", p.size, "err", p.err.Error())
+		}
+		r.nextSnapshotAt = r.now() + snapshotRetryInterval
+		r.bytesSinceSnapshot += p.logBytes
+		return nil
+	}
+	if r.nextSnapshotAt != 0 {
+		r.log.Info("Snapshots are written again.", "index", p.meta.Index)
+		r.nextSnapshotAt = 0
+	}
+	if newest, _ := r.disk.Snapshot(); p.meta.Index <= newest.Index {
+		return nil
 	}
 	r.writingSince.Store(int64(clock.Now()))
 	defer r.writingSince.Store(0)
--- a/internal/control/faulty_folder_test.go
+++ b/internal/control/faulty_folder_test.go
@@ -11,9 +11,11 @@
 
 // faultyFolder gives access to a data folder whose disk refuses writes or hangs.
 type faultyFolder struct {
-	full   atomic.Bool
-	frozen sync.RWMutex                       // locked while writes hang
-	change func(*storage.LoadedState, *error) // of what opening the folder returns; may be nil
+	full atomic.Bool
+	// noSnapshots lets only the writing of snapshots fail, as on a disk with little space.
+	noSnapshots atomic.Bool
+	frozen      sync.RWMutex                       // locked while writes hang
+	change      func(*storage.LoadedState, *error) // of what opening the folder returns; may be nil
 }
 
 func (f *faultyFolder) access() folderAccess {
@@ -60,6 +62,13 @@
 	return d.dataFolder.Append(hs, es)
 }
 
+func (d *faultyDisk) PrepareSnapshot(s consensus.Snapshot) error {
+	if d.folder.noSnapshots.Load() {
+		return syscall.ENOSPC
+	}
+	return d.dataFolder.PrepareSnapshot(s)
+}
+
 func (d *faultyDisk) Failed() error {
 	if d.failed != nil {
 		return d.failed
--- a/internal/control/folder_failure_test.go
+++ b/internal/control/folder_failure_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,6 +84,33 @@
 	g.Eventually(func() uint64 { return r.config.Load().ModelVersions["m"] }, 5*time.Second).Should(Equal(uint64(1)))
 }
 
+// The space left is enough for the log, but not for a snapshot. Guards against a replica that
+// stops although it can store entries, and one that never writes the snapshot.
+func TestReplicaSurvivesFailedSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	r, folder := newFaultyReplica(t, freeAddress(t), false)
+	run(t, r)
+	g.Eventually(func() bool { return r.Leadership().Valid() }, 10*time.Second).Should(BeTrue())
+	folder.noSnapshots.Store(true)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range snapshotEntries/8 + 1 {
+				_ = proposeVersion(t.Context(), r, 1)
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(proposeVersion(t.Context(), r, 2)).To(Succeed())
+	folder.noSnapshots.Store(false)
+	g.Eventually(func() uint64 {
+		_ = proposeVersion(t.Context(), r, 2) // a snapshot is tried again with the next entry
+		var meta consensus.SnapshotMeta
+		_ = r.runInLoop(t.Context(), func() { meta, _ = r.disk.Snapshot() })
+		return meta.Index
+	}, 2*snapshotRetryInterval).Should(BeNumerically(">", snapshotEntries))
+}
+
 // Guards against a process that ends because its disk is full when it starts.
 func TestReplicaStartsWithFullDisk(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -115,7 +115,7 @@
 	case <-r.preparedSnapshot: // if it was completed, opening the folder has activated it
 	default:
 	}
-	r.writingSnapshot, r.compactTo = false, consensus.SnapshotMeta{}
+	r.writingSnapshot, r.nextSnapshotAt, r.compactTo = false, 0, consensus.SnapshotMeta{}
 	r.changes, r.changeBytes, r.bytesSinceSnapshot = nil, nil, 0
 	if err := r.load(f.disk, f.loaded); err != nil {
 		f.disk.Close()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -58,6 +58,7 @@
 	preparedSnapshot chan preparedSnapshot
 
 	writingSnapshot bool                   // a snapshot is being written in the background
+	nextSnapshotAt  consensus.Time         // not before; 0 unless the last one could not be written
 	compactTo       consensus.SnapshotMeta // newest snapshot that replaces log entries; see compactLog
 	snapshotWriter  sync.WaitGroup         // the goroutine that writes it
 
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"io"
 	"path/filepath"
 )
@@ -46,7 +47,18 @@
 // After a crash the file has either the old or the new content.
 func replaceFile(fs fileSystem, path string, write func(file) error) error {
 	tmp := path + temporarySuffix
-	f, err := fs.create(tmp)
+	if err := writeSynced(fs, tmp, write); err != nil {
+		return errors.Join(err, fs.remove(tmp)) // it would take space that the log needs
+	}
+	if err := fs.rename(tmp, path); err != nil {
+		return err
+	}
+	return fs.syncDir(filepath.Dir(path))
+}
+
+// writeSynced creates the file path with what write writes, and syncs it.
+func writeSynced(fs fileSystem, path string, write func(file) error) error {
+	f, err := fs.create(path)
 	if err != nil {
 		return err
 	}
@@ -58,13 +70,7 @@
 		f.Close()
 		return err
 	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := fs.rename(tmp, path); err != nil {
-		return err
-	}
-	return fs.syncDir(filepath.Dir(path))
+	return f.Close()
 }
 
 // truncateFile truncates a file without syncing it.
--- a/internal/storage/writable.go
+++ b/internal/storage/writable.go
@@ -18,13 +18,9 @@
 
 func checkWritable(fs fileSystem, dir string) error {
 	path := filepath.Join(dir, writableFile)
-	f, err := fs.create(path)
-	if err != nil {
+	err := writeSynced(fs, path, func(f file) error {
+		_, err := f.Write(make([]byte, writableBytes))
 		return err
-	}
-	_, err = f.Write(make([]byte, writableBytes))
-	if err == nil {
-		err = f.Sync()
-	}
-	return errors.Join(err, f.Close(), fs.remove(path))
+	})
+	return errors.Join(err, fs.remove(path))
 }
