Let a daemon on the platform listen for peers on another address than it announces

A daemon behind a proxy or address translation could not be run: it listened on the address that it announces. Without it nothing changes. The soak needs it to put a proxy between its processes.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 	Zone        string // availability zone
 	Region      string
 	PeerAddress string   // IP:port on which the other daemons reach this node
+	PeerListen  string   // IP:port on which the node listens for them; empty: PeerAddress
 	Founders    []string // peer addresses of the initial voters, through which a node finds the others
 
 	CallerAddress string // address given to clients; empty if the node serves no clients
@@ -20,6 +21,14 @@
 	BatchRetention time.Duration // time from the submission of a batch job for which it is retained
 }
 
+// listenAddress returns the address on which the node listens for the other daemons.
+func (c Config) listenAddress() string {
+	if c.PeerListen != "" {
+		return c.PeerListen
+	}
+	return c.PeerAddress
+}
+
 // Leases, intervals and timeouts of a node.
 const (
 	// freshnessLease is how long after its last confirmation a configuration counts as
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 // the node takes part in the gossip: replicas that know its address from their membership
 // make themselves known to it, and through it to processes that know only the founders.
 func (n *Node) join(ctx context.Context) (storage.Identity, error) {
-	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
+	listener, err := net.Listen("tcp", n.cfg.listenAddress())
 	if err != nil {
 		return storage.Identity{}, err
 	}
@@ -161,7 +161,7 @@
 // Start listens on the peer address and starts the node's goroutines, which run until ctx
 // ends. It doesn't block.
 func (n *Node) Start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
+	listener, err := net.Listen("tcp", n.cfg.listenAddress())
 	if err != nil {
 		return err
 	}
