Bound the lines that an engine's stream skips

What callers saw: nothing yet. Lines of a stream that are no events (comments, empty lines) without end took processor time until the deadline of the request.

Cause: ReadStream bounded an event, which is a line, but not what it skips.

Change: skipped lines count until the next event and share its bound of 1 MB. A line or lines beyond it are AnswerCut, as before for a line, and count as kind "event" of apricotstream_answers_cut_total.

The cases "skipped lines without end" and "empty lines without end" failed before (all 16 MB were read, the stand-in's whole stream); they end below 8 MB now. "an event without end" passed before too. Run: go test -race ./internal/engine ./internal/rollout ./internal/gateway.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 
+	"github.com/apricotstream/apricotstream/internal/overlong"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -20,17 +21,23 @@
 )
 
 // ReadStream calls handle for every chunk of the stream that answers the request with the
-// given id. It fails with AnswerCut if an event can't be decoded or the end marker is
-// missing, with UpstreamTimeout if the deadline passed before the end, and with
-// AnswerCrossed if a chunk belongs to another request. It returns the first error of handle.
+// given id. It fails with AnswerCut if an event can't be decoded, the end marker is missing
+// or an event or the lines that are skipped before it exceed maxEventBytes, with
+// UpstreamTimeout if the deadline passed before the end, and with AnswerCrossed if a chunk
+// belongs to another request. It returns the first error of handle.
 func ReadStream(r io.Reader, id string, handle func(Chunk) error) error {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	skipped := 0 // bytes since the last event
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix)
 		if !ok {
+			if skipped += len(sc.Bytes()) + 1; skipped > maxEventBytes {
+				return overlong.Cut(overlong.Event, "the stream has %d bytes without an event", skipped)
+			}
 			continue
 		}
+		skipped = 0
 		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, endMarker) {
 			return nil
@@ -46,6 +53,9 @@
 			return err
 		}
 	}
+	if errors.Is(sc.Err(), bufio.ErrTooLong) {
+		return overlong.Cut(overlong.Event, "an event of the stream has more than %d bytes", maxEventBytes)
+	}
 	if errors.Is(sc.Err(), context.DeadlineExceeded) {
 		return result.New(result.UpstreamTimeout, "the stream did not end before the deadline")
 	}
