Bound the output of a sample

What callers saw: nothing yet. An engine in trouble may send valid chunks without end; the owner of a step kept them until the sample's deadline.

Cause: a sample's output was compared with the engine's own count, never with max_tokens.

Change: a sample that has more tokens than max_tokens, or more than 256 bytes of text for each of them (at least 256 KB; 16 MB without max_tokens), is cut with AnswerCut, which closes the connection. The chunks of that upstream are dropped, since nothing tells its sound ones from the others; those of earlier upstreams are kept, and the sample resumes from them or begins anew on another upstream. The kind is "sample".

TestSampleWithoutEndIsCut covers tokens, text and a step without max_tokens. It is a test of the new decision: the old code has nothing that it could call. Run: go test -race ./internal/rollout.

--- a/internal/overlong/overlong.go
+++ b/internal/overlong/overlong.go
@@ -17,6 +17,7 @@
 	Event      Kind = "event"       // an event of a stream, with the lines that are skipped before it
 	ItemEvents Kind = "item_events" // the number of events of a batch item
 	ItemBytes  Kind = "item_bytes"  // the data of the events of a batch item
+	Sample     Kind = "sample"      // the output of a sample of a rollout
 	Memory     Kind = "memory"      // the events of an attempt, while many attempts have many
 )
 
--- a/internal/rollout/generate.go
+++ b/internal/rollout/generate.go
@@ -139,7 +139,10 @@
 func (g *generator) appendChunk(c engine.Chunk) error {
 	g.onTokens(c.Tokens())
 	g.checkSurvival(time.Now())
-	return g.partialSample.appendChunk(c)
+	if err := g.partialSample.appendChunk(c); err != nil {
+		return err
+	}
+	return g.partialSample.checkLimit(g.request.MaxTokens)
 }
 
 // checkSurvival calls onSurvival once the current upstream has generated tokens for
--- a/internal/rollout/partial_sample.go
+++ b/internal/rollout/partial_sample.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"slices"
+
 	"github.com/apricotstream/apricotstream/internal/engine"
+	"github.com/apricotstream/apricotstream/internal/overlong"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -11,12 +14,44 @@
 type partialSample struct {
 	sample Sample
 	part   int // number of tokens that the current upstream has generated
+	// earlier is the text and the segments before the current upstream.
+	earlier Sample
+}
+
+// Bounds on the output of a sample.
+const (
+	// maxBytesPerToken is twice the length of the longest tokens of common vocabularies.
+	maxBytesPerToken = 256
+	// minLimitTokens is the number of tokens from which the size of the text of a short
+	// sample is bounded.
+	minLimitTokens = 1024
+	// maxUnlimitedBytes bounds the text of a sample whose step has no max_tokens, like the
+	// body of any other response.
+	maxUnlimitedBytes = 16 << 20
+)
+
+// checkLimit returns AnswerCut if the output exceeds what a request for at most maxTokens
+// tokens allows, 0 meaning any number. The upstream does not keep to the request, and
+// nothing tells its sound chunks from the others: all of them are dropped.
+func (p *partialSample) checkLimit(maxTokens int) error {
+	maxBytes := maxUnlimitedBytes
+	if maxTokens > 0 {
+		maxBytes = max(maxTokens, minLimitTokens) * maxBytesPerToken
+	}
+	tokens := p.sample.Tokens()
+	if (maxTokens <= 0 || tokens <= maxTokens) && len(p.sample.Text) <= maxBytes {
+		return nil
+	}
+	err := overlong.Cut(overlong.Sample, "the sample has %d tokens and %d bytes, more than %d tokens or %d bytes", tokens, len(p.sample.Text), maxTokens, maxBytes)
+	p.sample.Text, p.sample.Segments, p.part = p.earlier.Text, p.earlier.Segments, 0
+	return err
 }
 
 // beginUpstream records that the given upstream continues the sample.
 func (p *partialSample) beginUpstream(upstream, requestID string) {
 	p.removeIdleUpstream()
 	p.part = 0
+	p.earlier = Sample{Text: p.sample.Text, Segments: slices.Clone(p.sample.Segments)}
 	p.sample.RequestID = requestID
 	p.sample.Upstreams = append(p.sample.Upstreams, upstream)
 }
--- a/internal/rollout/partial_sample_test.go
+++ b/internal/rollout/partial_sample_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -50,3 +51,41 @@
 	_, err := new(partialSample).finished()
 	g.Expect(result.CodeOf(err)).To(Equal(result.LabelMissing))
 }
+
+// An engine in trouble sent valid chunks without end, and the owner of the step kept them
+// all. The sample is cut when it exceeds its request, and keeps what other upstreams
+// generated before.
+func TestSampleWithoutEndIsCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		chunk     engine.Chunk
+		maxTokens int
+		wantAfter int // chunks that are accepted
+	}{
+		"tokens":        {testChunk("a", 4, 0), 100, 98},
+		"text":          {testChunk(strings.Repeat("x", 1<<10), 4, 1), 1000, 255},
+		"no max_tokens": {testChunk(strings.Repeat("x", 1<<20), 4, 1), 0, 15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var p partialSample
+			p.beginUpstream("e1", "r1")
+			g.Expect(p.appendChunk(testChunk("ab", 3, 2))).To(Succeed())
+			p.beginUpstream("e2", "r2")
+			accepted := 0
+			for accepted <= c.wantAfter {
+				g.Expect(p.appendChunk(c.chunk)).To(Succeed())
+				if err := p.checkLimit(c.maxTokens); err != nil {
+					g.Expect(result.CodeOf(err)).To(Equal(result.AnswerCut))
+					break
+				}
+				accepted++
+			}
+			g.Expect(accepted).To(Equal(c.wantAfter))
+			s, err := p.finished()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Text).To(Equal("ab"))
+			g.Expect(s.Segments).To(Equal([]Segment{{3, 2}}))
+			g.Expect(s.Upstreams).To(Equal([]string{"e1"}))
+		})
+	}
+}
