Bound response headers of the own interface's upstreams

What callers saw: nothing yet. A header without end was read up to 10 MB for each request, the default of net/http; with many upstreams in trouble that is more than a machine has.

Change: both transports of forward read at most 64 KB, like the platform's client. The connection is closed; the request may have run (UpstreamFailed).

TestHeaderWithoutEndIsCut failed before: "server response headers exceeded bytes". Run: go test -race ./internal/forward.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,6 +29,9 @@
 	dialTimeout             = time.Second
 	idleTimeout             = 30 * time.Second
 	maxIdleConnsPerUpstream = 64 // idle connections pooled for each upstream
+	// maxHeaderBytes bounds the header of a response. net/http would allow 10 MB for each
+	// request.
+	maxHeaderBytes = 64 << 10
 )
 
 // Outgoing is a request as it is sent to an upstream.
@@ -64,8 +67,10 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Forwarder{pooled: pooled, unpooled: unpooled}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -161,3 +161,30 @@
 	g.Expect(err).To(MatchError(errSealed))
 	g.Expect(checks).To(BeZero())
 }
+
+// An upstream in trouble sent a header without end, of which net/http read 10 MB for each
+// request. The response is cut, on pooled connections and on others.
+func TestHeaderWithoutEndIsCut(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		g := NewWithT(t)
+		written := make(chan int, 1)
+		address, _ := startUpstream(t, func(c net.Conn, _ *bufio.Reader) {
+			n, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			for total := n; ; total += n {
+				if err != nil || total > 64<<20 {
+					written <- total
+					return
+				}
+				n, err = io.WriteString(c, "X-Junk: "+strings.Repeat("x", 1<<10)+"\r\n")
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := New().Send(ctx, address, newPost("b", fresh))
+		cancel()
+		g.Expect(result.CodeOf(err)).To(Equal(result.UpstreamFailed), "%v", err)
+		g.Expect(err.Error()).To(ContainSubstring("exceeded 65536 bytes"))
+		var n int
+		g.Eventually(written, "2s").Should(Receive(&n))
+		g.Expect(n).To(BeNumerically("<", 8<<20), "beyond what the kernel buffers")
+	}
+}
