Bound the responses that the command line reads

What callers saw: nothing yet. The command line read whatever an entry sent within 8 s.

Change: a response above 64 MB has the code CommitUnknown, like one that was cut: the change may have been made.

"cuts a response without an end" failed before: 1,283 MB of heap for a stand-in that stops at 512 MB; the bound of the test is four times 64 MB, since the buffer is copied as it grows. Run: go test -race ./internal/cli.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -20,6 +20,10 @@
 // requestTimeout bounds one request to an entry.
 const requestTimeout = 8 * time.Second
 
+// maxResponseBytes bounds the body of a response. The largest are lists of all services or
+// upstreams.
+const maxResponseBytes = 64 << 20
+
 // entryClient holds the options of commands that call an entry, and sends their requests.
 type entryClient struct {
 	Entry   []string `long:"entry" env:"APRICOTSTREAM_ENTRY" env-delim:"," required:"true" value-name:"IP:PORT" description:"an entry; several are tried in turn"`
@@ -91,10 +95,13 @@
 		return result.New(result.CommitUnknown, "entry %s: %v", entry, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return result.New(result.CommitUnknown, "entry %s: %v", entry, err)
 	}
+	if len(b) > maxResponseBytes {
+		return result.New(result.CommitUnknown, "entry %s: the response is larger than %d bytes", entry, maxResponseBytes)
+	}
 	if resp.StatusCode >= 300 {
 		var e errorResponse
 		if json.Unmarshal(b, &e) != nil || e.Error.Code == result.OK {
--- /dev/null
+++ b/internal/cli/client_test.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/testkit"
+)
+
+var _ = Describe("The client of an entry", func() {
+	// The whole body of a response was read, whatever its size: gigabytes within the timeout
+	// of a request.
+	It("cuts a response without an end", func() {
+		chunk := []byte(strings.Repeat("x", 1<<20))
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for range 512 {
+				if _, err := w.Write(chunk); err != nil {
+					return
+				}
+			}
+		}))
+		defer s.Close()
+		c := entryClient{Entry: []string{s.Listener.Addr().String()}}
+		var err error
+		heap := testkit.PeakHeap(func() { err = c.do(http.MethodGet, "/", nil, nil) })
+		Expect(heap).To(BeNumerically("<", 4*maxResponseBytes))
+		Expect(result.CodeOf(err)).To(Equal(result.CommitUnknown))
+	})
+})
