Isolate an entry only when it knows that the others are fresh

What was seen: TestIsolatedEntryRejectsKeys failed once; the isolated entry still listed itself as an entry.

Cause: the set-up waited until each daemon called itself fresh, not until entry 5 had heard so. An entry that knows no fresh daemon lists all of them, itself included, as designed: they still serve routes that need no key. An isolated entry hears nothing more, so it went on listing itself.

Evidence: in 17 of 32 runs, entry 5 did not know every other daemon as fresh right after all had called themselves fresh; 60 ms later it did. A trial that isolates entry 5 at that time, without the rest of the test's set-up, failed with the message of the test in 5 of 16 runs.

Change: the test waits until entry 5 knows all others as fresh. Its checks and limits stay.

The failure of the whole test was not reproduced before.

--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/cli"
 	"github.com/apricotstream/apricotstream/internal/gateway"
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/standin"
 )
 
@@ -256,6 +258,19 @@
 	}
 }
 
+// waitOthersFreshAt waits until daemon i has heard from every other daemon that it is fresh.
+// A daemon that knows no fresh one lists all daemons as entries, itself included.
+func (c *cluster) waitOthersFreshAt(i int) {
+	c.t.Helper()
+	c.g.Eventually(func() int {
+		s, err := c.status(i)
+		if err != nil {
+			return 0
+		}
+		return len(slices.DeleteFunc(s.Daemons, func(d member.Daemon) bool { return !d.Fresh }))
+	}, 15*time.Second, 50*time.Millisecond).Should(Equal(c.n), "daemon %d does not know all others as fresh", i)
+}
+
 // createAccount creates a client account with a key and returns the key.
 func (c *cluster) createAccount(name string) string {
 	c.runOperator("account", "create", name)
--- a/internal/systest/keys_test.go
+++ b/internal/systest/keys_test.go
@@ -135,6 +135,7 @@
 	c.putDocument(openDocument)
 	c.startEngine(standin.Options{ID: "engine-1", Service: "hint", Concurrency: 64, TokenTime: 5 * time.Millisecond})
 	c.waitFresh(1, 2, 3, 4, 5, 6)
+	c.waitOthersFreshAt(5)
 	end := c.openStream(5, key)
 	c.isolate(5)
 	c.g.Expect(end()).To(ContainSubstring("freshness-lost"))
