Check that an entry without the newest change is fresh only within its lease

What was seen: TestRestartOfAllDaemonsKeepsConfiguration failed once. Right after the last edit, an entry that called itself fresh had version 1043 of 1056.

Cause: the test took a fresh entry for one with every change. Freshness promises every change that was committed more than the freshness lease (2.5 s) ago, and the test looked within milliseconds of the last edit. The product keeps its promise: an entry that was isolated before a change called itself fresh without it only within the lease after the change was confirmed, and rejected the request after that.

Change: TestEntryWithoutNewestChangeIsFreshOnlyWithinFreshnessLease checks this with real daemons; it did not exist before. The restart test waits until every entry is fresh and has the last edit. It now fails when an entry that is fresh lacks the edit after the lease. Its check of the versions before the restart and all others stay.

--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -271,6 +271,27 @@
 	}, 15*time.Second, 50*time.Millisecond).Should(Equal(c.n), "daemon %d does not know all others as fresh", i)
 }
 
+// waitConfigVersion waits until the given daemons are fresh and have at least the given
+// version of the configuration. A daemon that is fresh may lack changes that are newer than
+// the freshness lease, but not older ones.
+func (c *cluster) waitConfigVersion(version uint64, ids ...int) {
+	c.t.Helper()
+	began := time.Now() // the version is confirmed
+	for _, i := range ids {
+		c.g.Eventually(func() bool {
+			asked := time.Now()
+			s, err := c.status(i)
+			if err != nil || !s.Fresh {
+				return false
+			}
+			if asked.Sub(began) >= freshnessLease {
+				c.g.Expect(s.ConfigVersion).To(BeNumerically(">=", version), "daemon %d is fresh without a change that is older than the freshness lease", i)
+			}
+			return s.ConfigVersion >= version
+		}, 15*time.Second, 50*time.Millisecond).Should(BeTrue(), "daemon %d is not fresh or has no configuration %d", i, version)
+	}
+}
+
 // createAccount creates a client account with a key and returns the key.
 func (c *cluster) createAccount(name string) string {
 	c.runOperator("account", "create", name)
--- a/internal/systest/failover_test.go
+++ b/internal/systest/failover_test.go
@@ -68,6 +68,34 @@
 	c.waitFresh(5)
 }
 
+// An entry that has not received a change must not call itself fresh for longer than the
+// freshness lease after the change was confirmed. Within the lease it may. Guards against a
+// confirmed change that is not in force in time on an entry that serves keyed routes.
+func TestEntryWithoutNewestChangeIsFreshOnlyWithinFreshnessLease(t *testing.T) {
+	c := newCluster(t, "")
+	freshWithoutChange := 0
+	for round := range 3 {
+		c.waitFresh(5)
+		before, err := c.status(5)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.isolate(5)
+		c.runOperator("account", "create", fmt.Sprint("made-while-cut-", round))
+		confirmed := time.Now()
+		c.g.Eventually(func() error {
+			asked := time.Now()
+			s, err := c.status(5)
+			if err == nil && s.Fresh && s.ConfigVersion == before.ConfigVersion {
+				freshWithoutChange++
+				c.g.Expect(asked.Sub(confirmed)).To(BeNumerically("<", freshnessLease))
+			}
+			return err
+		}, 10*time.Second, 20*time.Millisecond).Should(MatchError(ContainSubstring("not-fresh")))
+		c.heal(5)
+		c.waitConfigVersion(before.ConfigVersion+1, 5)
+	}
+	c.g.Expect(freshWithoutChange).To(BeNumerically(">", 0))
+}
+
 // All daemons are killed after more than a thousand changes. Each replica must restart from a
 // snapshot and a short log, and no entry may show an older configuration than before.
 func TestRestartOfAllDaemonsKeepsConfiguration(t *testing.T) {
@@ -90,7 +118,9 @@
 		})
 	}
 	wg.Wait()
-	c.waitFresh(1, 2, 3, 4, 5, 6)
+	lastEdit := time.Now()
+	c.waitConfigVersion(8*132, 1, 2, 3, 4, 5, 6)
+	t.Logf("all six daemons had the last edit %v after it", time.Since(lastEdit))
 	checkVersions()
 	for i := 1; i <= daemons; i++ {
 		c.g.Expect(versions[i]).To(BeNumerically(">=", 8*132))
