Let slow samples differ from others on a busy machine too

What was seen: TestMovesDoNotChangeSampleLengths failed on a busy machine, because no sample moved.

Cause: the test generates a token every 4 ms, and in slow requests every 40 ms. A sample moves when it is four times slower than the median. What a busy machine adds to every token (x) brings the two closer: from 8 ms on, (40+x)/(4+x) is less than 4, no sample is a straggler, and the detector is right not to move any.

Change: a token takes 40 ms, and 400 ms in slow requests, so that it takes 80 ms more per token to hide a slow request. The checks, the lengths, the share of slow requests and the limits of the detector stay. The test takes seconds more.

--- a/internal/rollout/stragglers_test.go
+++ b/internal/rollout/stragglers_test.go
@@ -153,7 +153,8 @@
 		return out, moveCount
 	}
 	withoutMoves, _ := lengths(0, standin.Options{TokenTime: time.Millisecond})
-	withMoves, moved := lengths(2, standin.Options{TokenTime: 4 * time.Millisecond, Faults: standin.Faults{SlowEvery: 8}})
+	// What a busy machine adds to each token must stay small beside the time of a token.
+	withMoves, moved := lengths(2, standin.Options{TokenTime: 40 * time.Millisecond, Faults: standin.Faults{SlowEvery: 8}})
 	g.Expect(moved).To(BeNumerically(">", 0))
 	g.Expect(withMoves).To(Equal(withoutMoves))
 }
