Read the replica in a node's description without a race

The gossip of a process that waits for its group may still describe itself when the folder is opened after the wait.

Change: the description reads an atomic pointer, which is set with the replica.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	client  *peer.Client
 	server  *peer.Server
 	replica *control.Replica // nil without a data folder
+	// announced is replica for the gossip, which also runs while the node waits for the group.
+	announced atomic.Pointer[control.Replica]
 	// replicaError is why the replica has stopped. It may be read once Wait has returned.
 	replicaError error
 	identity     atomic.Pointer[storage.Identity] // zero without a data folder and while joining
@@ -130,6 +132,7 @@
 	replica, id, err := control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
 	n.replica = replica
 	n.identity.Store(&id)
+	n.announced.Store(replica)
 	return err
 }
 
@@ -249,7 +252,7 @@
 // announcedReplica returns the ID of the replica, or "" while it takes no part in the
 // control group: then the others replace its vote and do not call it.
 func (n *Node) announcedReplica() string {
-	if n.replica == nil || !n.replica.Available() {
+	if r := n.announced.Load(); r == nil || !r.Available() {
 		return ""
 	}
 	return string(n.identity.Load().ID)
