Ask whether the group exists before a founder takes its identity

Seen: nothing by a caller yet. A founder that lost its disk, and whose settings still say first_start, took its old identity again with an empty log. It could then give a second vote in a term, or vote for a replica that lacks what it had acknowledged before.

Cause: with first_start an empty folder of a founder always counted as new.

Change: such a founder first listens on its peer address, takes part in the gossip, and asks the other founders and the replicas that it learns of. One with a log, a term or another identity means that the group exists, and the founder joins under a new identity. It forms the group when all founders are new; after 2 s if those that have not answered are too few to have formed it with this one; after 10 s if a majority is new, so that a first start does not depend on each founder. A founder that asks counts as new for the one that it asks, and stays so: whoever counts another one was counted by it, and founders that start together all form the group, also when the first of them already runs.

What remains: a majority of the founders wiped at once, with no replica that has a log reachable for 10 s. A first start with a founder missing takes 10 s longer than before.

Measured: TestWipedFounderJoinsUnderNewIdentity failed before (the founder had its old identity). It passes with -race, and so do TestFoundersFormGroup, TestWipedFoundersWaitForTheOneWithLog, TestFoundingDecision and the tests of ./platform.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -19,6 +19,7 @@
 	MethodRetire      = "control.retire"       // call: RetireRequest -> RetireReply
 	MethodSnapshot    = "control.snapshot"     // notice: SnapshotPart
 	MethodSnapshotAck = "control.snapshot_ack" // notice: SnapshotAck
+	MethodFounding    = "control.founding"     // call: FoundingRequest -> FoundingReply
 )
 
 // ProposeRequest asks a replica to commit a command.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -24,6 +24,7 @@
 	peer.Handle(s, MethodMembers, r.Members)
 	peer.Handle(s, MethodReadBatch, r.ReadBatch)
 	peer.Handle(s, MethodRetire, r.Retire)
+	peer.Handle(s, MethodFounding, r.answerFounding)
 	peer.HandleRawNotice(s, MethodSnapshot, r.receiveSnapshotPart)
 	peer.HandleNotice(s, MethodSnapshotAck, r.receiveSnapshotAck)
 }
--- /dev/null
+++ b/internal/node/founding_test.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/batch"
+)
+
+// foundingNode is a founder of a deployment whose settings always say that it starts for
+// the first time.
+type foundingNode struct {
+	cfg  Config
+	node *Node
+	stop func()
+}
+
+func newFoundingNodes(t *testing.T, count int) []*foundingNode {
+	t.Helper()
+	var founders []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		l.Close()
+		founders = append(founders, l.Addr().String())
+	}
+	var out []*foundingNode
+	for i, a := range founders {
+		out = append(out, &foundingNode{cfg: Config{
+			ID: "n" + string(rune('0'+i)), PeerAddress: a, Founders: founders, DataFolder: filepath.Join(t.TempDir(), "data"),
+			FirstStart: true, Tolerance: 1,
+		}})
+	}
+	return out
+}
+
+// start starts the node and returns once it runs or New has failed.
+func (f *foundingNode) start(t *testing.T) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	newCtx, stopNew := context.WithTimeout(ctx, 20*time.Second)
+	defer stopNew()
+	deps := Dependencies{Scorer: func(*Node) batch.Scorer { return nil }}
+	n, err := New(newCtx, f.cfg, deps, log.New(io.Discard))
+	if err != nil {
+		cancel()
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		cancel()
+		return err
+	}
+	f.node, f.stop = n, sync.OnceFunc(func() { cancel(); n.Wait() })
+	t.Cleanup(f.stop)
+	return nil
+}
+
+// startAll starts the nodes at intervals, each without waiting for the others.
+func startAll(t *testing.T, nodes []*foundingNode, interval time.Duration) {
+	t.Helper()
+	errs := make(chan error, len(nodes))
+	for _, f := range nodes {
+		go func() { errs <- f.start(t) }()
+		time.Sleep(interval)
+	}
+	for range nodes {
+		NewWithT(t).Expect(<-errs).To(Succeed())
+	}
+}
+
+func (f *foundingNode) publish(version uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	return f.node.PublishVersion(ctx, "m", version)
+}
+
+func (f *foundingNode) founds() bool {
+	return strings.HasPrefix(string(f.node.identity.Load().ID), "f.")
+}
+
+// A founder that lost its disk must not take its old identity again, also when its settings
+// still say first_start: with an empty log it could give its vote a second time, and what
+// was acknowledged would be lost.
+func TestWipedFounderJoinsUnderNewIdentity(t *testing.T) {
+	g := NewWithT(t)
+	nodes := newFoundingNodes(t, 3)
+	startAll(t, nodes, 100*time.Millisecond)
+	for _, f := range nodes {
+		g.Expect(f.founds()).To(BeTrue())
+	}
+	g.Expect(nodes[1].publish(1)).To(Succeed())
+	nodes[0].stop()
+	g.Expect(os.RemoveAll(nodes[0].cfg.DataFolder)).To(Succeed())
+	g.Expect(nodes[0].start(t)).To(Succeed())
+	g.Expect(nodes[0].founds()).To(BeFalse())
+	g.Eventually(func() bool {
+		m, ok := nodes[1].node.Group()[nodes[0].node.identity.Load().ID]
+		return ok && m.Voter
+	}, 15*time.Second).Should(BeTrue())
+}
+
+// The founders start within 0.3 s and none listens yet, and one starts later than the time
+// for which the others wait for it. Guards against a group that does not form, and against
+// founders that need another exchange of votes after a usual first start.
+func TestFoundersFormGroup(t *testing.T) {
+	t.Run("together", func(t *testing.T) {
+		g := NewWithT(t)
+		nodes := newFoundingNodes(t, 3)
+		startAll(t, nodes, 100*time.Millisecond)
+		for _, f := range nodes {
+			g.Expect(f.founds()).To(BeTrue())
+		}
+		g.Expect(nodes[2].publish(1)).To(Succeed())
+	})
+	t.Run("one late", func(t *testing.T) {
+		g := NewWithT(t)
+		nodes := newFoundingNodes(t, 3)
+		startAll(t, nodes[:2], 0)
+		g.Expect(nodes[0].publish(1)).To(Succeed())
+		g.Expect(nodes[2].start(t)).To(Succeed())
+		g.Expect(nodes[2].founds()).To(BeFalse())
+		g.Eventually(func() uint64 { return nodes[2].node.follower.Config().ModelVersions["m"] }, 10*time.Second).Should(Equal(uint64(1)))
+	})
+}
+
+// Founders that are wiped while the one that holds the log does not answer must not form
+// another group. Guards against two that take each other for new.
+func TestWipedFoundersWaitForTheOneWithLog(t *testing.T) {
+	g := NewWithT(t)
+	nodes := newFoundingNodes(t, 3)
+	startAll(t, nodes, 0)
+	g.Expect(nodes[1].publish(1)).To(Succeed())
+	g.Eventually(func() uint64 { return nodes[2].node.follower.Config().ModelVersions["m"] }, 10*time.Second).Should(Equal(uint64(1)))
+	for _, f := range nodes {
+		f.stop()
+	}
+	errs := make(chan error, 2)
+	for _, f := range nodes[:2] {
+		g.Expect(os.RemoveAll(f.cfg.DataFolder)).To(Succeed())
+		go func() { errs <- f.start(t) }()
+	}
+	g.Consistently(errs, 3*time.Second).ShouldNot(Receive()) // longer than a restart of the third
+	g.Expect(nodes[2].start(t)).To(Succeed())
+	for range 2 {
+		g.Expect(<-errs).To(HaveOccurred(), "without a quorum there is nothing to join")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,8 +74,8 @@
 }
 
 // New returns a node; Start runs it. A replica with an empty data folder forms the control
-// group together with the other founders on the first start of the deployment. Otherwise it
-// joins the running group as a learner, which blocks until that group answers or ctx ends.
+// group together with the other founders on the first start of the deployment, once it knows
+// that they are new, too. Otherwise it joins the running group as a learner, which blocks until that group answers or ctx ends.
 // Meanwhile the node listens on its peer address.
 func New(ctx context.Context, cfg Config, deps Dependencies, logger *log.Logger) (*Node, error) {
 	n := &Node{
@@ -114,7 +114,13 @@
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
+	form := false
 	if n.cfg.FirstStart && n.isFounder() {
+		if form, err = n.awaitFounding(ctx); err != nil {
+			return err
+		}
+	}
+	if form {
 		_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
 		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
 	} else {
@@ -136,26 +142,47 @@
 	return err
 }
 
-// join writes the data folder of a learner of the running group. Until the group answers,
-// the node takes part in the gossip: replicas that know its address from their membership
-// make themselves known to it, and through it to processes that know only the founders.
-func (n *Node) join(ctx context.Context) (storage.Identity, error) {
+// awaitFounding reports whether this founder, whose folder is empty, forms the group. If
+// the group exists, the founder has lost its disk and joins like any other replica.
+func (n *Node) awaitFounding(ctx context.Context) (form bool, err error) {
+	f := control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders)
+	err = n.whileListening(ctx, f.Register, func(ctx context.Context) (err error) {
+		form, err = f.Await(ctx, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+		return err
+	})
+	return form, err
+}
+
+// join writes the data folder of a learner of the running group.
+func (n *Node) join(ctx context.Context) (id storage.Identity, err error) {
+	err = n.whileListening(ctx, func(*peer.Server) {}, func(ctx context.Context) (err error) {
+		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+		return err
+	})
+	return id, err
+}
+
+// whileListening calls f while the node listens on its peer address and takes part in the
+// gossip: replicas that know its address from their membership make themselves known to it,
+// and through it to processes that know only the founders. register adds other handlers.
+func (n *Node) whileListening(ctx context.Context, register func(*peer.Server), f func(context.Context) error) error {
 	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
 	if err != nil {
-		return storage.Identity{}, err
+		return err
 	}
 	server := peer.NewServer()
 	n.gossip.Register(server)
+	register(server)
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { server.Serve(ctx, listener) })
 	wg.Go(func() { n.gossip.Run(ctx) })
-	id, err := control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+	err = f(ctx)
 	cancel()
 	listener.Close()
 	server.Close()
 	wg.Wait()
-	return id, err
+	return err
 }
 
 func (n *Node) isFounder() bool { return slices.Contains(n.cfg.Founders, n.cfg.PeerAddress) }
