--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,7 @@
 	d.follower = control.NewFollower(d.sources, d.cfg.FreshnessLease, d.log.WithPrefix("follow"))
 	d.proposer = control.NewProposer(d.replica, d.client, d.replicaAddresses, d.health)
 	d.gossip = member.NewGossip(d.client, func() []string { return d.cfg.Peers }, d.self)
+	d.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(d.log, known, renewed) }
 	d.gossip.Register(d.server)
 	d.directory = upstream.NewDirectory(d.gossip)
 	d.directory.Register(d.server)
@@ -122,9 +123,12 @@
 func (d *Daemon) self() member.Daemon {
 	m := member.Daemon{
 		ID: d.cfg.ID, Incarnation: d.started.UnixNano(), Zone: d.cfg.Zone, Region: d.cfg.Region,
-		CallerAddress: d.cfg.CallerAddress, PeerAddress: d.cfg.PeerAddress, Replica: string(d.identity.ID),
+		CallerAddress: d.cfg.CallerAddress, PeerAddress: d.cfg.PeerAddress,
 		Fresh: d.follower.Fresh(),
 	}
+	if d.replica != nil && d.replica.Available() { // else others replace its vote and do not call it
+		m.Replica = string(d.identity.ID)
+	}
 	if d.gateway != nil {
 		m.Draining = d.gateway.Drain().Draining()
 		m.InFlight = d.gateway.Drain().InFlight()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	n.identity.Store(&storage.Identity{})
 	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
 	n.gossip = member.NewGossip(n.client, n.seeds, n.self)
+	n.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(n.log, known, renewed) }
 	n.gossip.Register(n.server)
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
@@ -137,7 +138,7 @@
 // the node takes part in the gossip: replicas that know its address from their membership
 // make themselves known to it, and through it to processes that know only the founders.
 func (n *Node) join(ctx context.Context) (storage.Identity, error) {
-	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
+	listener, err := net.Listen("tcp", n.cfg.listenAddress())
 	if err != nil {
 		return storage.Identity{}, err
 	}
@@ -160,7 +161,7 @@
 // Start listens on the peer address and starts the node's goroutines, which run until ctx
 // ends. It doesn't block.
 func (n *Node) Start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.cfg.PeerAddress)
+	listener, err := net.Listen("tcp", n.cfg.listenAddress())
 	if err != nil {
 		return err
 	}
@@ -241,11 +242,20 @@
 func (n *Node) self() member.Daemon {
 	return member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
-		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: string(n.identity.Load().ID),
+		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: n.announcedReplica(),
 		Fresh: n.follower.Fresh(), Draining: n.draining.Load(),
 	}
 }
 
+// announcedReplica returns the ID of the replica, or "" while it takes no part in the
+// control group: then the others replace its vote and do not call it.
+func (n *Node) announcedReplica() string {
+	if n.replica == nil || !n.replica.Available() {
+		return ""
+	}
+	return string(n.identity.Load().ID)
+}
+
 // updateTable compiles each new routing configuration into the active table until ctx ends.
 func (n *Node) updateTable(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -271,6 +281,12 @@
 	return n.proxy.Serve(ctx, q)
 }
 
+// Departures returns the tracker to which the clients of upstreams and engines report that
+// an upstream leaves.
+func (n *Node) Departures() upstream.DepartureTracker {
+	return upstream.DepartureRecorder{Directory: n.directory, Log: n.log}
+}
+
 // Drain marks the node as draining, which removes it from the list of entries, and
 // announces this to the other daemons. It can't be undone.
 func (n *Node) Drain() {
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -1,6 +1,10 @@
 package storage
 
-import "path/filepath"
+import (
+	"errors"
+	"io"
+	"path/filepath"
+)
 
 // temporarySuffix ends the name of a file that replaceFile has not completed.
 const temporarySuffix = ".tmp"
@@ -43,7 +47,18 @@
 // After a crash the file has either the old or the new content.
 func replaceFile(fs fileSystem, path string, write func(file) error) error {
 	tmp := path + temporarySuffix
-	f, err := fs.create(tmp)
+	if err := writeSynced(fs, tmp, write); err != nil {
+		return errors.Join(err, fs.remove(tmp)) // it would take space that the log needs
+	}
+	if err := fs.rename(tmp, path); err != nil {
+		return err
+	}
+	return fs.syncDir(filepath.Dir(path))
+}
+
+// writeSynced creates the file path with what write writes, and syncs it.
+func writeSynced(fs fileSystem, path string, write func(file) error) error {
+	f, err := fs.create(path)
 	if err != nil {
 		return err
 	}
@@ -55,13 +70,7 @@
 		f.Close()
 		return err
 	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := fs.rename(tmp, path); err != nil {
-		return err
-	}
-	return fs.syncDir(filepath.Dir(path))
+	return f.Close()
 }
 
 // truncateFile truncates a file without syncing it.
@@ -74,12 +83,24 @@
 	return f.Truncate(size)
 }
 
-// syncFile makes the content of a file durable, including what earlier processes wrote.
-func syncFile(fs fileSystem, path string) error {
-	f, err := fs.openAppend(path)
+// syncFrom writes the bytes of a file from offset on again, in place, and syncs the file. A
+// plain sync may store nothing: after a failed sync the system keeps what it could not
+// store in its cache and takes it for stored.
+func syncFrom(fs fileSystem, path string, offset int64) error {
+	b, err := fs.readFile(path)
+	if err != nil {
+		return err
+	}
+	f, err := fs.openWrite(path)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
+	if _, err := f.Seek(offset, io.SeekStart); err != nil {
+		return err
+	}
+	if _, err := f.Write(b[offset:]); err != nil {
+		return err
+	}
 	return f.Sync()
 }
