Refuse a reopened folder that lacks stored entries

A replica whose disk had failed took part again with a folder that had lost an entry which the replica had acknowledged: only term, vote and commit index were compared. The leader may have committed the entry on the strength of that acknowledgement, so an acknowledged change could be lost with the next disk.

The index and the term of the newest stored entry are now compared as well, in the order of logs: entries of a later term whose write failed halfway may have replaced some of them.

--- a/internal/control/folder_failure_test.go
+++ b/internal/control/folder_failure_test.go
@@ -130,6 +130,7 @@
 		"term":    func(l *storage.LoadedState, _ *error) { l.Hard.Term-- },
 		"vote":    func(l *storage.LoadedState, _ *error) { l.Hard.Vote = "another" },
 		"commit":  func(l *storage.LoadedState, _ *error) { l.Hard.Commit-- },
+		"entry":   func(l *storage.LoadedState, _ *error) { l.Entries = l.Entries[:len(l.Entries)-1] },
 		"replica": func(l *storage.LoadedState, _ *error) { l.Identity.ID = "another" },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -132,14 +132,26 @@
 }
 
 // checkReopened returns DataCorrupt if the folder is another one, or lacks a term, a vote
-// or committed entries that were stored: the replica must not act as if it had not.
+// or entries that were stored: the leader may count on them. Entries of a later term, whose
+// write failed halfway, may have replaced some of them.
 func (r *Replica) checkReopened(l storage.LoadedState) error {
 	old, now := r.stored, l.Hard
 	if l.Identity.Cluster != r.cluster || l.Identity.ID != r.Status().ID {
 		return result.New(result.DataCorrupt, "%s: holds replica %s after a failure", r.dir, l.Identity.ID)
 	}
+	if last := lastStored(l); last.Term < r.storedLast.Term || last.Term == r.storedLast.Term && last.Index < r.storedLast.Index {
+		return result.New(result.DataCorrupt, "%s: was stored up to entry %d of term %d, and ends with entry %d of term %d after a failure", r.dir, r.storedLast.Index, r.storedLast.Term, last.Index, last.Term)
+	}
 	if now.Term < old.Term || now.Term == old.Term && old.Vote != "" && now.Vote != old.Vote || now.Commit < old.Commit {
 		return result.New(result.DataCorrupt, "%s: was stored up to term %d and entry %d, and holds term %d and entry %d after a failure", r.dir, old.Term, old.Commit, now.Term, now.Commit)
 	}
 	return nil
 }
+
+// lastStored returns index and term of the last entry of a folder.
+func lastStored(l storage.LoadedState) consensus.Entry {
+	if n := len(l.Entries); n > 0 {
+		return consensus.Entry{Index: l.Entries[n-1].Index, Term: l.Entries[n-1].Term}
+	}
+	return consensus.Entry{Index: l.Snapshot.Meta.Index, Term: l.Snapshot.Meta.Term}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -87,6 +87,7 @@
 	receivedSnapshots  map[consensus.ID]receivedSnapshot // not complete yet, by sender
 
 	stored       consensus.HardState // newest one that was synced
+	storedLast   consensus.Entry     // index and term of the newest log entry that was synced
 	reopenPolicy reopenPolicy
 	suspended    atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
 	writingSince atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
@@ -148,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	r.disk, r.state, r.stored = disk, st, l.Hard
+	r.disk, r.state, r.stored, r.storedLast = disk, st, l.Hard, lastStored(l)
 	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now()).advanceTo(lastCommandTime(l.Entries), clock.Now())
 	r.node = consensus.New(consensus.Config{
 		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries, Now: r.now(),
@@ -293,6 +294,7 @@
 		if err := r.installSnapshot(*rd.Snapshot); err != nil {
 			return err
 		}
+		r.storedLast = consensus.Entry{Index: rd.Snapshot.Meta.Index, Term: rd.Snapshot.Meta.Term}
 	}
 	if err := r.disk.Append(rd.HardState, rd.Entries); err != nil {
 		return err
@@ -300,6 +302,9 @@
 	if rd.HardState != nil {
 		r.stored = *rd.HardState
 	}
+	if n := len(rd.Entries); n > 0 {
+		r.storedLast = consensus.Entry{Index: rd.Entries[n-1].Index, Term: rd.Entries[n-1].Term}
+	}
 	return nil
 }
 
