Acknowledge a withdrawal only while the leader answers

A withdrawal that some daemons had not confirmed was also marked as confirmed, so that its repetitions were not sent again.

The replica now asks the leader while it tells the others, refuses when none of them has confirmed, and marks the withdrawal only when all have.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -179,6 +179,10 @@
 	}
 }
 
+// InTouch returns nil if a leader with a valid lease has answered since the call began. The
+// leader itself needs its lease.
+func (r *Replica) InTouch(ctx context.Context) error { return r.catchUp(ctx) }
+
 // Query reads from the ledger, including everything committed before the call.
 func (r *Replica) Query(ctx context.Context, q QueryRequest) (QueryReply, error) {
 	if err := r.catchUp(ctx); err != nil {
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -38,10 +38,9 @@
 }
 
 // withdraw records that an upstream accepts no more work, and sends this to the other
-// daemons. It returns NotLeader unless this daemon is a replica that has heard from the
-// leader lately: otherwise the others may not have received it. A withdrawal that this
-// daemon has acknowledged before succeeds at once. One that it only knows of is sent again,
-// because the others may not have it.
+// daemons. It returns NotLeader unless this daemon runs a replica that the leader answers
+// meanwhile: otherwise the others may not have received it. A withdrawal that all others
+// have confirmed succeeds at once when it is repeated. Any other one is sent again.
 func (n *Node) withdraw(a upstream.Announcement) error {
 	a.TTL = announcementTTL.Seconds()
 	if n.directory.Confirmed(a.ID, a.Incarnation) {
@@ -50,15 +49,32 @@
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	others := n.gossip.Others()
+	inTouch := make(chan error, 1)
+	go func() { inTouch <- n.inTouch(ctx) }()
 	failed := n.directory.Withdraw(ctx, n.client, others, a)
 	n.log.Info("Upstream is leaving.", "upstream", a.ID, "service", a.Service, "incarnation", a.Incarnation, "told", len(others)-failed, "of", len(others))
-	if !n.leaderKnown() {
-		return result.NewRetryAfter(result.NotLeader, withdrawRetryAfter, "this daemon is disconnected from the others")
+	err := <-inTouch
+	if err == nil && failed > 0 && failed == len(others) {
+		err = result.New(result.NoQuorum, "no other daemon has confirmed it") // the lease of a leader may outlast its contact
+	}
+	if err != nil {
+		return result.NewRetryAfter(result.NotLeader, withdrawRetryAfter, "this daemon is disconnected from the others: %v", err)
+	}
+	if failed == 0 {
+		n.directory.MarkConfirmed(a.ID, a.Incarnation)
 	}
-	n.directory.MarkConfirmed(a.ID, a.Incarnation)
 	return nil
 }
 
+// inTouch returns nil if this daemon runs a replica and a leader with a quorum has answered
+// it since the call began.
+func (n *Node) inTouch(ctx context.Context) error {
+	if n.replica == nil {
+		return result.New(result.NotReplica, "this daemon runs no replica")
+	}
+	return n.replica.InTouch(ctx)
+}
+
 // PutRouting replaces routes, services and accounts. It returns nil once the configuration
 // or a newer one is committed. source is the text of the document.
 func (n *Node) PutRouting(ctx context.Context, c *routing.Configuration, source string) error {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/periodic"
@@ -91,13 +90,3 @@
 		n.log.Debug("Failed to pull the upstreams of a replica.", "with", a, "err", err.Error())
 	}
 }
-
-// leaderKnown reports whether this node is a replica that knows the leader. A leader must
-// also hold a valid lease.
-func (n *Node) leaderKnown() bool {
-	if n.replica == nil {
-		return false
-	}
-	st := n.replica.Status()
-	return st.Leader != "" && (st.Role != consensus.Leader || n.replica.Leadership().Valid())
-}
