Log why a folder that takes writes again cannot be opened

While a replica waited for its disk, errors of opening its folder were dropped: after a full disk, a folder without read permission kept the replica away without a line that says so. Each different error is logged once now. Found by a review.

--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -92,6 +92,7 @@
 // the folder can't heal.
 func (r *Replica) reopen(ctx context.Context, delay time.Duration) reopenedFolder {
 	r.snapshotWriter.Wait() // it uses the same folder
+	reported := ""
 	for periodic.Pause(ctx, delay) {
 		delay = r.reopenPolicy.next(delay)
 		if r.folders.checkWritable(r.dir) != nil {
@@ -101,6 +102,10 @@
 		if err == nil || !mayHeal(err) {
 			return reopenedFolder{disk, l, err}
 		}
+		if text := err.Error(); text != reported {
+			reported = text
+			r.log.Error("Data folder takes writes again but cannot be opened; trying on.", "err", text)
+		}
 	}
 	return reopenedFolder{err: ctx.Err()}
 }
