Find a replica to retire although its disk refuses writes

GET and POST of a retirement answered 404 while the disk of the replica refused writes, because it does not announce itself then. An operator could take the machine for retired while it still had its vote. A live daemon whose address belongs to a member of the group now counts as a replica. Found by a review; no test without the platform's interface shows it.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -27,6 +27,16 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
+// HasAddress reports whether a member has the address.
+func (m Membership) HasAddress(address string) bool {
+	for _, x := range m {
+		if x.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Voters returns the number of voters.
 func (m Membership) Voters() int {
 	n := 0
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/control"
-	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -131,12 +130,7 @@
 // start is set, and reports the progress: done means that the replica is removed. It
 // returns NotFound if no live daemon of that name runs a replica.
 func (n *Node) Retire(ctx context.Context, id string, start bool) (done bool, err error) {
-	address := ""
-	for _, d := range member.Replicas(n.gossip.Live()) {
-		if d.ID == id {
-			address = d.PeerAddress
-		}
-	}
+	address := n.replicaAddress(id)
 	if address == "" {
 		return false, result.New(result.NotFound, "no replica runs on %s", id)
 	}
@@ -145,6 +139,17 @@
 	return r.Done, err
 }
 
+// replicaAddress returns the peer address of the live daemon called id if it runs a replica,
+// or is a member of the control group although its disk refuses writes; otherwise "".
+func (n *Node) replicaAddress(id string) string {
+	for _, d := range n.gossip.Live() {
+		if d.ID == id && (d.Replica != "" || n.follower.Members().HasAddress(d.PeerAddress)) {
+			return d.PeerAddress
+		}
+	}
+	return ""
+}
+
 // proposeChange commits a command. A command that the state rejects is an error.
 func (n *Node) proposeChange(ctx context.Context, c state.Command) (state.Outcome, error) {
 	out, err := n.proposer.Propose(ctx, c)
