--- a/internal/control/group_clock_test.go
+++ b/internal/control/group_clock_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -19,19 +20,25 @@
 // batch jobs nor their items: they were reported as aborted, or were lost, long before
 // their time.
 func TestBatchJobOutlivesStepsOfWallClock(t *testing.T) {
-	for name, step := range map[string]time.Duration{"ahead": time.Hour, "back": -time.Hour} {
+	for name, c := range map[string]struct{ atStart, step time.Duration }{
+		"ahead": {0, time.Hour}, "back": {0, -time.Hour}, "set right": {time.Hour, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			r := startSingleReplica(t, t.TempDir())
+			setWallClock := func(offset time.Duration) {
+				g.Expect(r.runInLoop(t.Context(), func() { r.wallClock = func() time.Time { return time.Now().Add(offset) } })).To(Succeed())
+			}
 			accept := func(id string) {
 				b := state.Batch{ID: id, Account: "a", ItemTTL: 10 * time.Second, Retention: 20 * time.Second, Items: []state.BatchItem{{ID: "i"}}}
 				_, err := r.Propose(t.Context(), ProposeRequest{Command: state.Command{BatchAccept: &state.BatchAccept{Batch: b}}})
 				g.Expect(err).NotTo(HaveOccurred())
 			}
+			setWallClock(c.atStart)
 			accept("first")
-			g.Expect(r.runInLoop(t.Context(), func() { r.wallClock = func() time.Time { return time.Now().Add(step) } })).To(Succeed())
+			setWallClock(c.step)
 			accept("second")
-			g.Expect(r.runInLoop(t.Context(), func() { r.wallClock = time.Now })).To(Succeed())
+			setWallClock(0)
 			accept("third")
 			open, err := r.OpenBatches(t.Context())
 			g.Expect(err).NotTo(HaveOccurred())
@@ -96,13 +103,39 @@
 	})
 }
 
-// A replica that has applied nothing yet continues from its log, not from its wall clock.
-func TestGroupTimeContinuesAfterRestartOfReplica(t *testing.T) {
+// A replica that has started again, or has received a snapshot, continues from the time in
+// its log or in the snapshot before it has applied anything, not from its wall clock.
+func TestGroupTimeContinuesFromLogAndSnapshot(t *testing.T) {
 	g := NewWithT(t)
 	at := time.Unix(2_000_000, 0).UTC()
 	b, err := state.Command{GroupTime: at, RetireMark: &state.RetireMark{Replica: "x"}}.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
-	entries := []consensus.Entry{{Index: 1, Kind: consensus.EntryCommand, Data: b}, {Index: 2, Kind: consensus.EntryKind(1)}}
-	c := groupClock{}.advanceTo(lastCommandTime(entries), time.Minute)
-	g.Expect(c.now(2*time.Minute, time.Now())).To(BeTemporally("==", at.Add(time.Minute)))
+	expectTime := func(r *Replica) {
+		g.Expect(r.groupClock.now(clock.Now(), time.Now())).To(BeTemporally("~", at, time.Minute))
+	}
+	openLearner := func(dir string) *Replica {
+		client := peer.NewClient(peer.DialFrom("127.0.0.1:1"))
+		t.Cleanup(client.Close)
+		r, _, err := Open(dir, "127.0.0.1:1", client, log.New(io.Discard))
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { r.disk.Close() })
+		return r
+	}
+
+	dir := t.TempDir()
+	g.Expect(InitLearner(dir, "cluster", "l")).To(Succeed())
+	r := openLearner(dir)
+	g.Expect(r.disk.Append(nil, []consensus.Entry{{Index: 1, Term: 1, Data: b}, {Index: 2, Term: 1, Kind: consensus.EntryNoop}})).To(Succeed())
+	expectTime(openLearner(dir))
+
+	st := state.New()
+	st.Ledger.Time = at
+	data, err := st.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	dir = t.TempDir()
+	g.Expect(InitLearner(dir, "cluster", "l")).To(Succeed())
+	r = openLearner(dir)
+	g.Expect(r.installSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 5, Term: 1, Members: consensus.Membership{}}, Data: data})).To(Succeed())
+	expectTime(r)
+	expectTime(openLearner(dir))
 }
