--- a/internal/control/group_sim_machine_test.go
+++ b/internal/control/group_sim_machine_test.go
@@ -109,7 +109,12 @@
 		return
 	}
 	m.crash()
-	m.s.after(simRestart+m.s.between(0, simReadFolder), m.boot)
+	boots := m.boots
+	m.s.after(simRestart+m.s.between(0, simReadFolder), func() {
+		if boots == m.boots { // no other loss of power since
+			m.boot()
+		}
+	})
 }
 
 // wipe crashes the machine, deletes its disk and boots it again after d.
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -45,7 +45,7 @@
 	})
 	p.load(p.disk.snapshot)
 	p.replica = &Replica{}
-	p.reconciler = NewMembershipReconciler(p.replica, func() []consensus.Member { return p.s.live(p) }, func() int { return simVoters }, nil)
+	p.reconciler = NewMembershipReconciler(p.replica, func() []consensus.Member { return p.s.live(p) }, func() int { return p.s.voters }, nil)
 	p.s.list(p)
 	p.every(tickInterval, func() { p.enqueue(func() {}) })
 	p.every(reconcileInterval, p.reconcile)
--- a/internal/control/group_sim_schedule_test.go
+++ b/internal/control/group_sim_schedule_test.go
@@ -115,7 +115,7 @@
 		s.logf("the split ends")
 		s.side = nil
 		for _, l := range s.losses {
-			if l.back > 0 && l.back+simRepairTime+simSplit > s.now {
+			if l.back > 0 && l.back+s.repair+simSplit > s.now {
 				l.back = s.now // the group could not repair itself during the split
 			}
 		}
@@ -206,7 +206,7 @@
 		s.logf("trouble: %s", t.name)
 		t.do(s)
 	}
-	if !s.runUntil(s.now+simLongestRun/3, func() bool { return s.mayLose(simMaxDisksLost) && s.side == nil }) {
+	if !s.runUntil(s.now+simLongestRun/3, func() bool { return s.mayLose(s.maxLost) && s.side == nil }) {
 		s.fail("a machine did not come back")
 		return
 	}
@@ -221,11 +221,11 @@
 	s.onAck, s.onPropose = nil, nil
 	var strike, arm func()
 	strike = func() {
-		if !s.mayLose(simMaxDisksLost) {
+		if !s.mayLose(s.maxLost) {
 			arm()
 			return
 		}
-		victims := s.victims(simMaxDisksLost)
+		victims := s.victims(s.maxLost)
 		struck = true
 		s.side = nil
 		s.losePower(victims)
--- a/internal/control/group_sim_test.go
+++ b/internal/control/group_sim_test.go
@@ -46,6 +46,9 @@
 	listings  []*simListing
 	side      map[*simMachine]int // of the split network; nil: no split
 	losses    []*simLoss
+	voters    int           // desired number
+	maxLost   int           // disks that may be lost at the same time
+	repair    time.Duration // a replica is replaced this long after its machine is back
 	maxSync   time.Duration // longest sync of a disk
 	transfer  time.Duration // of a snapshot
 	compactAt uint64        // log entries from one snapshot to the next
@@ -74,13 +77,19 @@
 }
 
 func newSimDeployment(seed uint64) *simDeployment {
-	s := &simDeployment{rnd: rand.New(rand.NewPCG(seed, 2)), committed: map[uint64]uint64{}}
+	s := &simDeployment{rnd: rand.New(rand.NewPCG(seed, 2)), committed: map[uint64]uint64{}, voters: simVoters, maxLost: simMaxDisksLost, repair: simRepairTime}
 	s.maxSync = []time.Duration{2, 10, 60}[s.rnd.IntN(3)] * time.Millisecond
 	s.transfer = s.between(100*time.Millisecond, 5*time.Second)
 	s.perUpdate = s.between(20*time.Millisecond, time.Second)
 	s.compactAt = 5 + uint64(s.between(s.transfer, 4*s.transfer)/s.perUpdate)
+	s.form(simMachines)
+	return s
+}
+
+// form creates the machines, of which the first are founders, and boots them.
+func (s *simDeployment) form(machines int) {
 	founders := consensus.Membership{}
-	for i := range simMachines {
+	for i := range machines {
 		m := s.addMachine()
 		if i < simFounders {
 			id := founderID(m.address)
@@ -95,7 +104,6 @@
 		s.after(s.between(0, simReadFolder), m.boot)
 	}
 	s.after(0, s.update)
-	return s
 }
 
 func (s *simDeployment) addMachine() *simMachine {
@@ -243,7 +251,7 @@
 
 // repaired reports whether the group must have replaced what l is the loss of.
 func (s *simDeployment) repaired(l *simLoss) bool {
-	return l.back > 0 && s.now >= l.back+simRepairTime
+	return l.back > 0 && s.now >= l.back+s.repair
 }
 
 // mayLose reports whether count more disks may be lost now.
@@ -253,5 +261,5 @@
 			count++
 		}
 	}
-	return count <= simMaxDisksLost
+	return count <= s.maxLost
 }
