Reserve the loopback network of the system tests

The system tests reserve their network with testkit.ReserveNetwork, and a test fails with the error of an upstream or receiver that can't be served.

Not reproduced: no run is known to have failed so. After the change, go test -race -run 'TestLeavingUpstream|TestZoneLoss|TestReceiversThatIgnore| TestKilledEntryLoses|KillWithParent|TestIsolatedEntryRejectsKeys$' ./internal/systest passes (one run, load 20 to 30); the others of the package were not run with it.

--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/apricotstream/apricotstream/internal/gateway"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/standin"
+	"github.com/apricotstream/apricotstream/internal/testkit"
 )
 
 // Default number of daemons, and number of replicas, of a cluster. They are those of the
@@ -44,14 +45,18 @@
 		fmt.Println(string(out))
 		os.Exit(1)
 	}
+	var release func()
+	if loopbackNetwork, release, err = testkit.ReserveNetwork(); err != nil {
+		panic(err)
+	}
 	code := m.Run()
+	release()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
-// loopbackByte is the second byte of all addresses of this run. It depends on the process id,
-// so that the addresses of two runs on one machine seldom overlap.
-var loopbackByte = 2 + os.Getpid()%250
+// loopbackNetwork is the start of all addresses of this run. No other run uses it.
+var loopbackNetwork string
 
 // lastSubnet counts the clusters of a run. Each has its own subnet of loopback addresses.
 var lastSubnet atomic.Int32
@@ -111,7 +116,7 @@
 
 // Addresses and paths of daemon i. peer is the address of the relay in front of the daemon,
 // which all other daemons use, and listen is the address that the daemon listens on.
-func (c *cluster) ip(i int) string      { return fmt.Sprintf("127.%d.%d.%d", loopbackByte, c.subnet, i) }
+func (c *cluster) ip(i int) string      { return fmt.Sprintf("%s.%d.%d", loopbackNetwork, c.subnet, i) }
 func (c *cluster) peer(i int) string    { return c.ip(i) + ":7070" }
 func (c *cluster) listen(i int) string  { return c.ip(100+i) + ":7070" }
 func (c *cluster) entry(i int) string   { return c.ip(i) + ":8080" }
@@ -349,7 +354,11 @@
 
 // startUpstream calls serve, which serves u, and waits until an entry lists u.
 func (c *cluster) startUpstream(u *standin.Upstream, serve func() error) {
-	go func() { _ = serve() }()
+	go func() {
+		if err := serve(); err != nil {
+			c.t.Errorf("upstream %s: %v", u.ID, err)
+		}
+	}()
 	c.g.Eventually(func() string { return c.runOperator("upstream", "list") }, 10*time.Second, 50*time.Millisecond).Should(ContainSubstring(u.ID))
 }
 
--- a/internal/systest/fence_test.go
+++ b/internal/systest/fence_test.go
@@ -22,7 +22,11 @@
 	address := c.ip(host) + ":9000"
 	target := c.ip(host) + ":9001"
 	ctx := c.ctx()
-	go func() { _ = standin.Listen(ctx, target, h) }()
+	go func() {
+		if err := standin.Listen(ctx, target, h); err != nil {
+			c.t.Errorf("server at %s: %v", target, err)
+		}
+	}()
 	c.g.Expect(c.peerNetwork.relay(address, target, c.stop)).To(Succeed())
 	return "http://" + address
 }
