Wait for space when a process starts with an empty folder

The first files of a folder were the one write whose failure still ended a process.

The process now tries again every 0.5 s, with one line in its log, as it waits for the group when it joins.

TestStartWithEmptyFolderWaitsForSpace failed before: New returned the error at once.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -44,6 +44,9 @@
 	directoryPullInterval = time.Second
 	firstPullRetryDelay   = 100 * time.Millisecond
 	pullTimeout           = time.Second
+	// createRetryDelay is the pause between attempts to create the data folder on a disk
+	// without space.
+	createRetryDelay = 500 * time.Millisecond
 	// confirmTimeout bounds the wait until the other daemons have recorded that an upstream
 	// is leaving or that a request crashes upstreams. A frozen daemon doesn't answer.
 	confirmTimeout = 600 * time.Millisecond
--- a/internal/node/founding_test.go
+++ b/internal/node/founding_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/apricotstream/apricotstream/internal/batch"
 )
@@ -154,3 +155,21 @@
 		g.Expect(<-errs).To(HaveOccurred(), "without a quorum there is nothing to join")
 	}
 }
+
+// A process that starts with an empty folder while its disk is full must wait for space. It
+// ended, again and again, and with it the entry and the control calls that it serves.
+func TestStartWithEmptyFolderWaitsForSpace(t *testing.T) {
+	g := NewWithT(t)
+	f := newFoundingNodes(t, 1)[0]
+	var unlimited unix.Rlimit
+	g.Expect(unix.Getrlimit(unix.RLIMIT_FSIZE, &unlimited)).To(Succeed())
+	restore := sync.OnceFunc(func() { g.Expect(unix.Setrlimit(unix.RLIMIT_FSIZE, &unlimited)).To(Succeed()) })
+	t.Cleanup(restore)
+	g.Expect(unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 1, Max: unlimited.Max})).To(Succeed())
+	started := make(chan error, 1)
+	go func() { started <- f.start(t) }()
+	g.Consistently(started, 2*createRetryDelay).ShouldNot(Receive())
+	restore()
+	g.Eventually(started, 10*time.Second).Should(Receive(Succeed()))
+	g.Expect(f.publish(1)).To(Succeed())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,32 +109,50 @@
 // incarnation returns the node's ID and start time, which together identify this process.
 func (n *Node) incarnation() string { return fmt.Sprintf("%s:%d", n.cfg.ID, n.started.UnixNano()) }
 
-// openReplica opens the data folder. It first creates its contents if it is empty.
+// openReplica opens the data folder. It first creates its contents if it is empty. While the
+// disk has no space for them, it tries again until ctx ends.
 func (n *Node) openReplica(ctx context.Context) error {
 	err := n.openFolder()
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
-	form := false
-	if n.cfg.FirstStart && n.isFounder() {
-		if form, err = n.awaitFounding(ctx); err != nil {
+	for reported := false; ; {
+		if err = n.createFolder(ctx); !storage.LacksSpace(err) {
+			break
+		}
+		if !reported {
+			n.log.Error("Data folder has no space for its first files; trying again.", "err", err.Error())
+			reported = true
+		}
+		if !periodic.Pause(ctx, createRetryDelay) {
 			return err
 		}
 	}
-	if form {
-		_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
-		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
-	} else {
-		var id storage.Identity
-		id, err = n.join(ctx)
-		n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
-	}
 	if err != nil {
 		return err
 	}
 	return n.openFolder()
 }
 
+// createFolder creates the contents of an empty data folder, as a founder on the first start
+// of the deployment, otherwise as a learner of the running group.
+func (n *Node) createFolder(ctx context.Context) error {
+	if n.cfg.FirstStart && n.isFounder() {
+		form, err := n.awaitFounding(ctx)
+		if err != nil {
+			return err
+		}
+		if form {
+			_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
+			n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
+			return err
+		}
+	}
+	id, err := n.join(ctx)
+	n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
+	return err
+}
+
 func (n *Node) openFolder() error {
 	replica, id, err := control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
 	n.replica = replica
