--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -130,6 +130,7 @@
 	foldersFailed.Dec()
 	r.reopenPolicy.recovered(r.now())
 	r.log.Info("Data folder takes writes again; the replica takes part again.", "ms", (r.now() - failedAt).Milliseconds())
+	r.phases = phaseTimer{last: clock.Now()}
 	err := r.processReady()
 	r.notifyAllBatches()
 	r.publishRetiring()
