Bound the frames of peers

A peer in trouble that sent header lines without end took processor time for as long as it went on, and a frame was read up to 2 GB as its bytes arrived. A frame may now have 4 KB of header and 256 MB of contents, which is above the largest command. The connection ends with an error that says so.

TestFrameWithoutEndIsRefused failed before in both cases: the reader took all the bytes that were there.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -19,6 +19,11 @@
 	// maxInitialFrameBytes bounds the memory allocated for a frame before its bytes
 	// arrive.
 	maxInitialFrameBytes = 64 << 10
+	// maxFrameBytes bounds the contents of a frame. The largest message proposes a step of
+	// 64 MB, which has up to 228 MB when it is quoted in JSON and base64 within base64.
+	maxFrameBytes = 256 << 20
+	// maxFrameHeaderBytes bounds the header lines of a frame, of which one is needed.
+	maxFrameHeaderBytes = 4 << 10
 	// maxReusedBufferBytes is the largest size of a frame buffer that is reused.
 	maxReusedBufferBytes = 1 << 20
 )
@@ -110,12 +115,15 @@
 
 // readFrame returns the contents of the next frame, which are valid until the next call.
 func (s *stream) readFrame() ([]byte, error) {
-	length := int64(-1)
+	length, header := int64(-1), 0
 	for {
 		line, err := s.in.ReadSlice('\n')
 		if err != nil {
 			return nil, err
 		}
+		if header += len(line); header > maxFrameHeaderBytes {
+			return nil, fmt.Errorf("frame has more than %d bytes of header", maxFrameHeaderBytes)
+		}
 		text := strings.TrimSpace(string(line))
 		if text == "" {
 			break
@@ -131,6 +139,9 @@
 	if length < 0 {
 		return nil, fmt.Errorf("frame has no %s header", lengthHeader)
 	}
+	if length > maxFrameBytes {
+		return nil, fmt.Errorf("frame has %d bytes, more than %d", length, maxFrameBytes)
+	}
 	if s.frame.Cap() > maxReusedBufferBytes {
 		s.frame = bytes.Buffer{}
 	}
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -94,6 +94,36 @@
 	})
 }
 
+// A peer in trouble sent header lines without end, which took processor time for as long as
+// it went on, or a frame of up to 2 GB, which was kept. Both end the connection early.
+func TestFrameWithoutEndIsRefused(t *testing.T) {
+	for name, start := range map[string]string{
+		"header lines": "",
+		"body":         fmt.Sprintf("Content-Length: %d\r\n\r\n", maxFrameBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rest := &countingReader{r: strings.NewReader(strings.Repeat("X-Junk: x\r\n", 1<<20))}
+			var v json.RawMessage
+			err := newStream(stubConn{in: io.MultiReader(strings.NewReader(start), rest)}, nil).ReadObject(&v)
+			g.Expect(err).To(MatchError(HavePrefix("frame has ")))
+			g.Expect(rest.n).To(BeNumerically("<", 64<<10))
+		})
+	}
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	r io.Reader
+	n int
+}
+
+func (c *countingReader) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.n += n
+	return n, err
+}
+
 // BenchmarkNotice measures sending and receiving a notice as large as a heartbeat with one
 // result.
 func BenchmarkNotice(b *testing.B) {
