--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -63,8 +63,8 @@
 const batchPriority = 5
 
 // run generates the item and sets err. It cancels the attempt with UpstreamTimeout when no
-// event arrives in time, and with AnswerCut when the output exceeds its limit. If the generation fails after the attempt was cancelled, err is the
-// cause of the cancellation.
+// event arrives in time, and with AnswerCut when the output exceeds its limit. If the
+// generation fails after the attempt was cancelled, err is the cause of the cancellation.
 func (a *attempt) run(engines Engines) {
 	defer a.cancel(nil)
 	watchdog := time.AfterFunc(firstEventTimeout, func() {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -291,6 +291,7 @@
 	r.writingSince.Store(int64(clock.Now()))
 	defer r.writingSince.Store(0)
 	if rd.Snapshot != nil {
+		r.storedLast = consensus.Entry{} // the snapshot replaces the whole log, also if storing it fails halfway
 		if err := r.installSnapshot(*rd.Snapshot); err != nil {
 			return err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,8 +75,8 @@
 
 // New returns a node; Start runs it. A replica with an empty data folder forms the control
 // group together with the other founders on the first start of the deployment, once it knows
-// that they are new, too. Otherwise it joins the running group as a learner, which blocks until that group answers or ctx ends.
-// Meanwhile the node listens on its peer address.
+// that they are new, too. Otherwise it joins the running group as a learner, which blocks
+// until that group answers or ctx ends. Meanwhile the node listens on its peer address.
 func New(ctx context.Context, cfg Config, deps Dependencies, logger *log.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -20,7 +20,8 @@
 	return &statusLogger{n: n, known: map[string]upstream.Announcement{}}
 }
 
-// logChanges logs steps of the wall clock and what has changed since the last call. It writes one line for each change.
+// logChanges logs steps of the wall clock and what has changed since the last call. It
+// writes one line for each change.
 func (l *statusLogger) logChanges() {
 	if step := l.steps.Observe(time.Now(), clock.Now()); step != 0 {
 		l.n.log.Warn("Wall clock has stepped.", "ms", step.Milliseconds())
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -92,8 +92,9 @@
 }
 
 // Serve serves h on the upstream's address and announces the upstream until ctx ends. Then
-// it says in its answers and announces that the upstream leaves, stops accepting connections and returns. It does
-// not wait for running requests, which continue in the background.
+// it says in its answers and announces that the upstream leaves, stops accepting
+// connections and returns. It does not wait for running requests, which continue in the
+// background.
 func (u *Upstream) Serve(ctx context.Context, h http.Handler) error {
 	l, err := net.Listen("tcp", u.Address)
 	if err != nil {
