--- a/internal/batch/output_budget.go
+++ b/internal/batch/output_budget.go
@@ -47,7 +47,7 @@
 // outputShare returns the share of one of several attempts in the budget, at least what an
 // item of that size needs.
 func outputShare(attempts int64, spec *state.BatchItem) int64 {
-	sound := min(int64(max(spec.Tokens, minLimitTokens)), control.MaxResultBytes/soundBytesPerToken) * soundBytesPerToken
+	sound := min(int64(max(spec.Tokens, overlong.MinTokens)), control.MaxResultBytes/soundBytesPerToken) * soundBytesPerToken
 	return max(maxOutputMemory/2/max(attempts, 1), sound)
 }
 
--- a/internal/batch/output_limit.go
+++ b/internal/batch/output_limit.go
@@ -6,16 +6,6 @@
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
-// Parameters of the bounds on the output of an item.
-const (
-	// minLimitTokens is the number of tokens from which the bounds of an item with fewer
-	// tokens, or without a number of tokens, are calculated.
-	minLimitTokens = 1024
-	// maxBytesPerToken is twice the length of the longest tokens of common vocabularies,
-	// because the data of an event may be text within JSON.
-	maxBytesPerToken = 256
-)
-
 // outputLimit bounds the output of an item.
 type outputLimit struct {
 	events int
@@ -25,8 +15,8 @@
 // limitOf returns the limit of an item. Every event has at least one token. The text must
 // fit in a page of results.
 func limitOf(spec *state.BatchItem) outputLimit {
-	tokens := max(spec.Tokens, minLimitTokens)
-	return outputLimit{events: tokens, bytes: maxBytesPerToken * min(tokens, control.MaxResultBytes/maxBytesPerToken)}
+	tokens := max(spec.Tokens, overlong.MinTokens)
+	return outputLimit{events: tokens, bytes: overlong.MaxBytesPerToken * min(tokens, control.MaxResultBytes/overlong.MaxBytesPerToken)}
 }
 
 // exceeded reports whether an output of the given size exceeds the limit.
--- a/internal/batch/overlong_test.go
+++ b/internal/batch/overlong_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/overlong"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -94,7 +95,7 @@
 		}
 		g.Expect(strings.Split(replica.results[0].Text, "\n")).To(Equal(want))
 		g.Expect(engines.attempts.Load()).To(Equal(int32(1)), "the first choice, and no further one")
-		g.Expect(int(engines.emitted.Load()) * testEventBytes).To(BeNumerically("<=", 2000*maxBytesPerToken+testEventBytes))
+		g.Expect(int(engines.emitted.Load()) * testEventBytes).To(BeNumerically("<=", 2000*overlong.MaxBytesPerToken+testEventBytes))
 	})
 }
 
@@ -124,7 +125,7 @@
 		}
 		commit(it.takeProgress(a.eventsSoFar()))
 		g.Expect(committedEvents()).To(Equal(110))
-		for _, e := range testEvents(111, minLimitTokens, 3) {
+		for _, e := range testEvents(111, overlong.MinTokens, 3) {
 			a.appendEvent(e)
 		}
 		g.Expect(result.CodeOf(context.Cause(a.ctx))).To(Equal(result.AnswerCut))
@@ -144,6 +145,6 @@
 	g := NewWithT(t)
 	small, none, large := limitOf(&state.BatchItem{Tokens: 10}), limitOf(&state.BatchItem{}), limitOf(&state.BatchItem{Tokens: 1 << 30})
 	g.Expect(small).To(Equal(none))
-	g.Expect(none).To(Equal(outputLimit{events: minLimitTokens, bytes: minLimitTokens * maxBytesPerToken}))
-	g.Expect(large.bytes).To(BeNumerically("~", control.MaxResultBytes, maxBytesPerToken))
+	g.Expect(none).To(Equal(outputLimit{events: overlong.MinTokens, bytes: overlong.MinTokens * overlong.MaxBytesPerToken}))
+	g.Expect(large.bytes).To(BeNumerically("~", control.MaxResultBytes, overlong.MaxBytesPerToken))
 }
--- a/internal/overlong/overlong.go
+++ b/internal/overlong/overlong.go
@@ -9,6 +9,16 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
+// Parameters of the bounds on generated output.
+const (
+	// MinTokens is the number of tokens from which the bounds of a request with fewer
+	// tokens, or without a number of tokens, are calculated.
+	MinTokens = 1024
+	// MaxBytesPerToken is twice the length of the longest tokens of common vocabularies,
+	// because the text of an event may be JSON.
+	MaxBytesPerToken = 256
+)
+
 // Kind is the part of an answer that exceeded its bound.
 type Kind string
 
--- a/internal/rollout/partial_sample.go
+++ b/internal/rollout/partial_sample.go
@@ -18,17 +18,9 @@
 	earlier Sample
 }
 
-// Bounds on the output of a sample.
-const (
-	// maxBytesPerToken is twice the length of the longest tokens of common vocabularies.
-	maxBytesPerToken = 256
-	// minLimitTokens is the number of tokens from which the size of the text of a short
-	// sample is bounded.
-	minLimitTokens = 1024
-	// maxUnlimitedBytes bounds the text of a sample whose step has no max_tokens, like the
-	// body of any other response.
-	maxUnlimitedBytes = 16 << 20
-)
+// maxUnlimitedBytes bounds the text of a sample whose step has no max_tokens, like the body
+// of any other response.
+const maxUnlimitedBytes = 16 << 20
 
 // checkLimit returns AnswerCut if the output exceeds what a request for at most maxTokens
 // tokens allows, 0 meaning any number. The upstream does not keep to the request, and
@@ -36,7 +28,7 @@
 func (p *partialSample) checkLimit(maxTokens int) error {
 	maxBytes := maxUnlimitedBytes
 	if maxTokens > 0 {
-		maxBytes = max(maxTokens, minLimitTokens) * maxBytesPerToken
+		maxBytes = max(maxTokens, overlong.MinTokens) * overlong.MaxBytesPerToken
 	}
 	tokens := p.sample.Tokens()
 	if (maxTokens <= 0 || tokens <= maxTokens) && len(p.sample.Text) <= maxBytes {
