--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -11,6 +11,11 @@
 	"github.com/apricotstream/apricotstream/internal/periodic"
 )
 
+// membersPerVoter times the desired number of voters bounds the members of the group. Each
+// voter has a caught-up learner to take its place; a leader's work grows with each further
+// member, which would add nothing.
+const membersPerVoter = 2
+
 // reconcileInterval is the time between two checks of the control group's membership.
 const reconcileInterval = 100 * time.Millisecond
 
@@ -112,6 +117,7 @@
 		Self: st.ID, Members: st.Members, Match: map[consensus.ID]uint64{}, Commit: st.Commit, RecentCommit: st.RecentCommit, Live: r.live(),
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
+	v.MaxMembers = membersPerVoter * v.Voters
 	for _, m := range v.Live {
 		r.lastLive[m.ID] = now
 	}
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -33,13 +33,16 @@
 	SilentFor    map[consensus.ID]time.Duration // time since each member was last live
 	Retiring     map[consensus.ID]bool          // replicas that are being retired
 	Voters       int                            // desired number of voters
+	// MaxMembers bounds the members. Replicas beyond it stay standbys: they hold no log, and
+	// join when a member is gone for good.
+	MaxMembers int
 }
 
 // NextChange returns the membership after the next membership change and the reason for
 // the change. It returns false when no change is needed. Each change concerns one member,
 // or exchanges a member for its successor at the same address.
 func (v MembershipView) NextChange() (consensus.Membership, string, bool) {
-	for _, change := range []func() (consensus.Membership, string, bool){v.addLearner, v.replaceLostReplica, v.promoteLearner, v.removeOrDemoteVoter, v.removeLearner} {
+	for _, change := range []func() (consensus.Membership, string, bool){v.replaceLostReplica, v.promoteLearner, v.addLearner, v.removeOrDemoteVoter, v.removeLearner} {
 		if next, reason, ok := change(); ok {
 			return next, reason, true
 		}
@@ -47,18 +50,36 @@
 	return nil, "", false
 }
 
-// addLearner adds a running replica that is not a member yet as a learner.
+// addLearner adds a running replica that is not a member yet as a learner: first one that
+// runs at the address of a member, which has lost its disk; then, up to MaxMembers, one from
+// the zone with the fewest members.
 func (v MembershipView) addLearner() (consensus.Membership, string, bool) {
-	for _, m := range v.Live {
+	zones := map[string]int{}
+	for _, m := range v.Members {
+		zones[m.Zone]++
+	}
+	var best *consensus.Member
+	bestSucceeds := false
+	for i, m := range v.Live {
 		if _, ok := v.Members[m.ID]; ok || v.Retiring[m.ID] {
 			continue
 		}
-		next := v.Members.Clone()
-		m.Voter = false
-		next[m.ID] = m
-		return next, "replica " + string(m.ID) + " joins as a learner", true
+		succeeds := v.Members.HasAddress(m.Address)
+		if !succeeds && len(v.Members) >= v.MaxMembers {
+			continue
+		}
+		if best == nil || succeeds && !bestSucceeds || succeeds == bestSucceeds && zones[m.Zone] < zones[best.Zone] {
+			best, bestSucceeds = &v.Live[i], succeeds
+		}
 	}
-	return nil, "", false
+	if best == nil {
+		return nil, "", false
+	}
+	next := v.Members.Clone()
+	m := *best
+	m.Voter = false
+	next[m.ID] = m
+	return next, "replica " + string(m.ID) + " joins as a learner", true
 }
 
 // replaceLostReplica replaces a replica that lost its disk with the caught-up learner that
@@ -116,8 +137,9 @@
 }
 
 // removeOrDemoteVoter acts when there are more voters than desired. It removes a voter
-// that is dead or being retired. If there is none, it makes a surplus voter a learner, but
-// not while a voter does not run: that one may be dead.
+// that has lost its disk or is being retired, and makes a silent one a learner, which
+// catches up if it returns. If there is none, it makes a surplus voter a learner, but not
+// while a voter does not run: that one may be dead.
 func (v MembershipView) removeOrDemoteVoter() (consensus.Membership, string, bool) {
 	if v.Members.Voters() <= v.Voters {
 		return nil, "", false
@@ -128,8 +150,11 @@
 		if !v.Members.IsVoter(id) {
 			continue
 		}
+		if v.Retiring[id] || v.lost(id) {
+			return v.without(id), "voter " + string(id) + " has lost its disk or is being retired", true
+		}
 		if v.shouldLeave(id) {
-			return v.without(id), "voter " + string(id) + " is dead or being retired", true
+			return v.demoted(id), "voter " + string(id) + " is silent and becomes a learner", true
 		}
 		if id != v.Self {
 			surplus = id
@@ -139,11 +164,7 @@
 	if surplus == "" || !allLive {
 		return nil, "", false
 	}
-	next := v.Members.Clone()
-	m := next[surplus]
-	m.Voter = false
-	next[surplus] = m
-	return next, "voter " + string(surplus) + " is surplus and becomes a learner", true
+	return v.demoted(surplus), "voter " + string(surplus) + " is surplus and becomes a learner", true
 }
 
 // removeLearner removes a learner that no longer runs or is being retired.
@@ -188,6 +209,15 @@
 	return out
 }
 
+// demoted returns the membership in which a voter is a learner.
+func (v MembershipView) demoted(id consensus.ID) consensus.Membership {
+	next := v.Members.Clone()
+	m := next[id]
+	m.Voter = false
+	next[id] = m
+	return next
+}
+
 func (v MembershipView) without(id consensus.ID) consensus.Membership {
 	next := v.Members.Clone()
 	delete(next, id)
--- a/internal/control/membership_view_test.go
+++ b/internal/control/membership_view_test.go
@@ -20,7 +20,7 @@
 
 func newSimGroup(voters int) *simGroup {
 	g := &simGroup{machine: map[consensus.ID]int{}}
-	g.view = MembershipView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, RecentCommit: 10, SilentFor: map[consensus.ID]time.Duration{}, Retiring: map[consensus.ID]bool{}, Voters: voters}
+	g.view = MembershipView{Self: "r0", Members: consensus.Membership{}, Match: map[consensus.ID]uint64{}, Commit: 10, RecentCommit: 10, SilentFor: map[consensus.ID]time.Duration{}, Retiring: map[consensus.ID]bool{}, Voters: voters, MaxMembers: membersPerVoter * voters}
 	for i := range voters {
 		m := g.member(consensus.ID(fmt.Sprint("r", i)), i)
 		m.Voter = true
@@ -137,6 +137,83 @@
 	g.Expect(x.view.Members).NotTo(HaveKey(consensus.ID("r1")))
 }
 
+// The load of a deployment of 45 replicas: as a member, each would receive every entry of
+// the log, and the leader would spend its time on sending them.
+func TestLargeDeploymentKeepsItsGroupSmall(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	x.view.Voters, x.view.MaxMembers = 5, 10
+	for i := 3; i < 45; i++ {
+		x.start(consensus.ID(fmt.Sprint("r", i)), i)
+	}
+	x.reconcile(g)
+	g.Expect(x.view.Members).To(HaveLen(10))
+	g.Expect(x.voters()).To(HaveLen(5))
+	zones := map[string]int{}
+	for _, m := range x.view.Members {
+		zones[m.Zone]++
+	}
+	for z, n := range zones {
+		g.Expect(n).To(BeNumerically("<=", 4), z)
+	}
+}
+
+// With many replicas that start together, the votes must not wait until all have joined:
+// three voters do not bear the two losses for which five are wanted.
+func TestVotesComeBeforeFurtherLearners(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	x.view.Voters, x.view.MaxMembers = 5, 10
+	for i := 3; i < 45; i++ {
+		x.start(consensus.ID(fmt.Sprint("r", i)), i)
+	}
+	for range 4 {
+		next, _, ok := x.view.NextChange()
+		g.Expect(ok).To(BeTrue())
+		x.view.Members = next
+	}
+	g.Expect(x.voters()).To(HaveLen(5))
+}
+
+// A member that has lost its disk is succeeded at its own address although the group is
+// full, and one that is gone for good by a standby.
+func TestFullGroupAdmitsSuccessorsAndThenStandbys(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	for i := 3; i < 12; i++ {
+		x.start(consensus.ID(fmt.Sprint("r", i)), i)
+	}
+	x.reconcile(g)
+	g.Expect(x.view.Members).To(HaveLen(6))
+	standby := x.view.Live[len(x.view.Live)-1]
+	g.Expect(x.view.Members).NotTo(HaveKey(standby.ID))
+	x.stop("r1", 0)
+	x.start("r1b", 1)
+	x.reconcile(g)
+	g.Expect(x.view.Members).To(And(HaveLen(6), HaveKey(consensus.ID("r1b")), Not(HaveKey(consensus.ID("r1")))))
+	x.stop("r2", learnerDeadAfter+time.Second)
+	x.reconcile(g)
+	g.Expect(x.view.Members).To(And(HaveLen(6), Not(HaveKey(consensus.ID("r2")))))
+	g.Expect(x.voters()).To(HaveLen(3))
+}
+
+// A voter that was frozen for seconds gives its vote to another member, and stays in the
+// group, so that it catches up from the log and no standby needs a snapshot.
+func TestSilentVoterStaysAsLearner(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	for i := 3; i < 12; i++ {
+		x.start(consensus.ID(fmt.Sprint("r", i)), i)
+	}
+	x.reconcile(g)
+	before := x.view.Members.IDs()
+	x.stop("r2", voterDeadAfter+time.Millisecond)
+	x.reconcile(g)
+	g.Expect(x.view.Members.IDs()).To(Equal(before))
+	g.Expect(x.view.Members.IsVoter("r2")).To(BeFalse())
+	g.Expect(x.voters()).To(HaveLen(3))
+}
+
 // Replicas may be lost, added and wiped while the leader keeps running. Membership changes
 // must come to an end and leave as many live voters as there are live replicas, up to the
 // desired number.
