--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/clock"
-	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -25,8 +24,8 @@
 
 // BatchReadRequest asks for results of a batch job, or for the body of one item.
 type BatchReadRequest struct {
-	Cluster string        `json:"cluster,omitempty"` // set by a replica that relays the request
-	Relayed bool          `json:"relayed,omitempty"`
+	Cluster string        `json:"cluster,omitempty"` // set by a replica of an earlier version that relays the request
+	Relayed bool          `json:"relayed,omitempty"` // the same
 	ID      string        `json:"id"`
 	Account string        `json:"account"`
 	After   int           `json:"after,omitempty"` // position of the first result to read, counted from 0
@@ -53,18 +52,14 @@
 	Partial map[string]state.Partial
 }
 
-// ReadBatch reads a batch job at the leader. The reply reflects everything that was
-// committed before the call. If there is no result to return yet, ReadBatch waits for
-// one for up to q.Wait, at most maxBatchWait.
+// ReadBatch reads a batch job. The reply reflects everything that was committed before the
+// call: the leader only says up to where that is, and this replica reads its own state once
+// it has got there. If there is no result to return yet, ReadBatch waits for one for up to
+// q.Wait, at most maxBatchWait.
 func (r *Replica) ReadBatch(ctx context.Context, q BatchReadRequest) (BatchReadReply, error) {
 	if err := r.checkCluster(q.Cluster); err != nil {
 		return BatchReadReply{}, err
 	}
-	if r.Status().Role != consensus.Leader {
-		relayed := q
-		relayed.Cluster, relayed.Relayed = r.cluster, true
-		return relay[BatchReadReply](ctx, r, q.Relayed, MethodReadBatch, relayed)
-	}
 	deadline := time.Now().Add(min(q.Wait, maxBatchWait))
 	for {
 		if err := r.catchUp(ctx); err != nil {
