--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/admission"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -24,6 +25,10 @@
 
 func (noBroadcast) Broadcast(string, any) {}
 
+func (noBroadcast) ConfirmAll(context.Context, string, any, time.Duration) (member.ZoneReply, error) {
+	return member.ZoneReply{}, nil
+}
+
 // staleList lists upstreams as they were when it was made, like a choice made before.
 type staleList []upstream.Announcement
 
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -34,18 +34,28 @@
 	seeds  func() []string
 	self   func() Daemon
 
+	outgoing  batcher // to the relays
+	toZone    batcher // as a relay
+	maxDirect int
+
 	mu    sync.Mutex
 	table *Table
 	rnd   *rand.Rand
+	// differed is set when the table of the daemon probed last differed. Tables differ
+	// briefly whenever a notice is under way.
+	differed bool
 }
 
 // NewGossip returns a Gossip. It finds the other daemons through the peer addresses that
 // seeds returns. self returns the current description of this daemon.
 func NewGossip(client *peer.Client, seeds func() []string, self func() Daemon) *Gossip {
-	return &Gossip{
-		client: client, seeds: seeds, self: self, table: NewTable(self()),
+	g := &Gossip{
+		client: client, seeds: seeds, self: self, table: NewTable(self()), maxDirect: maxDirect,
 		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	g.outgoing = batcher{delay: relayDelay, send: g.sendToRelays}
+	g.toZone = batcher{delay: relayDelay, send: g.sendToZone}
+	return g
 }
 
 // Register adds the handlers of the gossip methods to s.
@@ -55,6 +65,9 @@
 	peer.Handle(s, MethodTable, g.handleTable)
 	peer.HandleNotice(s, MethodAnnounce, g.merge)
 	peer.HandleNotice(s, MethodSuspect, g.handleSuspicion)
+	peer.HandleNotice(s, MethodRelay, func(ns []RelayedNotice) { g.handleRelay(ns, s.Dispatch) })
+	peer.HandleNotice(s, MethodRelayed, func(ns []RelayedNotice) { g.handleRelayed(ns, s.Dispatch) })
+	peer.Handle(s, MethodConfirmZone, g.handleZoneCall)
 }
 
 // Live returns the daemons that are up, including this one, ordered by ID.
@@ -81,7 +94,7 @@
 func (g *Gossip) probeRound(ctx context.Context, seeds bool) {
 	g.mu.Lock()
 	g.table.Expire(time.Now())
-	target, ok := g.table.NextProbe(g.rnd)
+	target, ok := g.table.NextProbe(g.rnd, g.maxDirect)
 	g.mu.Unlock()
 	if ok {
 		go g.probe(ctx, target)
@@ -104,11 +117,6 @@
 	}
 }
 
-// Broadcast sends a notice to every other daemon that is up.
-func (g *Gossip) Broadcast(method string, params any) {
-	g.client.NotifyAll(g.Others(), method, params)
-}
-
 // Others returns the peer addresses of all other daemons that are up.
 func (g *Gossip) Others() []string {
 	own := g.self().PeerAddress
@@ -205,24 +213,32 @@
 	g.mu.Lock()
 	g.table.Merge(time.Now(), reply.From)
 	g.table.ClearSuspicion(id)
-	hashesEqual := g.table.Hash() == reply.Hash
+	differs := g.table.Hash() != reply.Hash
+	pull := differs && (g.differed || len(g.table.others) <= g.maxDirect)
+	g.differed = differs && !pull
 	g.mu.Unlock()
 	g.renew(reply.Rejection)
-	if !hashesEqual {
+	if pull {
 		g.pull(ctx, address)
 	}
 	return true
 }
 
-// pull fetches the table of the daemon at address and merges it. Errors are ignored.
+// pull fetches the table of the daemon at address and merges it. A daemon that is missing
+// there may have been ejected, and is probed next. Errors are ignored.
 func (g *Gossip) pull(ctx context.Context, address string) {
 	reply, err := peer.Call[TableReply](ctx, g.client, address, MethodTable, g.localPing())
 	if err != nil {
 		return
 	}
+	listed := map[string]bool{}
 	for _, d := range reply.Daemons {
 		g.merge(d)
+		listed[d.ID] = true
 	}
+	g.mu.Lock()
+	g.table.ProbeFirst(func(id string) bool { return !listed[id] })
+	g.mu.Unlock()
 	g.renew(reply.Rejection)
 }
 
--- a/internal/member/gossip_test.go
+++ b/internal/member/gossip_test.go
@@ -15,7 +15,9 @@
 // testDaemon is a Gossip that serves the peer protocol on loopback.
 type testDaemon struct {
 	*Gossip
-	self atomic.Pointer[Daemon]
+	self   atomic.Pointer[Daemon]
+	server *peer.Server
+	close  func() // ends the daemon
 }
 
 func newTestDaemon(id string, incarnation int64, replica string) *testDaemon {
@@ -26,12 +28,14 @@
 	client, server := peer.NewClient(peer.DialFrom("")), peer.NewServer()
 	d.Gossip = NewGossip(client, nil, func() Daemon { return *d.self.Load() })
 	d.Register(server)
+	d.server = server
 	go server.Serve(context.Background(), l)
-	DeferCleanup(func() {
+	d.close = func() {
 		l.Close()
 		server.Close()
 		client.Close()
-	})
+	}
+	DeferCleanup(d.close)
 	d.AnnounceChanges()
 	return d
 }
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -2,13 +2,18 @@
 
 // Methods of the calls and notices between daemons.
 const (
-	MethodPing         = "member.ping"     // call: Ping -> Ping
-	MethodIndirectPing = "member.ping_for" // call: IndirectPing -> IndirectPingReply
-	MethodTable        = "member.table"    // call: Ping -> TableReply
-	MethodAnnounce     = "member.news"     // notice: Daemon
-	MethodSuspect      = "member.suspect"  // notice: Daemon
+	MethodPing         = "member.ping"         // call: Ping -> Ping
+	MethodIndirectPing = "member.ping_for"     // call: IndirectPing -> IndirectPingReply
+	MethodTable        = "member.table"        // call: Ping -> TableReply
+	MethodAnnounce     = "member.news"         // notice: Daemon
+	MethodSuspect      = "member.suspect"      // notice: Daemon
+	MethodRelay        = relayPrefix           // notice: []RelayedNotice, to be passed on to the receiver's availability zone
+	MethodRelayed      = relayPrefix + "ed"    // notice: []RelayedNotice
+	MethodConfirmZone  = "member.confirm_zone" // call: ZoneCall -> ZoneReply
 )
 
+const relayPrefix = "member.relay"
+
 // Ping is a probe, and also the reply to one.
 type Ping struct {
 	From Daemon `json:"from"`
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -163,9 +163,16 @@
 	return out
 }
 
-// NextProbe returns the next daemon to probe. Every other daemon is probed once per round,
-// in random order. It returns false if no other daemon is known.
-func (t *Table) NextProbe(rnd *rand.Rand) (Daemon, bool) {
+// successors is the number of daemons that a daemon of a large deployment probes. They are
+// its successors in the order of the hashes of the IDs, which spreads the daemons of an
+// availability zone: a daemon remains unobserved only if all those that probe it are lost
+// at the same time. Each of them is probed every few seconds.
+const successors = 8
+
+// NextProbe returns the next daemon to probe. Every other daemon, or with more than
+// maxDirect of them every one of its successors, is probed once per round, in random order.
+// It returns false if no other daemon is known.
+func (t *Table) NextProbe(rnd *rand.Rand, maxDirect int) (Daemon, bool) {
 	for range 2 {
 		for len(t.probeQueue) > 0 {
 			id := t.probeQueue[0]
@@ -175,10 +182,57 @@
 			}
 		}
 		t.probeQueue = t.ids(rnd)
+		if len(t.probeQueue) > maxDirect {
+			t.probeQueue = t.successorsOf(t.probeQueue)
+		}
+	}
+	return Daemon{}, false
+}
+
+// successorsOf returns those of ids that follow this daemon in the order of their hashes.
+func (t *Table) successorsOf(ids []string) []string {
+	own := xxhash.Sum64String(t.self.ID)
+	distance := map[string]uint64{} // wraps around
+	for _, id := range ids {
+		distance[id] = xxhash.Sum64String(id) - own
+	}
+	near := slices.SortedFunc(slices.Values(ids), func(a, b string) int { return cmp.Compare(distance[a], distance[b]) })
+	near = near[:successors]
+	return slices.DeleteFunc(ids, func(id string) bool { return !slices.Contains(near, id) })
+}
+
+// ProbeFirst puts the daemons for which missing returns true at the front of the queue of
+// probes.
+func (t *Table) ProbeFirst(missing func(id string) bool) {
+	var first []string
+	for id := range t.others {
+		if missing(id) && !slices.Contains(t.probeQueue[:min(len(t.probeQueue), maxProbeFirst)], id) {
+			first = append(first, id)
+		}
+	}
+	slices.Sort(first)
+	t.probeQueue = append(first[:min(len(first), maxProbeFirst)], t.probeQueue...)
+	t.probeQueue = t.probeQueue[:min(len(t.probeQueue), len(t.others))]
+}
+
+// maxProbeFirst bounds the daemons that ProbeFirst puts in front at once. The next
+// comparison of tables finds the others.
+const maxProbeFirst = 8
+
+// Get returns the description of another daemon that is up.
+func (t *Table) Get(id string) (Daemon, bool) {
+	if e := t.others[id]; e != nil {
+		return e.daemon, true
 	}
 	return Daemon{}, false
 }
 
+// suspects reports whether the daemon is suspected.
+func (t *Table) suspects(id string) bool {
+	e := t.others[id]
+	return e != nil && !e.suspectedAt.IsZero()
+}
+
 // Helpers returns up to k random other daemons that can be asked to probe another daemon.
 // except is the ID of the daemon to probe, which is left out.
 func (t *Table) Helpers(rnd *rand.Rand, k int, except string) []Daemon {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -115,7 +115,7 @@
 		rnd := rand.New(rand.NewPCG(1, 1))
 		seen := map[string]int{}
 		for range 6 {
-			d, ok := t.NextProbe(rnd)
+			d, ok := t.NextProbe(rnd, maxDirect)
 			Expect(ok).To(BeTrue())
 			seen[d.ID]++
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -42,8 +42,13 @@
 	expireInterval        = 250 * time.Millisecond
 	countsInterval        = 500 * time.Millisecond
 	directoryPullInterval = time.Second
-	firstPullRetryDelay   = 100 * time.Millisecond
-	pullTimeout           = time.Second
+	// largePullDivisor is by how much the pulls are fewer in a large deployment.
+	largePullDivisor    = 4
+	firstPullRetryDelay = 100 * time.Millisecond
+	// firstPulls is the number of replicas from which a starting node pulls the upstreams.
+	// A single one may have been cut off when an upstream left.
+	firstPulls  = 6
+	pullTimeout = time.Second
 	// createRetryDelay is the pause between attempts to create the data folder on a disk
 	// without space.
 	createRetryDelay = 500 * time.Millisecond
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/duty"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
@@ -123,16 +124,19 @@
 	peer.HandleNotice(n.server, methodCounts, n.usage.Record)
 }
 
-// sendCounts sends the request counts of this entry to all replicas. The leader commits
-// them, and the next leader must have them too.
+// sendCounts sends the request counts of this entry to the members of the control group.
+// The leader commits them, and the next leader must have them too.
 func (n *Node) sendCounts() {
 	counts := n.counter.RequestCounts()
 	if len(counts.Intervals) == 0 {
 		return
 	}
-	var replicas []string
+	members := n.follower.Members()
+	var addresses []string
 	for _, d := range member.Replicas(n.gossip.Live()) {
-		replicas = append(replicas, d.PeerAddress)
+		if _, ok := members[consensus.ID(d.Replica)]; ok || len(members) == 0 {
+			addresses = append(addresses, d.PeerAddress)
+		}
 	}
-	n.client.NotifyAll(replicas, methodCounts, counts)
+	n.client.NotifyAll(addresses, methodCounts, counts)
 }
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -37,8 +37,7 @@
 }
 
 // withdraw records that an upstream accepts no more work, and sends this to the other
-// daemons. It returns NotLeader unless this daemon runs a replica that the leader answers
-// meanwhile: otherwise the others may not have received it. A withdrawal that all others
+// daemons. It returns NotLeader unless the leader answers this daemon meanwhile: otherwise the others may not have received it. A withdrawal that all others
 // have confirmed succeeds at once when it is repeated. Any other one is sent again.
 func (n *Node) withdraw(a upstream.Announcement) error {
 	a.TTL = announcementTTL.Seconds()
@@ -47,13 +46,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	others := n.gossip.Others()
 	inTouch := make(chan error, 1)
 	go func() { inTouch <- n.inTouch(ctx) }()
-	failed := n.directory.Withdraw(ctx, n.client, others, a)
-	n.log.Info("Upstream is leaving.", "upstream", a.ID, "service", a.Service, "incarnation", a.Incarnation, "told", len(others)-failed, "of", len(others))
+	called, failed := n.directory.Withdraw(ctx, a, confirmTimeout)
+	n.log.Info("Upstream is leaving.", "upstream", a.ID, "service", a.Service, "incarnation", a.Incarnation, "told", called-failed, "of", called)
 	err := <-inTouch
-	if err == nil && failed > 0 && failed == len(others) {
+	if err == nil && failed > 0 && failed == called {
 		err = result.New(result.NoQuorum, "no other daemon has confirmed it") // the lease of a leader may outlast its contact
 	}
 	if err != nil {
@@ -65,13 +63,14 @@
 	return nil
 }
 
-// inTouch returns nil if this daemon runs a replica and a leader with a quorum has answered
-// it since the call began.
+// inTouch returns nil if a leader with a quorum has answered, since the call began, this
+// daemon's replica or a member of the control group that this daemon reached.
 func (n *Node) inTouch(ctx context.Context) error {
-	if n.replica == nil {
-		return result.New(result.NotReplica, "this daemon runs no replica")
+	if n.isMember() {
+		return n.replica.InTouch(ctx)
 	}
-	return n.replica.InTouch(ctx)
+	_, err := n.proposer.Query(ctx, control.QueryRequest{})
+	return err
 }
 
 // PutRouting replaces routes, services and accounts. It returns nil once the configuration
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/periodic"
@@ -21,30 +22,43 @@
 	return seeds
 }
 
-// replicaAddresses returns the peer addresses of the other replicas: the live ones first,
-// with this node's zone before the others, then those of the last known membership, then
-// the founders as a last resort.
+// replicaAddresses returns the peer addresses of the other replicas: the live members of the
+// control group first, with this node's zone before the others, then its other members,
+// then the founders and the standbys as a last resort.
 func (n *Node) replicaAddresses() []string {
-	var addresses []string
+	members := n.follower.Members()
+	var addresses, standbys []string
 	if n.gossip != nil {
 		daemons := member.Replicas(n.gossip.Live())
 		member.SortZoneFirst(daemons, n.cfg.Zone, func(d member.Daemon) string { return d.Zone })
 		for _, d := range daemons {
-			if d.PeerAddress != n.cfg.PeerAddress {
+			if _, ok := members[consensus.ID(d.Replica)]; !ok && len(members) > 0 {
+				standbys = append(standbys, d.PeerAddress)
+			} else if d.PeerAddress != n.cfg.PeerAddress {
 				addresses = append(addresses, d.PeerAddress)
 			}
 		}
 	}
-	members := n.follower.Members()
 	for _, id := range members.IDs() {
 		addresses = appendUnique(addresses, members[id].Address, n.cfg.PeerAddress)
 	}
-	for _, a := range n.cfg.Founders {
+	for _, a := range slices.Concat(n.cfg.Founders, standbys) {
 		addresses = appendUnique(addresses, a, n.cfg.PeerAddress)
 	}
 	return addresses
 }
 
+// isMember reports whether this node runs a replica that is a member of the control group,
+// as far as it knows. Before it knows any member, every replica counts as one.
+func (n *Node) isMember() bool {
+	if n.replica == nil {
+		return false
+	}
+	members := n.follower.Members()
+	_, ok := members[n.identity.Load().ID]
+	return ok || len(members) == 0
+}
+
 // appendUnique appends an address unless it is this node's own or already in the list.
 func appendUnique(list []string, a, own string) []string {
 	if a == own || slices.Contains(list, a) {
@@ -55,31 +69,64 @@
 
 // sources returns the replicas from which the follower reads, best first.
 func (n *Node) sources() []control.Source {
-	return control.AllSources(n.replica, n.client, n.replicaAddresses(), n.health)
+	var local *control.Replica
+	if n.isMember() {
+		local = n.replica // a standby's configuration is that of an earlier time
+	}
+	return control.AllSources(local, n.client, n.replicaAddresses(), n.health)
 }
 
-// pullFirst pulls the upstreams from all replicas and repeats this until at least one has
-// answered: a restarted node must not use upstreams that are leaving.
+// pullFirst pulls the upstreams from several replicas and repeats this until at least one
+// has answered: a restarted node must not use upstreams that are leaving.
 func (n *Node) pullFirst(ctx context.Context) {
 	for ctx.Err() == nil {
-		pulled := false
-		for _, a := range n.replicaAddresses() {
+		pulled := 0
+		for _, a := range n.directorySources() {
 			pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 			err := n.directory.Pull(pullCtx, n.client, a)
 			cancel()
-			pulled = pulled || err == nil
+			if err == nil {
+				pulled++
+			}
+			if pulled >= firstPulls {
+				break
+			}
 		}
-		if pulled {
+		if pulled > 0 {
 			return
 		}
 		periodic.Pause(ctx, firstPullRetryDelay)
 	}
 }
 
+// directorySources returns the peer addresses of the daemons that upstreams send their
+// announcements to, those in this node's zone first.
+func (n *Node) directorySources() []string {
+	daemons := member.Replicas(n.gossip.Live())
+	member.SortZoneFirst(daemons, n.cfg.Zone, func(d member.Daemon) string { return d.Zone })
+	var out []string
+	for _, d := range daemons {
+		out = appendUnique(out, d.PeerAddress, n.cfg.PeerAddress)
+	}
+	for _, a := range n.cfg.Founders {
+		out = appendUnique(out, a, n.cfg.PeerAddress)
+	}
+	return out
+}
+
 // pullDirectory merges the announcements that a random replica holds. The replicas receive
-// them first.
+// them first. In a large deployment, where each pull returns many announcements and notices
+// are rarely lost, only one of largePullDivisor calls pulls, and from
+// few replicas, those in the zone first.
 func (n *Node) pullDirectory(ctx context.Context) {
-	list := n.health.Sorted(n.replicaAddresses())
+	sources := n.directorySources()
+	if n.gossip.Large() {
+		if rand.IntN(largePullDivisor) > 0 {
+			return
+		}
+		sources = sources[:min(len(sources), firstPulls)]
+	}
+	list := n.health.Sorted(sources)
 	if len(list) == 0 {
 		return
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -131,6 +131,19 @@
 	return e.conn, e.stream, nil
 }
 
+// Connected reports whether the client holds a connection to address.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	e := c.endpoints[address]
+	c.mu.Unlock()
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conn != nil
+}
+
 // closeConn closes conn, so that the next use dials again.
 func (e *endpoint) closeConn(conn *jsonrpc2.Conn) {
 	e.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -105,6 +105,9 @@
 	go s.handleCall(ctx, conn, req, params)
 }
 
+// Dispatch handles a notice that another daemon has passed on.
+func (s *Server) Dispatch(method string, params json.RawMessage) { s.handleNotice(method, params) }
+
 // handleNotice runs the handler of a notice. A notice without a handler is ignored. params
 // is not used after the call.
 func (s *Server) handleNotice(method string, params json.RawMessage) {
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/chooser"
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -19,6 +20,10 @@
 
 func (noBroadcast) Broadcast(string, any) {}
 
+func (noBroadcast) ConfirmAll(context.Context, string, any, time.Duration) (member.ZoneReply, error) {
+	return member.ZoneReply{}, nil
+}
+
 // Guards against retries and hedges to an upstream that has said in the answer to another
 // request that it leaves, while the first attempt of this one was under way.
 func TestRetriesAndHedgesAvoidADepartedUpstream(t *testing.T) {
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -1,39 +1,41 @@
 package upstream
 
 import (
-	"slices"
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
 )
 
 // MethodAnnounce is the notice that distributes announcements between daemons.
 const MethodAnnounce = "upstream.announce"
 
-// Broadcaster sends a notice to all other daemons.
-type Broadcaster interface {
+// Group reaches the other daemons.
+type Group interface {
+	// Broadcast sends a notice to all of them without waiting. It may be lost.
 	Broadcast(method string, params any)
+	// ConfirmAll makes a call to all of them and counts the replies.
+	ConfirmAll(ctx context.Context, method string, params any, timeout time.Duration) (member.ZoneReply, error)
 }
 
 // Directory holds the Registry of one daemon and exchanges announcements with the other
 // daemons. It may be used by many goroutines.
 type Directory struct {
-	broadcaster Broadcaster
+	group Group
 
 	mu       sync.Mutex
 	registry *Registry
-	live     atomic.Pointer[[]Announcement]
-	known    atomic.Pointer[[]Announcement]
+	// lists is nil when the lists have to be made again from the registry.
+	lists    atomic.Pointer[lists]
 	departed atomic.Pointer[map[string]int64] // newest departed incarnation, by id
 }
 
-// NewDirectory returns an empty Directory that sends its notices through broadcaster.
-func NewDirectory(broadcaster Broadcaster) *Directory {
-	d := &Directory{broadcaster: broadcaster, registry: NewRegistry()}
-	d.live.Store(&[]Announcement{})
-	d.known.Store(&[]Announcement{})
+// NewDirectory returns an empty Directory whose announcements go to the daemons of group.
+func NewDirectory(group Group) *Directory {
+	d := &Directory{group: group, registry: NewRegistry()}
 	d.departed.Store(&map[string]int64{})
 	return d
 }
@@ -55,7 +57,7 @@
 		return err
 	}
 	if d.record(a, false) {
-		d.broadcaster.Broadcast(MethodAnnounce, a)
+		d.group.Broadcast(MethodAnnounce, a)
 	}
 	return nil
 }
@@ -71,7 +73,7 @@
 	if changed && (due || notified) {
 		d.registry.MarkNotified(now, a.ID)
 	}
-	d.refresh()
+	d.lists.Store(nil)
 	return changed && due
 }
 
@@ -87,7 +89,7 @@
 	if changed {
 		departed := d.registry.departures.Snapshot()
 		d.departed.Store(&departed)
-		d.refresh()
+		d.lists.Store(nil)
 	}
 	return before, changed
 }
@@ -105,17 +107,38 @@
 	d.refresh()
 }
 
-// refresh updates the lists of live and known upstreams. The caller holds d.mu.
-func (d *Directory) refresh() {
-	known := d.registry.Known(time.Now())
-	live := slices.DeleteFunc(slices.Clone(known), func(a Announcement) bool { return a.Silent })
-	d.live.Store(&live)
-	d.known.Store(&known)
+// lists are immutable lists of upstreams.
+type lists struct {
+	known []Announcement
+	live  []Announcement
+}
+
+// current returns the lists. They are made at the first use after a change, because a
+// daemon hears of many more changes than it serves requests.
+func (d *Directory) current() *lists {
+	if l := d.lists.Load(); l != nil {
+		return l
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refresh()
+}
+
+// refresh makes the lists. The caller holds d.mu.
+func (d *Directory) refresh() *lists {
+	l := &lists{known: d.registry.Known(time.Now())}
+	for _, a := range l.known {
+		if !a.Silent {
+			l.live = append(l.live, a)
+		}
+	}
+	d.lists.Store(l)
+	return l
 }
 
 // Live returns the upstreams that are live, not leaving and not departed. The slice must
 // not be changed.
-func (d *Directory) Live() []Announcement { return *d.live.Load() }
+func (d *Directory) Live() []Announcement { return d.current().live }
 
 // Service returns the live upstreams of one service.
 func (d *Directory) Service(name string) []Announcement {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"strconv"
-	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -81,22 +81,17 @@
 	return nil
 }
 
-// Withdraw records that an upstream is leaving and waits until the daemons at addresses
-// have recorded it too. It returns the number of daemons that did not confirm.
-func (d *Directory) Withdraw(ctx context.Context, c *peer.Client, addresses []string, a Announcement) int {
+// Withdraw records that an upstream is leaving and waits until the other daemons have
+// recorded it too, at most timeout. It returns the number of daemons that it called, and of
+// those that did not confirm.
+func (d *Directory) Withdraw(ctx context.Context, a Announcement, timeout time.Duration) (called, failed int) {
 	a.Leaving = true
 	d.record(a, true)
-	var wg sync.WaitGroup
-	failed := make(chan struct{}, len(addresses))
-	for _, address := range addresses {
-		wg.Go(func() {
-			if _, err := peer.Call[Confirmed](ctx, c, address, MethodConfirm, a); err != nil {
-				failed <- struct{}{}
-			}
-		})
+	r, err := d.group.ConfirmAll(ctx, MethodConfirm, a, timeout)
+	if err != nil {
+		return 1, 1
 	}
-	wg.Wait()
-	return len(failed)
+	return r.Called, r.Called - r.Confirmed
 }
 
 // MarkConfirmed records that the withdrawal of an incarnation was acknowledged.
@@ -122,7 +117,7 @@
 
 // Known returns the upstreams that are not leaving. Silent ones are included and marked.
 // The slice must not be changed.
-func (d *Directory) Known() []Announcement { return *d.known.Load() }
+func (d *Directory) Known() []Announcement { return d.current().known }
 
 // KnownDirectory is a Directory whose Service method lists the known upstreams, including
 // silent ones.
