--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -34,6 +34,7 @@
 	earlier  int         // events of earlier attempts
 	mu       sync.Mutex
 	events   []Event
+	counted  int // events that exist, some of which may not have arrived
 	bytes    int // of the item's text, including the events of earlier attempts
 	budget   *outputBudget
 	memory   int64 // of the attempt's events in the budget
@@ -46,13 +47,14 @@
 	err error // set by run before it returns
 }
 
-func newAttempt(ctx context.Context, it *item, engine upstream.Announcement, budget *outputBudget) *attempt {
+func newAttempt(ctx context.Context, term uint64, it *item, engine upstream.Announcement, budget *outputBudget) *attempt {
 	b := it.job.batch
 	a := &attempt{item: it, engine: engine, startedAt: time.Now(), budget: budget, limit: limitOf(it.spec), earlier: len(it.events), bytes: textBytes(it.events)}
 	a.request = GenerateRequest{
 		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body,
 		LastEventID: it.lastEventID, Priority: batchPriority, Deadline: it.job.expiresAt(),
 		ReadPause: func() time.Duration { return readPause(int(budget.attempts.Load())) }, MaxEventBytes: budget.maxEventBytes,
+		Term: term, MaxEvents: a.limit.events - a.earlier, MaxBytes: a.limit.bytes - a.bytes,
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
@@ -71,6 +73,11 @@
 		a.cancel(result.New(result.UpstreamTimeout, "the upstream sent no event within the timeout"))
 	})
 	defer watchdog.Stop()
+	a.request.Progress = func(n int) {
+		if a.count(n) {
+			watchdog.Reset(eventTimeout)
+		}
+	}
 	err := engines.Generate(a.ctx, a.engine, a.request, func(e Event) {
 		watchdog.Reset(eventTimeout)
 		a.appendEvent(e)
@@ -104,11 +111,29 @@
 		a.cancel(a.overlong)
 		return
 	}
-	if len(a.events) == 0 {
+	a.noteFirstEvent()
+	a.events = append(a.events, e)
+	a.counted = max(a.counted, len(a.events))
+}
+
+// count records that n events exist, and reports whether there are more than before.
+func (a *attempt) count(n int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n <= a.counted || a.overlong != nil {
+		return false
+	}
+	a.noteFirstEvent()
+	a.counted = n
+	return true
+}
+
+// noteFirstEvent records the time of the first event. The caller holds a.mu.
+func (a *attempt) noteFirstEvent() {
+	if a.counted == 0 {
 		a.firstEventAt = time.Now()
 		a.reportedAt = a.firstEventAt
 	}
-	a.events = append(a.events, e)
 }
 
 // eventsSoFar returns a copy of the events received so far.
@@ -123,10 +148,10 @@
 func (a *attempt) progress(now time.Time) (int, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.events) == 0 {
+	if a.counted == 0 {
 		return 0, 0
 	}
-	n, ran := len(a.events)-1-a.reportedEvents, now.Sub(a.reportedAt)
-	a.reportedEvents, a.reportedAt = len(a.events)-1, now
+	n, ran := a.counted-1-a.reportedEvents, now.Sub(a.reportedAt)
+	a.reportedEvents, a.reportedAt = a.counted-1, now
 	return n, ran
 }
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -26,6 +27,24 @@
 	// before it. It is called while events are read. Nil means that an event may be as large
 	// as a page of results.
 	MaxEventBytes func() int
+	// What an attempt on a carrier needs besides.
+	Term      uint64 // of the leader
+	MaxEvents int    // bounds of the output of this attempt
+	MaxBytes  int
+	Progress  func(events int) // takes the number of events so far, some of which may come later
+}
+
+func (g GenerateRequest) maxEventBytes() int {
+	if g.MaxEventBytes == nil {
+		return control.MaxResultBytes
+	}
+	return g.MaxEventBytes()
+}
+
+func (g GenerateRequest) progress(events int) {
+	if g.Progress != nil {
+		g.Progress(events)
+	}
 }
 
 // Event is one event of a generation.
--- a/internal/batch/overlong_test.go
+++ b/internal/batch/overlong_test.go
@@ -119,7 +119,7 @@
 		s.Apply(state.Command{At: noon, BatchRecord: &state.BatchRecord{Progress: []state.BatchProgress{*p}}})
 	}
 	for n := 1; n <= maxOverlongAttempts; n++ {
-		a := newAttempt(t.Context(), it, upstream.Announcement{ID: "e0"}, &outputBudget{})
+		a := newAttempt(t.Context(), 1, it, upstream.Announcement{ID: "e0"}, &outputBudget{})
 		for _, e := range testEvents(11, 100, 3) {
 			a.appendEvent(e)
 		}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -150,7 +150,7 @@
 	}
 	s.lastScheduled = now
 	for _, x := range s.scheduler.Schedule(now, s.engineStates(now)) {
-		a := newAttempt(ctx, x.item, x.Engine, &s.output)
+		a := newAttempt(ctx, s.term, x.item, x.Engine, &s.output)
 		s.attempts[x.item] = a
 		s.output.attempts.Store(int64(len(s.attempts)))
 		itemAttempts.Inc()
--- /dev/null
+++ b/internal/node/carrier_placement.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+)
+
+// Parameters of the choice of carriers.
+const (
+	// minCarriedSlots is the number of concurrency slots of all engines from which on the
+	// leader has its runs carried by other daemons. It serves fewer itself, which saves the
+	// way through another daemon.
+	minCarriedSlots = 256
+	// carrierListTTL is how long a list of carriers is used.
+	carrierListTTL = 250 * time.Millisecond
+	// unresponsiveCarrierFor is how long a carrier that did not answer is not chosen.
+	unresponsiveCarrierFor = 3 * time.Second
+)
+
+// carrierPlacement implements batch.Placement. The carriers are the daemons with a data
+// folder, which run on the larger VMs. An upstream keeps its carrier, and so its
+// connections, as long as that one is up.
+type carrierPlacement struct {
+	n *Node
+
+	mu           sync.Mutex
+	listedAt     time.Time
+	byZone       map[string][]string  // peer addresses of carriers
+	all          []string             // of all zones
+	unresponsive map[string]time.Time // until when, by peer address
+}
+
+func newCarrierPlacement(n *Node) *carrierPlacement {
+	return &carrierPlacement{n: n, unresponsive: map[string]time.Time{}}
+}
+
+// CarrierOf implements batch.Placement.
+func (p *carrierPlacement) CarrierOf(u upstream.Announcement) string {
+	byZone, all := p.carriers()
+	if address := highestWeight(u.ID, byZone[u.Zone]); address != "" {
+		return address
+	}
+	return highestWeight(u.ID, all)
+}
+
+// ScorerFor implements batch.Placement.
+func (p *carrierPlacement) ScorerFor(reward string) string {
+	byZone, all := p.carriers()
+	if address := highestWeight(reward, byZone[p.n.cfg.Zone]); address != "" {
+		return address
+	}
+	return highestWeight(reward, all)
+}
+
+// Unresponsive implements batch.Placement.
+func (p *carrierPlacement) Unresponsive(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unresponsive[address] = time.Now().Add(unresponsiveCarrierFor)
+	p.listedAt = time.Time{}
+}
+
+// carriers returns the carriers by availability zone and all of them. There are none while
+// the leader can serve all engines itself.
+func (p *carrierPlacement) carriers() (byZone map[string][]string, all []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.listedAt) < carrierListTTL {
+		return p.byZone, p.all
+	}
+	p.listedAt, p.byZone, p.all = now, map[string][]string{}, nil
+	if p.n.engineSlots() < minCarriedSlots {
+		return p.byZone, p.all
+	}
+	members := p.n.follower.Members()
+	usable := func(d member.Daemon) bool {
+		return d.Replica != "" && !d.Draining && d.PeerAddress != p.n.cfg.PeerAddress && now.After(p.unresponsive[d.PeerAddress])
+	}
+	p.byZone, p.all = carriersOf(p.n.gossip.Live(), usable, func(d member.Daemon) bool {
+		_, ok := members[consensus.ID(d.Replica)]
+		return ok
+	})
+	return p.byZone, p.all
+}
+
+// carriersOf returns the peer addresses of the usable daemons, by availability zone and of
+// all zones. In a zone with standbys the members of the control group, which have the log
+// to write, are left out.
+func carriersOf(live []member.Daemon, usable, isMember func(member.Daemon) bool) (byZone map[string][]string, all []string) {
+	byZone = map[string][]string{}
+	members := map[string][]string{}
+	zones := map[string]bool{}
+	for _, d := range live {
+		if !usable(d) {
+			continue
+		}
+		zones[d.Zone] = true
+		if isMember(d) {
+			members[d.Zone] = append(members[d.Zone], d.PeerAddress)
+		} else {
+			byZone[d.Zone] = append(byZone[d.Zone], d.PeerAddress)
+		}
+	}
+	for zone := range zones {
+		if len(byZone[zone]) == 0 {
+			byZone[zone] = members[zone]
+		}
+		all = append(all, byZone[zone]...)
+	}
+	return byZone, all
+}
+
+// highestWeight returns the address whose hash together with key is the highest, or "" if
+// there is none. When an address goes, only its own keys move.
+func highestWeight(key string, addresses []string) string {
+	best, bestHash := "", uint64(0)
+	for _, a := range addresses {
+		if h := xxhash.Sum64String(key + "|" + a); best == "" || h > bestHash || h == bestHash && a < best {
+			best, bestHash = a, h
+		}
+	}
+	return best
+}
+
+// engineSlots returns the number of concurrency slots of all engines.
+func (n *Node) engineSlots() int {
+	t := n.Table()
+	if t == nil {
+		return 0
+	}
+	slots := map[string]int{}
+	for _, s := range t.Config.Services {
+		if s.Engine != nil {
+			slots[s.Name] = s.Engine.Slots
+		}
+	}
+	sum := 0
+	for _, u := range n.directory.Known() {
+		sum += slots[u.Service]
+	}
+	return sum
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,7 +61,9 @@
 	quarantine   *quarantine.Table
 	proxy        *proxy.Proxy
 	counter      *duty.Counter
-	usage        *duty.Usage // nil without a data folder or if usage reports are disabled
+	usage        *duty.Usage     // nil without a data folder or if usage reports are disabled
+	carrier      *batch.Carrier  // runs items for the leader; nil without a data folder
+	carriers     *batch.Carriers // the other daemons' carriers, for the leader; nil without a data folder
 	dependencies Dependencies
 
 	demandMu   sync.Mutex
@@ -102,6 +104,11 @@
 	if n.replica != nil {
 		n.replica.Register(n.server)
 		n.registerUsage()
+		scorer, process := deps.Scorer(n), n.started.UnixNano()
+		n.carrier = batch.NewCarrier(n.client, cfg.PeerAddress, process, deps.Engines, scorer, logger.WithPrefix("carrier"))
+		n.carrier.Register(n.server)
+		n.carriers = batch.NewCarriers(n.client, cfg.PeerAddress, process, newCarrierPlacement(n), deps.Engines, scorer, logger.WithPrefix("batch"))
+		n.carriers.Register(n.server)
 	}
 	return n, nil
 }
@@ -252,7 +259,9 @@
 	})
 	reconciler := control.NewMembershipReconciler(n.replica, n.liveReplicas, n.targetVoters, n.log.WithPrefix("group"))
 	n.spawn(func() { reconciler.Run(ctx) })
-	runner := batch.NewRunner(n.replica, engineDirectory{n}, n.dependencies.Engines, n.dependencies.Scorer(n), n.log.WithPrefix("batch"))
+	n.spawn(func() { n.carrier.Run(ctx) })
+	n.spawn(func() { n.carriers.Run(ctx) })
+	runner := batch.NewRunner(n.replica, engineDirectory{n}, n.carriers, n.carriers, n.log.WithPrefix("batch"))
 	n.spawn(func() { runner.Run(ctx) })
 	weightsDuty := duty.NewWeights(n.term(), publishedModels{n}, n.directory.Known, n.versionTable, n.dependencies.Orders, n.log.WithPrefix("weights"))
 	n.spawn(func() { weightsDuty.Run(ctx) })
@@ -340,6 +349,9 @@
 func (n *Node) Drain() {
 	n.draining.Store(true)
 	n.gossip.AnnounceChanges()
+	if n.carrier != nil {
+		n.carrier.Drain()
+	}
 }
 
 // Ready reports whether the node has a routing table and isn't draining.
