--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -20,6 +20,10 @@
 
 // Chooser picks upstreams. It may be used by many goroutines.
 type Chooser struct {
+	// Entry identifies this daemon, which in a large deployment keeps to a subset of the
+	// upstreams. Empty: it uses all. It must be set before the first call.
+	Entry string
+
 	directory Directory
 	pipeline  picker.Pipeline
 
@@ -42,6 +46,7 @@
 // Release is called. It returns false if no upstream can take the request.
 func (c *Chooser) Pick(q picker.Request) (upstream.Announcement, bool) {
 	all := c.directory.Service(q.Service)
+	q.Entry = c.Entry
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/carrier_placement.go
+++ b/internal/node/carrier_placement.go
@@ -49,12 +49,10 @@
 	return highestWeight(u.ID, all)
 }
 
-// ScorerFor implements batch.Placement.
+// ScorerFor implements batch.Placement. The carriers of all zones share the reward requests,
+// so that each zone's upstreams get their part.
 func (p *carrierPlacement) ScorerFor(reward string) string {
-	byZone, all := p.carriers()
-	if address := highestWeight(reward, byZone[p.n.cfg.Zone]); address != "" {
-		return address
-	}
+	_, all := p.carriers()
 	return highestWeight(reward, all)
 }
 
--- /dev/null
+++ b/internal/node/carrier_placement_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/member"
+)
+
+func storeDaemons(zones, perZone int) []member.Daemon {
+	var out []member.Daemon
+	for z := range zones {
+		for i := range perZone {
+			id := fmt.Sprintf("s%d-%d", z, i)
+			out = append(out, member.Daemon{ID: id, Zone: fmt.Sprint("z", z), PeerAddress: id, Replica: id})
+		}
+	}
+	return append(out, member.Daemon{ID: "entry", Zone: "z0", PeerAddress: "entry"})
+}
+
+// Members of the control group write the log; where there are standbys these carry the runs,
+// and where there are none the members do.
+func TestStandbysCarryRunsBeforeMembers(t *testing.T) {
+	g := NewWithT(t)
+	all := func(member.Daemon) bool { return true }
+	usable := func(d member.Daemon) bool { return d.Replica != "" }
+	byZone, carriers := carriersOf(storeDaemons(3, 3), usable, func(d member.Daemon) bool { return d.ID == "s0-0" || d.Zone == "z1" })
+	g.Expect(byZone["z0"]).To(ConsistOf("s0-1", "s0-2"))
+	g.Expect(byZone["z1"]).To(HaveLen(3))
+	g.Expect(carriers).To(HaveLen(8))
+	byZone, carriers = carriersOf(nil, usable, all)
+	g.Expect(byZone).To(BeEmpty())
+	g.Expect(carriers).To(BeEmpty())
+}
+
+// The load of 77 engines on 40 carriers: when one carrier goes, the engines of the others keep
+// theirs, and with it their connections.
+func TestEnginesKeepTheirCarrier(t *testing.T) {
+	g := NewWithT(t)
+	var addresses []string
+	for i := range 40 {
+		addresses = append(addresses, fmt.Sprint("10.0.0.", i))
+	}
+	count := map[string]int{}
+	moved := 0
+	without := slices.Delete(slices.Clone(addresses), 7, 8)
+	for e := range 77 {
+		engine := fmt.Sprint("engine-", e)
+		before := highestWeight(engine, addresses)
+		count[before]++
+		if before != highestWeight(engine, without) {
+			moved++
+			g.Expect(before).To(Equal(addresses[7]))
+		}
+	}
+	g.Expect(moved).To(Equal(count[addresses[7]]))
+	for a, n := range count {
+		g.Expect(n).To(BeNumerically("<=", 8), a)
+	}
+	g.Expect(highestWeight("x", nil)).To(BeEmpty())
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -39,6 +39,8 @@
 	// Heartbeats come about every second and one may be lost.
 	announcementTTL = 4 * time.Second
 
+	// processStatusInterval is the time between two log lines on the size of the process.
+	processStatusInterval = 5 * time.Second
 	expireInterval        = 250 * time.Millisecond
 	countsInterval        = 500 * time.Millisecond
 	directoryPullInterval = time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/storage"
+	"github.com/apricotstream/apricotstream/internal/telemetry"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 	"github.com/apricotstream/apricotstream/internal/weights"
 )
@@ -100,7 +101,9 @@
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
 	n.quarantine.Register(n.server)
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
-	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, chooser.New(upstream.KnownDirectory{Directory: n.directory}), deps.Upstreams, n.counter, crashTracker{n})
+	c := chooser.New(upstream.KnownDirectory{Directory: n.directory})
+	c.Entry = cfg.ID
+	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n})
 	if n.replica != nil {
 		n.replica.Register(n.server)
 		n.registerUsage()
@@ -237,6 +240,9 @@
 			status.logChanges()
 		})
 	})
+	n.spawn(func() {
+		periodic.Every(ctx, processStatusInterval, func() { telemetry.LogProcessStatus(n.log, n.statusFields(ctx)...) })
+	})
 	n.spawn(func() { n.pullFirst(ctx) })
 	n.spawn(func() { periodic.Every(ctx, directoryPullInterval, func() { n.pullDirectory(ctx) }) })
 	if n.cfg.CallerAddress != "" && n.cfg.UsageInterval > 0 {
@@ -295,6 +301,19 @@
 	n.client.Close()
 }
 
+// statusFields returns the sizes that grow with the deployment and its work.
+func (n *Node) statusFields(ctx context.Context) []any {
+	fields := []any{"daemons", len(n.gossip.Live()), "upstreams", len(n.directory.Known()), "peer_connections", n.client.Connections()}
+	if n.replica == nil {
+		return fields
+	}
+	size, err := n.replica.Size(ctx)
+	if err != nil {
+		return fields // the loop does not run; its own lines say why
+	}
+	return append(fields, "log_entries", size.LogEntries, "log_kb", size.LogBytes>>10, "snapshot_kb", size.SnapshotBytes>>10, "batches", size.Batches, "text_kb", size.TextBytes>>10)
+}
+
 // self returns the heartbeat of this node.
 func (n *Node) self() member.Daemon {
 	return member.Daemon{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -144,6 +144,26 @@
 	return e.conn != nil
 }
 
+// Connections returns the number of connections that the client holds.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	endpoints := make([]*endpoint, 0, len(c.endpoints))
+	for _, e := range c.endpoints {
+		endpoints = append(endpoints, e)
+	}
+	c.mu.Unlock()
+	n := 0
+	for _, e := range endpoints {
+		if e.mu.TryLock() { // not while it dials
+			if e.conn != nil {
+				n++
+			}
+			e.mu.Unlock()
+		}
+	}
+	return n
+}
+
 // closeConn closes conn, so that the next use dials again.
 func (e *endpoint) closeConn(conn *jsonrpc2.Conn) {
 	e.mu.Lock()
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -16,6 +16,7 @@
 // Request describes the request that an upstream is chosen for.
 type Request struct {
 	Service    string
+	Entry      string    // ID of the entry; empty if it uses all upstreams alike
 	Zone       string    // availability zone of the entry
 	MinVersion uint64    // oldest weight version that may run it; 0 for any
 	Exclude    []string  // ids of upstreams that must not run it
@@ -66,7 +67,7 @@
 func Default() Pipeline {
 	return Pipeline{
 		Filters:     []Filter{excludedFilter{}, versionFilter{}, reclaimFilter{}},
-		Preferences: []Preference{recentPreference{}, healthyPreference{}, slownessPreference{}, classPreference{}, affinityPreference{}},
+		Preferences: []Preference{recentPreference{}, healthyPreference{}, slownessPreference{}, classPreference{}, affinityPreference{}, subsetPreference{}},
 		Scorers:     []Weighted{{loadScorer{}, 1}, {zoneScorer{}, 0.2}},
 		Picker:      TwoChoices{},
 	}
