--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -241,7 +241,7 @@
 			d.departures.Observe(upstream.Sighting{Upstream: u, Request: job.Out.RequestID, Status: resp.StatusCode})
 		}
 		if watch != nil {
-			resp.Body = watch.body(resp.Body)
+			resp.Body = watch.body(resp)
 		}
 		err = consume(resp, u)
 	}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +14,7 @@
 )
 
 const (
-	// silenceTimeout is the time without any byte from an upstream after which an owed job
+	// silenceTimeout is the time without progress of an upstream after which an owed job
 	// leaves it, if the upstream is not listed either. A listed one may be loading weights,
 	// and one that leaves gracefully goes on sending.
 	silenceTimeout = 5 * time.Second
@@ -27,7 +29,7 @@
 // silenceWatch cancels an attempt whose upstream is silent and no longer listed.
 type silenceWatch struct {
 	began      time.Time
-	lastByteAt atomic.Int64 // time since began, in nanoseconds
+	progressAt atomic.Int64 // time since began, in nanoseconds
 }
 
 // watchSilence starts a watch of an attempt at u. The returned context ends with errSilent
@@ -52,28 +54,59 @@
 	return ctx, w, func() { cancel(nil) }
 }
 
-// silence returns the time since the last byte, or since the start of the attempt.
+// silence returns the time since the last progress, or since the start of the attempt.
 func (w *silenceWatch) silence() time.Duration {
-	return time.Since(w.began) - time.Duration(w.lastByteAt.Load())
+	return time.Since(w.began) - time.Duration(w.progressAt.Load())
 }
 
-// body returns a body whose reads are recorded.
-func (w *silenceWatch) body(b io.ReadCloser) io.ReadCloser { return watchedBody{b, w} }
+// body returns a body whose progress is recorded. In a stream of events progress is the end
+// of a line of data: a stalled upstream may still send comments or a byte now and then.
+// Otherwise every byte is progress.
+func (w *silenceWatch) body(resp *http.Response) io.ReadCloser {
+	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return &watchedBody{ReadCloser: resp.Body, watch: w, events: events}
+}
 
 type watchedBody struct {
 	io.ReadCloser
-	watch *silenceWatch
+	watch  *silenceWatch
+	events bool
+	// Of the line that is being read: how many bytes of dataField it has begun with, and
+	// whether it has begun otherwise.
+	matched   int
+	otherLine bool
 }
 
+// dataField begins each line of data in a stream of events.
+const dataField = "data"
+
 // Read implements io.Reader.
-func (b watchedBody) Read(p []byte) (int, error) {
+func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.watch.lastByteAt.Store(int64(time.Since(b.watch.began)))
+	if n > 0 && (!b.events || b.endsData(p[:n])) {
+		b.watch.progressAt.Store(int64(time.Since(b.watch.began)))
 	}
 	return n, err
 }
 
+// endsData reports whether a line of data ends in p.
+func (b *watchedBody) endsData(p []byte) bool {
+	ended := false
+	for _, c := range p {
+		switch {
+		case c == '\n':
+			ended = ended || b.matched == len(dataField)
+			b.matched, b.otherLine = 0, false
+		case b.otherLine || b.matched == len(dataField):
+		case c == dataField[b.matched]:
+			b.matched++
+		default:
+			b.otherLine = true
+		}
+	}
+	return ended
+}
+
 // listed reports whether this incarnation of u is listed.
 func (d *Dispatcher) listed(service string, u upstream.Announcement) bool {
 	return slices.ContainsFunc(d.chooser.Upstreams(service), func(a upstream.Announcement) bool {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -82,3 +82,44 @@
 	g.Expect(result.CodeOf(errs["u1"])).To(Equal(result.UpstreamFailed), "silent and not listed")
 	g.Expect(errs["u2"]).NotTo(HaveOccurred(), "not listed, but sending")
 }
+
+// A stalled stream that sends a byte or a comment now and then must not hold an owed job, and
+// a slow but sound one must not be cut.
+func TestOwedJobLeavesStreamWithoutEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, pieces string
+		interval     time.Duration
+		ends         bool
+	}{
+		{"byte by byte", "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", 200 * time.Millisecond, false},
+		{"comments", ": ping\n\n", 50 * time.Millisecond, false},
+		{"events, each slower than most", "data: x\n\n", 300 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			began := time.Now()
+			f := newRecordingFleet(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := 0; time.Since(began) < silenceTimeout+5*time.Second && r.Context().Err() == nil; i++ {
+					_, _ = w.Write([]byte{c.pieces[i%len(c.pieces)]})
+					w.(http.Flusher).Flush()
+					time.Sleep(c.interval)
+				}
+			})
+			dir := &mutableDirectory{list: f.list}
+			d := New("a", dir, forward.New(), quarantine.NewTable(time.Now, nil), noop.NewTracerProvider().Tracer(""))
+			time.AfterFunc(time.Second, func() { dir.remove("u0") })
+			err := d.Run(context.Background(), owedJob("x"), func(resp *http.Response, _ upstream.Announcement) error {
+				_, err := io.Copy(io.Discard, resp.Body)
+				return Delivered(err)
+			})
+			if c.ends {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(result.CodeOf(err)).To(Equal(result.UpstreamFailed))
+			g.Expect(time.Since(began)).To(BeNumerically("<", silenceTimeout+3*time.Second))
+		})
+	}
+}
