--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -93,8 +93,8 @@
 	reply := BatchReadReply{Total: len(b.Items), Done: !b.Open()}
 	if q.Item != "" {
 		item, ok := b.Item(q.Item)
-		if !ok {
-			return reply, result.New(result.NotFound, "no item %s", q.Item)
+		if !ok || b.Ended && b.HasResult(q.Item) {
+			return reply, result.New(result.NotFound, "no unfinished item %s", q.Item)
 		}
 		reply.Body = item.Body
 		return reply, nil
--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -45,7 +45,7 @@
 	st := r.node.Status()
 	last, size := r.disk.Snapshot()
 	enoughEntries := st.Applied >= last.Index+snapshotEntries && r.bytesSinceSnapshot < largeSnapshotBytes
-	enoughBytes := r.bytesSinceSnapshot >= max(snapshotBytes, 2*size)
+	enoughBytes := r.bytesSinceSnapshot >= max(snapshotBytes, size)
 	if !enoughEntries && !enoughBytes {
 		return nil
 	}
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -217,7 +217,24 @@
 	if b.Account != c.Account {
 		return reject(result.NotOwner, "the batch job belongs to another account")
 	}
-	b.Ended = true
-	b.Partial = nil
+	if !b.Ended {
+		b.Ended = true
+		b.Partial = nil
+		b.dropRequests()
+	}
 	return Outcome{}
 }
+
+// dropRequests discards what is needed only to run the items of a job that has ended: all of it for an item with a result, and all but the body for another one. Results
+// are retained for minutes, and the requests are about as large. The items are replaced, not
+// changed, because a frozen state may share them.
+func (b *Batch) dropRequests() {
+	items := make([]BatchItem, len(b.Items))
+	for i, it := range b.Items {
+		items[i] = BatchItem{ID: it.ID}
+		if !b.HasResult(it.ID) {
+			items[i].Body = it.Body
+		}
+	}
+	b.Items = items
+}
--- a/internal/state/batch_test.go
+++ b/internal/state/batch_test.go
@@ -127,3 +127,39 @@
 		}
 	})
 }
+
+// An ended job keeps what can still be read: results, and the bodies of items without one. Its
+// requests, about as large as its results, must not stay in memory and snapshots for minutes.
+// A state frozen before is unchanged.
+func TestEndedBatchDropsItsRequests(t *testing.T) {
+	g := NewWithT(t)
+	newState := func() *State {
+		s := New()
+		b := newTestBatch("j")
+		for i := range b.Items {
+			b.Items[i].Body, b.Items[i].Header, b.Items[i].Reward = []byte("body"), []Field{{Name: "n", Value: "v"}}, &Reward{ID: "r", Body: []byte("reward")}
+		}
+		acceptBatch(s, b, testTime)
+		s.Apply(Command{At: testTime, BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: "j", Item: "b", Text: "t"}}}})
+		return s
+	}
+	s := newState()
+	frozen, err := s.Freeze()
+	g.Expect(err).NotTo(HaveOccurred())
+	before, err := newState().Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Apply(Command{At: testTime, BatchEnd: &BatchEnd{ID: "j", Account: "one"}})
+	items := s.Ledger.Batches["j"].Items
+	g.Expect(items).To(Equal([]BatchItem{{ID: "a", Body: []byte("body")}, {ID: "b"}, {ID: "c", Body: []byte("body")}}))
+	g.Expect(frozen.Encode(0)).To(Equal(before))
+	s.Apply(Command{At: testTime, BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: "j", Item: "a", Text: "late"}}}})
+	g.Expect(s.Ledger.Batches["j"].Results).To(HaveLen(2), "a run that ended meanwhile is still listed")
+
+	complete := newState()
+	complete.Apply(Command{At: testTime, BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: "j", Item: "a"}, {Batch: "j", Item: "c"}}}})
+	g.Expect(complete.Ledger.Batches["j"].Items[0].Body).To(Equal([]byte("body")), "the caller has not ended it")
+	complete.Apply(Command{At: testTime, BatchEnd: &BatchEnd{ID: "j", Account: "one"}})
+	for _, it := range complete.Ledger.Batches["j"].Items {
+		g.Expect(it).To(Equal(BatchItem{ID: it.ID}))
+	}
+}
