--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -41,7 +41,7 @@
 			r.publishRetiring()
 		}
 		if v := r.state.Config.Version; v != before {
-			r.changes = append(r.changes, Change{Version: v, Command: c.WithoutRoutingSource()})
+			r.changes = append(r.changes, newChange(v, c.WithoutRoutingSource()))
 			r.changes = r.changes[max(0, len(r.changes)-maxChanges):]
 			r.changeBytes = append(r.changeBytes, len(e.Data))
 			r.trimChanges()
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -64,12 +64,6 @@
 	Unproven bool `json:"unproven,omitempty"`
 }
 
-// Change is one committed change of the configuration.
-type Change struct {
-	Version uint64        `json:"version"`
-	Command state.Command `json:"command"`
-}
-
 // QueryRequest selects what to read from the ledger. The reply reflects everything that
 // was committed before the request.
 type QueryRequest struct {
--- a/internal/node/carrier_placement_test.go
+++ b/internal/node/carrier_placement_test.go
@@ -62,3 +62,23 @@
 	}
 	g.Expect(highestWeight("x", nil)).To(BeEmpty())
 }
+
+// The load of a zone's 51 entries that all follow a member of the control group: each member
+// must have its share of them, and with one gone the others share its part.
+func TestFollowersOfAZoneAreSpreadOverItsMembers(t *testing.T) {
+	g := NewWithT(t)
+	members := storeDaemons(1, 3)[:3]
+	first, second := map[string]int{}, map[string]int{}
+	for i := range 51 {
+		order := slices.Clone(members)
+		sortByHash(order, fmt.Sprint("front-", i))
+		first[order[0].ID]++
+		if order[0].ID == members[0].ID {
+			second[order[1].ID]++
+		}
+	}
+	for _, m := range members {
+		g.Expect(first[m.ID]).To(BeNumerically(">=", 8), m.ID)
+	}
+	g.Expect(second).To(HaveLen(2))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,6 +376,10 @@
 // Ready reports whether the node has a routing table and isn't draining.
 func (n *Node) Ready() bool { return n.Table() != nil && !n.draining.Load() }
 
+// Fresh reports whether the configuration contains everything that was committed more than
+// the freshness lease ago.
+func (n *Node) Fresh() bool { return n.follower.Fresh() }
+
 // Draining reports whether Drain was called.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
@@ -24,12 +27,14 @@
 
 // replicaAddresses returns the peer addresses of the other replicas: the live members of the
 // control group first, with this node's zone before the others, then its other members,
-// then the founders and the standbys as a last resort.
+// then the founders and the standbys as a last resort. Each node has another order among the
+// members of a zone: otherwise all of a zone's daemons would ask the same one.
 func (n *Node) replicaAddresses() []string {
 	members := n.follower.Members()
 	var addresses, standbys []string
 	if n.gossip != nil {
 		daemons := member.Replicas(n.gossip.Live())
+		sortByHash(daemons, n.cfg.ID)
 		member.SortZoneFirst(daemons, n.cfg.Zone, func(d member.Daemon) string { return d.Zone })
 		for _, d := range daemons {
 			if _, ok := members[consensus.ID(d.Replica)]; !ok && len(members) > 0 {
@@ -48,6 +53,13 @@
 	return addresses
 }
 
+// sortByHash sorts daemons in an order that depends on who asks.
+func sortByHash(daemons []member.Daemon, asker string) {
+	slices.SortFunc(daemons, func(a, b member.Daemon) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(asker+"|"+a.ID), xxhash.Sum64String(asker+"|"+b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
 // isMember reports whether this node runs a replica that is a member of the control group,
 // as far as it knows. Before it knows any member, every replica counts as one.
 func (n *Node) isMember() bool {
