--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -61,7 +61,7 @@
 	logBytes := r.bytesSinceSnapshot
 	r.writingSnapshot, r.bytesSinceSnapshot = true, 0
 	r.snapshotWriter.Go(func() {
-		data, err := frozen.Encode(size + size/4)
+		data, err := frozen.Encode(size + logBytes) // what the log has added at most, so that the buffer does not grow
 		if err == nil {
 			err = r.disk.PrepareSnapshot(consensus.Snapshot{Meta: meta, Data: data})
 		}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -24,8 +24,10 @@
 	maxFrameBytes = 256 << 20
 	// maxFrameHeaderBytes bounds the header lines of a frame, of which one is needed.
 	maxFrameHeaderBytes = 4 << 10
-	// maxReusedBufferBytes is the largest size of a frame buffer that is reused.
-	maxReusedBufferBytes = 1 << 20
+	// maxReusedBufferBytes is the largest size of a frame buffer that is reused. Every
+	// connection has one, and a replica of a large deployment has hundreds, most of which
+	// carry a large frame now and then.
+	maxReusedBufferBytes = 64 << 10
 )
 
 // Notices are most of the traffic. They are written in this form, and only notices in this
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -87,6 +87,20 @@
 	})
 }
 
+// The load of hundreds of connections that each carried a batch job once: what they keep must
+// not add up to the memory of a replica.
+func TestConnectionsKeepNoLargeBuffers(t *testing.T) {
+	g := NewWithT(t)
+	large, small := strings.Repeat("x", 700<<10), "x"
+	in := frames(`{"jsonrpc":"2.0","method":"a","params":"`+large+`"}`, `{"jsonrpc":"2.0","method":"a","params":"`+small+`"}`)
+	seen := 0
+	s := newStream(stubConn{in: strings.NewReader(in)}, func(string, json.RawMessage) { seen++ })
+	var v json.RawMessage
+	g.Expect(s.ReadObject(&v)).NotTo(Succeed(), "the end")
+	g.Expect(seen).To(Equal(2))
+	g.Expect(s.frame.Cap()).To(BeNumerically("<=", 128<<10))
+}
+
 // ReadObject must return an object or an error for any input. It must not allocate the
 // length that a header announces before the bytes arrive.
 func FuzzReadObject(f *testing.F) {
