--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -45,7 +45,7 @@
 	st := r.node.Status()
 	last, size := r.disk.Snapshot()
 	enoughEntries := st.Applied >= last.Index+snapshotEntries && r.bytesSinceSnapshot < largeSnapshotBytes
-	enoughBytes := r.bytesSinceSnapshot >= max(snapshotBytes, size)
+	enoughBytes := r.bytesSinceSnapshot >= max(snapshotBytes, size/2)
 	if !enoughEntries && !enoughBytes {
 		return nil
 	}
@@ -61,11 +61,8 @@
 	logBytes := r.bytesSinceSnapshot
 	r.writingSnapshot, r.bytesSinceSnapshot = true, 0
 	r.snapshotWriter.Go(func() {
-		data, err := frozen.Encode(size + logBytes) // what the log has added at most, so that the buffer does not grow
-		if err == nil {
-			err = r.disk.PrepareSnapshot(consensus.Snapshot{Meta: meta, Data: data})
-		}
-		r.preparedSnapshot <- preparedSnapshot{meta: meta, size: len(data), logBytes: logBytes, err: err}
+		size, err := r.disk.PrepareSnapshotFrom(meta, frozen.EncodeTo)
+		r.preparedSnapshot <- preparedSnapshot{meta: meta, size: size, logBytes: logBytes, err: err}
 	})
 	return nil
 }
--- a/internal/control/data_folder.go
+++ b/internal/control/data_folder.go
@@ -12,7 +12,7 @@
 type dataFolder interface {
 	Append(hs *consensus.HardState, es []consensus.Entry) error
 	SaveSnapshot(s consensus.Snapshot, tail []consensus.Entry) error
-	PrepareSnapshot(s consensus.Snapshot) error
+	PrepareSnapshotFrom(meta consensus.SnapshotMeta, writeData func(io.Writer) error) (size int, err error)
 	ActivateSnapshot(meta consensus.SnapshotMeta, snapshotBytes int, tail []consensus.Entry) error
 	Snapshot() (meta consensus.SnapshotMeta, snapshotBytes int)
 	OpenSnapshot() (io.ReadCloser, error)
--- a/internal/control/faulty_folder_test.go
+++ b/internal/control/faulty_folder_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"io"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -62,11 +63,11 @@
 	return d.dataFolder.Append(hs, es)
 }
 
-func (d *faultyDisk) PrepareSnapshot(s consensus.Snapshot) error {
+func (d *faultyDisk) PrepareSnapshotFrom(meta consensus.SnapshotMeta, writeData func(io.Writer) error) (int, error) {
 	if d.folder.noSnapshots.Load() {
-		return syscall.ENOSPC
+		return 0, syscall.ENOSPC
 	}
-	return d.dataFolder.PrepareSnapshot(s)
+	return d.dataFolder.PrepareSnapshotFrom(meta, writeData)
 }
 
 func (d *faultyDisk) Failed() error {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -28,8 +28,8 @@
 	// unless the size of these entries has reached largeSnapshotBytes.
 	snapshotEntries = 1000
 	// Whatever their number, a new snapshot is also written once the log entries after
-	// the last one reach the larger of snapshotBytes and the size of the last snapshot: the
-	// log in memory is then no larger than the state. A restart replays snapshotBytes in well
+	// the last one reach the larger of snapshotBytes and half the size of the last snapshot: the
+	// log in memory is then smaller than the state. A restart replays snapshotBytes in well
 	// under a second.
 	snapshotBytes = 16 << 20
 	// largeSnapshotBytes is the size of the log entries after the last snapshot at which
--- a/internal/state/batch_test.go
+++ b/internal/state/batch_test.go
@@ -151,7 +151,7 @@
 	s.Apply(Command{At: testTime, BatchEnd: &BatchEnd{ID: "j", Account: "one"}})
 	items := s.Ledger.Batches["j"].Items
 	g.Expect(items).To(Equal([]BatchItem{{ID: "a", Body: []byte("body")}, {ID: "b"}, {ID: "c", Body: []byte("body")}}))
-	g.Expect(frozen.Encode(0)).To(Equal(before))
+	g.Expect(frozen.Encode()).To(Equal(before))
 	s.Apply(Command{At: testTime, BatchRecord: &BatchRecord{Results: []BatchResult{{Batch: "j", Item: "a", Text: "late"}}}})
 	g.Expect(s.Ledger.Batches["j"].Results).To(HaveLen(2), "a run that ended meanwhile is still listed")
 
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -16,7 +16,6 @@
 var (
 	encOptions = cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339Nano}
 	encMode    = must(encOptions.EncMode())
-	encBuffer  = must(encOptions.UserBufferEncMode())
 	// Text from upstreams may be invalid UTF-8, and a committed command must be decodable.
 	decMode = must(cbor.DecOptions{
 		UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
--- a/internal/state/codec_test.go
+++ b/internal/state/codec_test.go
@@ -67,7 +67,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	encoded := make(chan []byte)
 	go func() {
-		b, _ := f.Encode(len(before))
+		b, _ := f.Encode()
 		encoded <- b
 	}()
 	progress(2)
--- a/internal/state/frozen.go
+++ b/internal/state/frozen.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
+	"encoding/binary"
+	"io"
 	"maps"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -34,17 +38,80 @@
 	return f, nil
 }
 
-// Encode returns the state encoded as a snapshot. size is the expected size in bytes; a
-// good estimate avoids copying.
-func (f Frozen) Encode(size int) ([]byte, error) {
-	buf := bytes.NewBuffer(make([]byte, 0, size))
-	err := encBuffer.MarshalToBuffer(frozenImage{Config: f.config, Ledger: f.ledger, Batches: f.batches}, buf)
+// Encode returns the state encoded as a snapshot.
+func (f Frozen) Encode() ([]byte, error) {
+	var buf bytes.Buffer
+	err := f.EncodeTo(&buf)
 	return buf.Bytes(), err
 }
 
-// frozenImage has the same encoding as image, with the batch jobs outside the ledger.
-type frozenImage struct {
-	Config  *Config           `json:"config"`
-	Ledger  cbor.RawMessage   `json:"ledger"`
-	Batches map[string]*Batch `json:"batches,omitempty"`
+// EncodeTo writes the state encoded as a snapshot. It encodes one batch job after the other: a
+// buffer for all of them would need as much memory again as the state, on all replicas at
+// the same moment.
+func (f Frozen) EncodeTo(w io.Writer) error {
+	out := cborWriter{w: w}
+	fields := 2
+	if len(f.batches) > 0 {
+		fields++
+	}
+	out.mapHeader(fields) // in the order of encMode, see cborWriter
+	out.field("config", f.config)
+	out.field("ledger", f.ledger)
+	if len(f.batches) == 0 {
+		return out.err
+	}
+	out.value("batches")
+	out.mapHeader(len(f.batches))
+	ids := slices.SortedFunc(maps.Keys(f.batches), func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
+	for _, id := range ids {
+		out.field(id, f.batches[id])
+	}
+	return out.err
+}
+
+// cborWriter writes the parts of a CBOR map as encMode would write the whole: keys in the
+// order of their encoded bytes, in which a shorter string comes first. It keeps the first error.
+type cborWriter struct {
+	w   io.Writer
+	err error
+}
+
+// majorTypeMap is the type of a map in the first byte of a CBOR value.
+const majorTypeMap = 0xa0
+
+// mapHeader writes the start of a map with n entries.
+func (c *cborWriter) mapHeader(n int) {
+	switch {
+	case n < 24:
+		c.write([]byte{majorTypeMap | byte(n)})
+	case n < 1<<8:
+		c.write([]byte{majorTypeMap | 24, byte(n)})
+	case n < 1<<16:
+		c.write(binary.BigEndian.AppendUint16([]byte{majorTypeMap | 25}, uint16(n)))
+	default:
+		c.write(binary.BigEndian.AppendUint32([]byte{majorTypeMap | 26}, uint32(n)))
+	}
+}
+
+func (c *cborWriter) field(key string, value any) {
+	c.value(key)
+	c.value(value)
+}
+
+func (c *cborWriter) value(v any) {
+	if c.err != nil {
+		return
+	}
+	b, err := encMode.Marshal(v)
+	if err != nil {
+		c.err = err
+		return
+	}
+	c.write(b)
+}
+
+func (c *cborWriter) write(b []byte) {
+	if c.err == nil {
+		_, c.err = c.w.Write(b)
+	}
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.Encode(0)
+	return f.Encode()
 }
 
 // image is the encoded form of a snapshot. Earlier versions stored the batch jobs in the
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -189,7 +189,24 @@
 // PrepareSnapshot stores a snapshot of a prefix of the log. The log remains in use until
 // ActivateSnapshot is called. PrepareSnapshot may run on any goroutine, but only one call
 // at a time.
-func (d *Disk) PrepareSnapshot(s consensus.Snapshot) error { return writeSnapshot(d.fs, d.dir, s) }
+func (d *Disk) PrepareSnapshot(s consensus.Snapshot) error {
+	_, err := d.PrepareSnapshotFrom(s.Meta, dataOf(s))
+	return err
+}
+
+// dataOf returns a function that writes the data of a snapshot.
+func dataOf(s consensus.Snapshot) func(io.Writer) error {
+	return func(w io.Writer) error {
+		_, err := w.Write(s.Data)
+		return err
+	}
+}
+
+// PrepareSnapshotFrom is PrepareSnapshot with data that writeData writes, so that it need not
+// be in memory at once. It returns the size of the data in bytes.
+func (d *Disk) PrepareSnapshotFrom(meta consensus.SnapshotMeta, writeData func(io.Writer) error) (size int, err error) {
+	return writeSnapshot(d.fs, d.dir, meta, writeData)
+}
 
 // ActivateSnapshot starts a new log from a prepared snapshot and the entries after it,
 // and removes the files that they replace. snapshotBytes is the size of the snapshot's
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -38,7 +38,7 @@
 	if err := removeInterruptedCreate(fs, dir); err != nil {
 		return err
 	}
-	if err := writeSnapshot(fs, dir, s); err != nil {
+	if _, err := writeSnapshot(fs, dir, s.Meta, dataOf(s)); err != nil {
 		return err
 	}
 	id.Sum = id.sum()
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -30,18 +30,19 @@
 
 // writeSnapshot writes s as JSON, preceded by its CRC-32C. The data is encoded while it is
 // written, because encoding it first would need as much memory again as a large state.
-func writeSnapshot(fs fileSystem, dir string, s consensus.Snapshot) error {
-	meta, err := json.Marshal(s.Meta)
+// writeData writes the data; writeSnapshot returns its size in bytes.
+func writeSnapshot(fs fileSystem, dir string, m consensus.SnapshotMeta, writeData func(io.Writer) error) (size int, err error) {
+	meta, err := json.Marshal(m)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return replaceFile(fs, snapshotPath(dir, s.Meta.Index), func(f file) error {
+	err = replaceFile(fs, snapshotPath(dir, m.Index), func(f file) error {
 		if _, err := f.Write(make([]byte, checksumBytes)); err != nil {
 			return err
 		}
 		sum := crc32.New(castagnoliTable)
 		w := bufio.NewWriterSize(io.MultiWriter(f, sum), 64<<10)
-		if err := encodeSnapshot(w, meta, s.Data); err != nil {
+		if size, err = encodeSnapshot(w, meta, writeData); err != nil {
 			return err
 		}
 		if err := w.Flush(); err != nil {
@@ -53,6 +54,7 @@
 		_, err := f.Write(binary.LittleEndian.AppendUint32(nil, sum.Sum32()))
 		return err
 	})
+	return size, err
 }
 
 // The JSON form of a snapshot, around its metadata and its data.
@@ -81,21 +83,35 @@
 }
 
 // encodeSnapshot writes the JSON form of a consensus.Snapshot.
-func encodeSnapshot(w *bufio.Writer, meta, data []byte) error {
+func encodeSnapshot(w *bufio.Writer, meta []byte, writeData func(io.Writer) error) (size int, err error) {
 	for _, s := range []string{snapshotMetaStart, string(meta), snapshotDataStart} {
 		if _, err := w.WriteString(s); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	e := base64.NewEncoder(base64.StdEncoding, w)
-	if _, err := e.Write(data); err != nil {
-		return err
+	counted := countingWriter{w: e}
+	if err := writeData(&counted); err != nil {
+		return 0, err
 	}
 	if err := e.Close(); err != nil {
-		return err
+		return 0, err
 	}
-	_, err := w.WriteString(snapshotEnd)
-	return err
+	_, err = w.WriteString(snapshotEnd)
+	return counted.n, err
+}
+
+// countingWriter counts the bytes that are written through it.
+type countingWriter struct {
+	w io.Writer
+	n int
+}
+
+// Write implements io.Writer.
+func (c *countingWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.n += n
+	return n, err
 }
 
 func readSnapshot(fs fileSystem, path string) (consensus.Snapshot, error) {
