--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -24,10 +24,12 @@
 	maxFrameBytes = 256 << 20
 	// maxFrameHeaderBytes bounds the header lines of a frame, of which one is needed.
 	maxFrameHeaderBytes = 4 << 10
-	// maxReusedBufferBytes is the largest size of a frame buffer that is reused. Every
-	// connection has one, and a replica of a large deployment has hundreds, most of which
-	// carry a large frame now and then.
-	maxReusedBufferBytes = 64 << 10
+	// maxReusedBufferBytes is the largest size of a frame buffer that is reused.
+	maxReusedBufferBytes = 1 << 20
+	// maxIdleBufferBytes is the largest size of a frame buffer that is kept for small frames.
+	// Every connection has one, and a replica of a large deployment has hundreds, most of
+	// which carry a large frame now and then.
+	maxIdleBufferBytes = 64 << 10
 )
 
 // Notices are most of the traffic. They are written in this form, and only notices in this
@@ -144,7 +146,7 @@
 	if length > maxFrameBytes {
 		return nil, fmt.Errorf("frame has %d bytes, more than %d", length, maxFrameBytes)
 	}
-	if s.frame.Cap() > maxReusedBufferBytes {
+	if c := s.frame.Cap(); c > maxReusedBufferBytes || c > maxIdleBufferBytes && length < maxIdleBufferBytes {
 		s.frame = bytes.Buffer{}
 	}
 	s.frame.Reset()
