--- a/internal/batch/carriers.go
+++ b/internal/batch/carriers.go
@@ -225,6 +225,7 @@
 			}
 			if errors.Is(x.err, peer.ErrUnreachable) || result.CodeOf(x.err) == result.Stopped {
 				c.release(address, r) // not begun
+				c.forgetClock(address)
 				c.place.Unresponsive(address)
 				return result.New(result.SampleMoved, "carrier %s did not begin the run: %v", address, x.err)
 			}
@@ -316,18 +317,24 @@
 	c.sendHold(v, max(r.term, v.newestTerm()))
 }
 
-// lose stops renewing the permit of a run whose carrier does not answer. The next greeting
-// reads its clock again, because its process may have been replaced.
+// forgetClock makes the next greeting read the clock of a carrier again, because its process
+// may have been replaced.
+func (c *Carriers) forgetClock(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carriers[address].offset.known = false
+}
+
+// lose stops renewing the permit of a run whose carrier does not answer.
 func (c *Carriers) lose(address string, r *remoteRun, err error) {
 	carriedRunsLost.Inc()
 	c.place.Unresponsive(address)
 	c.log.Warn("Carried run lost.", "run", r.id, "carrier", address, "events", r.count(), "err", err)
+	c.forgetClock(address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.lost = nil
-	v := c.carriers[address]
-	delete(v.runs, r.id)
-	v.offset.known = false
+	delete(c.carriers[address].runs, r.id)
 }
 
 // heard records that a carrier has answered.
--- a/internal/batch/carriers_test.go
+++ b/internal/batch/carriers_test.go
@@ -173,6 +173,25 @@
 	g.Expect(x.engines.started.Load()).To(Equal(int32(1)))
 }
 
+// A carrier that was restarted while it had no runs refuses the next one, which has a permit for
+// the process before. The one after that must be run again.
+func TestRestartedCarrierIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	x := newCarried(t, &scriptedEngines{events: 3})
+	address := x.place.CarrierOf(upstream.Announcement{})
+	_, err := x.generate(t.Context(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	x.leader.mu.Lock()
+	x.leader.carriers[address].offset.incarnation-- // what the leader knows is of the process before
+	x.leader.mu.Unlock()
+	_, err = x.generate(t.Context(), nil)
+	g.Expect(result.CodeOf(err)).To(Equal(result.SampleMoved))
+	x.place.address = address // responsive again
+	n, err := x.generate(t.Context(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(3))
+}
+
 func TestCarriedRewardRequestKeepsItsFailure(t *testing.T) {
 	g := NewWithT(t)
 	x := newCarried(t, &scriptedEngines{})
