--- /dev/null
+++ b/internal/control/failed_attempts_test.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/peer"
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/state"
+)
+
+// An operator's call without an outcome must say which replicas were asked, or a leader that
+// does not answer cannot be told from a replica that does not find it.
+func TestCallWithoutOutcomeNamesAttempts(t *testing.T) {
+	g := NewWithT(t)
+	client := peer.NewClient(peer.DialFrom(""))
+	defer client.Close()
+	p := NewProposer(nil, client, func() []string { return []string{"127.0.0.1:1"} }, NewHealth())
+	ctx, cancel := context.WithTimeout(t.Context(), 2*replicaRetryInterval)
+	defer cancel()
+	_, err := p.Propose(ctx, state.Command{VersionPut: &state.VersionPut{Model: "m", Version: 2}})
+	g.Expect(result.CodeOf(err)).To(Equal(result.NoQuorum))
+	g.Expect(result.From(err).Message).To(MatchRegexp(`asked 127\.0\.0\.1:1 \(\d+ ms\): .*unreachable`))
+}
+
+func TestFailedAttemptsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := newFailedAttempts()
+	for range maxListedAttempts + 3 {
+		f.add("a", result.New(result.NotLeader, "no leader"))
+	}
+	g.Expect(f.String()).To(HaveSuffix("; and 3 more"))
+	g.Expect(newFailedAttempts().String()).To(Equal("no replica was asked"))
+}
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -110,6 +110,7 @@
 // the call, else NoQuorum.
 func callAnyReplica[P, R any](ctx context.Context, p *Proposer, method string, params P, local func(*Replica, context.Context, P) (R, error)) (R, error) {
 	var none R
+	failed := newFailedAttempts()
 	outcomeUnknown := false
 	for {
 		if p.local != nil {
@@ -117,6 +118,7 @@
 			if isFinal(err) {
 				return r, err
 			}
+			failed.add("this replica", err)
 			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
 		}
 		for _, a := range p.health.Sorted(p.addresses()) {
@@ -128,14 +130,15 @@
 			if isFinal(err) {
 				return r, err
 			}
+			failed.add(a, err)
 			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
 		}
 		select {
 		case <-ctx.Done():
 			if outcomeUnknown {
-				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active")
+				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active; %s", failed)
 			}
-			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
+			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time; %s", failed)
 		case <-time.After(replicaRetryInterval):
 		}
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -336,7 +336,7 @@
 	if until, ok := r.node.LeaseUntil(); ok {
 		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), BootUntil: r.startedAt + until}
 	}
-	r.logFirstLease(*r.leadership.Swap(&l), l, &st)
+	r.logLease(*r.leadership.Swap(&l), l, &st)
 	if r.config.Swap(r.state.Config) != r.state.Config {
 		r.mu.Lock()
 		close(r.configChanged)
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/apricotstream/apricotstream/internal/clock"
 	"github.com/apricotstream/apricotstream/internal/consensus"
 )
@@ -27,9 +29,17 @@
 	}
 }
 
-// logFirstLease logs the first lease of a term: from here on the leader has committed an
-// entry of its term and may serve reads.
-func (r *Replica) logFirstLease(old, now Leadership, st *consensus.Status) {
+var leasesLapsed = metrics.NewCounter("apricotstream_leader_leases_lapsed_total")
+
+// logLease logs when the replica acquires the leader lease, from where on it may serve reads,
+// and when it has lost it. A lease that lapses without a change of the leader is acquired
+// again in the same term.
+func (r *Replica) logLease(old, now Leadership, st *consensus.Status) {
+	if old.Term != 0 && old.Term != now.Term {
+		leasesLapsed.Inc()
+		r.log.Warn("Leader lease lost.", "id", st.ID, "term", old.Term, "role", roleNames[st.Role], "ended_ms", (clock.Now() - old.BootUntil).Milliseconds(),
+			"commit", st.Commit, "last", st.LastIndex, "up_ms", r.upMs())
+	}
 	if now.Term != 0 && old.Term != now.Term {
 		r.log.Info("Leader lease acquired.", "id", st.ID, "term", now.Term, "commit", st.Commit, "voters", st.Members.Voters(), "up_ms", r.upMs())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,8 +240,9 @@
 			status.logChanges()
 		})
 	})
+	process := telemetry.NewProcessStatus(n.log)
 	n.spawn(func() {
-		periodic.Every(ctx, processStatusInterval, func() { telemetry.LogProcessStatus(n.log, n.statusFields(ctx)...) })
+		periodic.Every(ctx, processStatusInterval, func() { process.Log(n.statusFields(ctx)...) })
 	})
 	n.spawn(func() { n.pullFirst(ctx) })
 	n.spawn(func() { periodic.Every(ctx, directoryPullInterval, func() { n.pullDirectory(ctx) }) })
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -76,8 +76,9 @@
 // PutRouting replaces routes, services and accounts. It returns nil once the configuration
 // or a newer one is committed. source is the text of the document.
 func (n *Node) PutRouting(ctx context.Context, c *routing.Configuration, source string) error {
+	began := time.Now()
 	out, err := n.proposeChange(ctx, state.Command{RoutingPut: &state.RoutingPut{Configuration: c, Source: source}})
-	n.log.Info("Configuration update finished.", "version", c.Version, "active", out.Version, "code", int(result.CodeOf(err)))
+	n.log.Info("Configuration update finished.", "version", c.Version, "active", out.Version, "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
 }
 
@@ -100,23 +101,26 @@
 
 // PublishVersion commits a new weight version of a model.
 func (n *Node) PublishVersion(ctx context.Context, model string, version uint64) error {
+	began := time.Now()
 	out, err := n.proposeChange(ctx, state.Command{VersionPut: &state.VersionPut{Model: model, Version: version}})
-	n.log.Info("Publication of a weight version finished.", "model", model, "version", version, "newest", out.Version, "code", int(result.CodeOf(err)))
+	n.log.Info("Publication of a weight version finished.", "model", model, "version", version, "newest", out.Version, "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
 }
 
 // AcceptBatch commits a batch job. After a nil error a quorum of the replicas holds it.
 func (n *Node) AcceptBatch(ctx context.Context, b state.Batch) error {
+	began := time.Now()
 	b.Retention = n.cfg.BatchRetention
 	_, err := n.proposeChange(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
-	n.log.Info("Submission of a batch job finished.", "batch", b.ID, "account", b.Account, "step", b.Step, "model", b.Model, "min_version", b.MinVersion, "items", len(b.Items), "code", int(result.CodeOf(err)))
+	n.log.Info("Submission of a batch job finished.", "batch", b.ID, "account", b.Account, "step", b.Step, "model", b.Model, "min_version", b.MinVersion, "items", len(b.Items), "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
 }
 
 // EndBatch ends a batch job of a client account.
 func (n *Node) EndBatch(ctx context.Context, id, account string) error {
+	began := time.Now()
 	_, err := n.proposeChange(ctx, state.Command{BatchEnd: &state.BatchEnd{ID: id, Account: account}})
-	n.log.Info("Request to end a batch job finished.", "batch", id, "account", account, "code", int(result.CodeOf(err)))
+	n.log.Info("Request to end a batch job finished.", "batch", id, "account", account, "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
 }
 
