--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -35,7 +35,7 @@
 	Address  string            `json:"address"`  // peer address of the sender
 	Transfer uint64            `json:"transfer"` // random; identifies the transfer at the sender
 	Message  consensus.Message `json:"message"`  // of the consensus core; the receiver sets its Snapshot
-	Size     int               `json:"size"`     // of the whole snapshot, in bytes
+	Size     int               `json:"size"`     // upper bound of the size of the snapshot file, in bytes
 	Offset   int               `json:"offset"`
 	Last     bool              `json:"last,omitempty"`
 	Data     []byte            `json:"data"` // the last field; see decodeSnapshotPart
@@ -97,10 +97,10 @@
 	}()
 }
 
-// sendSnapshotParts sends the snapshot file f of about size bytes. It returns the number of
-// bytes that the receiver has acknowledged.
-func (r *Replica) sendSnapshotParts(f io.Reader, size int, address string, m consensus.Message) (int, error) {
-	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Transfer: rand.Uint64(), Message: m, Size: size}
+// sendSnapshotParts sends the snapshot file f, whose data has dataBytes. It returns the number
+// of bytes that the receiver has acknowledged.
+func (r *Replica) sendSnapshotParts(f io.Reader, dataBytes int, address string, m consensus.Message) (int, error) {
+	p := SnapshotPart{Cluster: r.cluster, Address: r.address, Transfer: rand.Uint64(), Message: m, Size: storage.MaxSnapshotFileBytes(dataBytes)}
 	acks := make(chan SnapshotAck, snapshotWindow)
 	r.addSnapshotTransfer(p.Transfer, acks)
 	defer r.removeSnapshotTransfer(p.Transfer)
--- a/internal/control/snapshot_transfer_test.go
+++ b/internal/control/snapshot_transfer_test.go
@@ -79,7 +79,7 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	m := consensus.Message{Kind: consensus.MsgSnapshot, From: "a", To: "b", Snapshot: &consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 7, Term: 3}}}
-	n, err := from.sendSnapshotParts(bytes.NewReader(file), len(file), to.address, m)
+	n, err := from.sendSnapshotParts(bytes.NewReader(file), len(data), to.address, m)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(n).To(Equal(len(file)))
 	var received StepNotice
@@ -92,6 +92,45 @@
 	g.Expect(allocated).To(BeNumerically("<=", maxBytesForEach))
 }
 
+// A receiver whose buffer was too small for the last quarter of a snapshot held it nearly
+// twice while it grew the buffer, at the time at which it needs the most memory.
+func TestReceivedSnapshotFitsItsFirstBuffer(t *testing.T) {
+	g := NewWithT(t)
+	to := transferReplica(t)
+	file, data := snapshotFile(t, 2<<20)
+	g.Expect(len(file)).To(BeNumerically(">", len(data)))
+	first := SnapshotPart{Message: consensus.Message{From: "a"}, Transfer: 1, Size: storage.MaxSnapshotFileBytes(len(data)), Data: file[:snapshotPartBytes]}
+	_, err := to.appendPart(first)
+	g.Expect(err).NotTo(HaveOccurred())
+	rest := first
+	rest.Offset, rest.Data, rest.Last = snapshotPartBytes, file[snapshotPartBytes:], true
+	whole, err := to.appendPart(rest)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(whole).To(Equal(file))
+	g.Expect(cap(whole)).To(Equal(first.Size))
+}
+
+// The sender must announce at least the size of the file, not that of the data in it.
+func TestSnapshotPartAnnouncesSizeOfFile(t *testing.T) {
+	g := NewWithT(t)
+	from := transferReplica(t)
+	file, data := snapshotFile(t, 2<<20)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	parts := make(chan SnapshotPart, len(file)/snapshotPartBytes+1)
+	s := peer.NewServer()
+	defer s.Close()
+	peer.HandleNotice(s, MethodSnapshot, func(p SnapshotPart) {
+		parts <- p
+		from.receiveSnapshotAck(SnapshotAck{Transfer: p.Transfer, Received: p.Offset + len(p.Data)})
+	})
+	go s.Serve(context.Background(), l)
+	_, err = from.sendSnapshotParts(bytes.NewReader(file), len(data), l.Addr().String(), consensus.Message{To: "b"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect((<-parts).Size).To(BeNumerically(">=", len(file)))
+}
+
 // A receiver that rejects a part, or does not answer, must end the transfer with an error,
 // so that the leader sends the snapshot again.
 func TestSnapshotTransferEndsWithAnErrorWhenRejectedOrUnanswered(t *testing.T) {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -57,6 +57,16 @@
 	return size, err
 }
 
+// maxSnapshotMetaBytes is above the size of the checksum, the metadata and the names in a
+// snapshot file. A member of the control group takes about 150 bytes.
+const maxSnapshotMetaBytes = 64 << 10
+
+// MaxSnapshotFileBytes returns a close upper bound of the size of a snapshot file, given the
+// size of its data.
+func MaxSnapshotFileBytes(dataBytes int) int {
+	return base64.StdEncoding.EncodedLen(dataBytes) + maxSnapshotMetaBytes
+}
+
 // The JSON form of a snapshot, around its metadata and its data.
 const (
 	snapshotMetaStart = `{"meta":`
