--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -62,6 +62,10 @@
 	// Unproven is set when the replica cannot tell how old its configuration is. Only a
 	// requester that has no proven configuration gets such a reply.
 	Unproven bool `json:"unproven,omitempty"`
+
+	// configJSON returns the JSON form of Config, which is made once for all followers. It is
+	// nil in a reply that was decoded.
+	configJSON func() ([]byte, error)
 }
 
 // QueryRequest selects what to read from the ledger. The reply reflects everything that
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -72,7 +72,8 @@
 	changes            []Change
 	bytesSinceSnapshot int // size of the log entries applied since the last snapshot
 	// changeBytes holds the sizes of the elements of changes, oldest first.
-	changeBytes []int
+	changeBytes    []int
+	configEncoding configEncoding // of the newest configuration that a follower got as a whole
 
 	batchChanged       map[string]chan struct{} // by batch job ID; closed when the batch job changes
 	openBatchesChanged chan struct{}            // closed when the set of open batch jobs changes
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -56,7 +56,7 @@
 	st := r.node.Status()
 	if !ok || st.Applied < p.Index || now-p.AsOf > maxSyncAge {
 		if q.Unproven && r.state.Config.Version > q.After {
-			return SyncReply{Cluster: r.cluster, Config: r.state.Config, Members: st.Members, Unproven: true}, nil
+			return SyncReply{Cluster: r.cluster, Config: r.state.Config, configJSON: r.configEncoding.of(r.state.Config), Members: st.Members, Unproven: true}, nil
 		}
 		return SyncReply{}, result.NewRetryAfter(result.NotLeader, time.Second, "this replica has not heard from the leader recently")
 	}
@@ -70,7 +70,7 @@
 	}
 	i := slices.IndexFunc(r.changes, func(c Change) bool { return c.Version == q.After+1 })
 	if i < 0 {
-		reply.Config = r.state.Config
+		reply.Config, reply.configJSON = r.state.Config, r.configEncoding.of(r.state.Config)
 		return reply, nil
 	}
 	reply.Changes = slices.Clone(r.changes[i:])
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,13 @@
 
 type noticeHandler func(params json.RawMessage)
 
+// EncodedResult is a result that many callers get at the same time. It encodes itself, so
+// that it need not be encoded for each of them.
+type EncodedResult interface {
+	// EncodeJSON returns the JSON form of the result, which must be valid.
+	EncodeJSON() ([]byte, error)
+}
+
 // Server serves the calls and notices of other daemons. All handlers must be registered
 // before Serve is called.
 type Server struct {
@@ -22,7 +29,7 @@
 	notices map[string]noticeHandler
 
 	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	conns  map[*jsonrpc2.Conn]*stream
 	closed bool
 }
 
@@ -31,7 +38,7 @@
 	return &Server{
 		calls:   map[string]callHandler{},
 		notices: map[string]noticeHandler{},
-		conns:   map[*jsonrpc2.Conn]struct{}{},
+		conns:   map[*jsonrpc2.Conn]*stream{},
 	}
 }
 
@@ -82,8 +89,9 @@
 		c.Close()
 		return
 	}
-	conn := jsonrpc2.NewConn(ctx, newStream(c, s.handleNotice), s, discardLibraryLogs)
-	s.conns[conn] = struct{}{}
+	st := newStream(c, s.handleNotice)
+	conn := jsonrpc2.NewConn(ctx, st, s, discardLibraryLogs)
+	s.conns[conn] = st
 	go func() {
 		<-conn.DisconnectNotify()
 		s.mu.Lock()
@@ -128,7 +136,24 @@
 		_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
 		return
 	}
-	_ = conn.Reply(ctx, req.ID, r)
+	b, err := encodeResult(r)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(result.New(result.Internal, "cannot encode the result: %v", err)))
+		return
+	}
+	s.mu.Lock()
+	st := s.conns[conn]
+	s.mu.Unlock()
+	if st == nil || st.writeResult(req.ID, b) != nil {
+		_ = conn.Close()
+	}
+}
+
+func encodeResult(r any) ([]byte, error) {
+	if e, ok := r.(EncodedResult); ok {
+		return e.EncodeJSON()
+	}
+	return json.Marshal(r)
 }
 
 // Close closes all connections.
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // A frame of the peer protocol is a Content-Length header, an empty line, and a JSON-RPC
@@ -40,8 +42,15 @@
 	noticeEnd    = `}`
 )
 
-// stream is the jsonrpc2.ObjectStream of a connection. Notices bypass the JSON-RPC library,
-// which encodes each object three times and decodes it four times.
+// Results are written in this form and read by the generic decoder.
+const (
+	resultStart = `{"jsonrpc":"2.0","id":`
+	resultValue = `,"result":`
+	resultEnd   = `}`
+)
+
+// stream is the jsonrpc2.ObjectStream of a connection. Notices and the encoding of results
+// bypass the JSON-RPC library, which encodes each object three times and decodes it four times.
 type stream struct {
 	conn     net.Conn
 	onNotice func(method string, params json.RawMessage) // if nil, the library handles notices
@@ -88,6 +97,22 @@
 	_, _ = s.out.WriteString(noticeEnd)
 }
 
+// writeResult writes the response to a call and sends it. The library would encode the result
+// three times.
+func (s *stream) writeResult(id jsonrpc2.ID, result []byte) error {
+	encodedID, err := id.MarshalJSON()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeHeader(len(resultStart) + len(encodedID) + len(resultValue) + len(result) + len(resultEnd))
+	for _, part := range [][]byte{[]byte(resultStart), encodedID, []byte(resultValue), result, []byte(resultEnd)} {
+		_, _ = s.out.Write(part) // Flush returns the error
+	}
+	return s.out.Flush()
+}
+
 func (s *stream) flush() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
