--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -30,6 +30,7 @@
 	lastLive map[consensus.ID]time.Time // when each member was last live, as seen by this process
 	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
 	term     uint64
+	began    time.Time // when the term began here
 }
 
 // NewMembershipReconciler returns a reconciler for the control group of replica. live
@@ -53,6 +54,9 @@
 	if !l.Valid() {
 		return
 	}
+	if now.Sub(r.began) > newLeaderGrace {
+		r.replica.publishSilence(l.Term, view.silentMembers())
+	}
 	r.logCatchUp(now, view)
 	next, reason, ok := view.NextChange()
 	if !ok {
@@ -79,7 +83,7 @@
 
 // beginTerm prepares the reconciler for a term in which its replica leads.
 func (r *MembershipReconciler) beginTerm(now time.Time, term uint64) {
-	r.term, r.behind = term, map[consensus.ID]time.Time{}
+	r.term, r.began, r.behind = term, now, map[consensus.ID]time.Time{}
 	for id, t := range r.lastLive {
 		if earliest := now.Add(newLeaderGrace - voterDeadAfter); t.Before(earliest) {
 			r.lastLive[id] = earliest
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -181,6 +181,15 @@
 	return nil, "", false
 }
 
+// silentMembers returns the members that have been silent for voterDeadAfter.
+func (v MembershipView) silentMembers() map[consensus.ID]bool {
+	out := map[consensus.ID]bool{}
+	for id, d := range v.SilentFor {
+		out[id] = d > voterDeadAfter
+	}
+	return out
+}
+
 // shouldLeave reports whether the voter should lose its vote.
 func (v MembershipView) shouldLeave(id consensus.ID) bool {
 	return v.SilentFor[id] > voterDeadAfter || v.Retiring[id] || v.lost(id)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -94,6 +94,7 @@
 	suspended    atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
 	writingSince atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
 
+	silence    atomic.Pointer[memberSilence] // nil until this replica has led
 	leadership atomic.Pointer[Leadership]
 	status     atomic.Pointer[consensus.Status]
 	config     atomic.Pointer[state.Config]
--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -25,7 +25,8 @@
 // Retire starts to retire the replica at q.Address, if q.Start is set, and reports
 // whether it has left the control group. A retired replica is replaced as a voter and
 // removed, and never rejoins under the same ID. Retire fails with MemberConflict if fewer
-// than q.MinRemaining other replicas would remain.
+// than q.MinRemaining other replicas would remain, and with NotLeader while the leader is too
+// new to tell which replicas run.
 func (r *Replica) Retire(ctx context.Context, q RetireRequest) (RetireReply, error) {
 	if err := r.checkCluster(q.Cluster); err != nil {
 		return RetireReply{}, err
@@ -37,17 +38,18 @@
 		return relay[RetireReply](ctx, r, q.Relayed, MethodRetire, relayed)
 	}
 	member := consensus.ID("")
-	remaining := 0
 	for id, m := range st.Members {
 		if m.Address == q.Address {
 			member = id
-		} else {
-			remaining++
 		}
 	}
 	if q.Start && member != "" {
-		if remaining < q.MinRemaining {
-			return RetireReply{}, result.New(result.MemberConflict, "too few replicas would remain")
+		silent, ok := r.silentMembers()
+		if !ok {
+			return RetireReply{}, result.NewRetryAfter(result.NotLeader, newLeaderGrace, "this leader does not know yet which replicas run")
+		}
+		if remaining := remainingReplicas(st.Members, q.Address, silent, r.retiringReplicas()); remaining < q.MinRemaining {
+			return RetireReply{}, result.New(result.MemberConflict, "only %d running replicas would remain, fewer than %d", remaining, q.MinRemaining)
 		}
 		c := state.Command{RetireMark: &state.RetireMark{Replica: string(member)}}
 		if _, err := r.Propose(ctx, ProposeRequest{Relayed: true, Command: c}); err != nil {
@@ -57,6 +59,40 @@
 	return callInLoop(ctx, r, func() RetireReply { return RetireReply{Done: hasLeft(r.node, r.now(), q.Address)} })
 }
 
+// remainingReplicas returns the number of members apart from those at address that run and
+// are not being retired. A member that is gone for good stays one for a while.
+func remainingReplicas(members consensus.Membership, address string, silent, retiring map[consensus.ID]bool) int {
+	n := 0
+	for id, m := range members {
+		if m.Address != address && !silent[id] && !retiring[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// memberSilence is what a leader knows of members that do not run.
+type memberSilence struct {
+	term   uint64 // of the leader
+	silent map[consensus.ID]bool
+}
+
+// publishSilence records the members that have been silent for voterDeadAfter, as seen by the
+// leader of term.
+func (r *Replica) publishSilence(term uint64, silent map[consensus.ID]bool) {
+	r.silence.Store(&memberSilence{term: term, silent: silent})
+}
+
+// silentMembers returns the members that do not run. It returns false unless this replica
+// holds the leader lease and has led for long enough to know them.
+func (r *Replica) silentMembers() (map[consensus.ID]bool, bool) {
+	s := r.silence.Load()
+	if s == nil || !r.Leadership().ValidInTerm(s.term) {
+		return nil, false
+	}
+	return s.silent, true
+}
+
 // hasLeft reports whether n proves that no replica at address is a member: it holds the
 // leader lease, and neither the committed membership nor the newest one contains such a
 // replica. A removal that isn't committed yet may be lost with the leader.
