--- a/internal/control/failed_attempts.go
+++ b/internal/control/failed_attempts.go
@@ -9,12 +9,11 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// maxListedAttempts bounds the attempts that an error message lists. They are more than
-// the replicas of a group, so that the message shows each one's answer.
+// maxListedAttempts bounds the attempts that a log line lists. They are more than the
+// replicas of a group, so that the line shows each one's answer.
 const maxListedAttempts = 12
 
-// failedAttempts lists the attempts of a call that gave no final result, for its error
-// message.
+// failedAttempts lists the attempts of a call that gave no final result, for its log line.
 type failedAttempts struct {
 	listed  []string
 	omitted int
@@ -37,9 +36,9 @@
 
 func (f *failedAttempts) String() string {
 	if len(f.listed) == 0 {
-		return "no replica was asked"
+		return "none"
 	}
-	s := "asked " + strings.Join(f.listed, "; ")
+	s := strings.Join(f.listed, "; ")
 	if f.omitted > 0 {
 		s += fmt.Sprintf("; and %d more", f.omitted)
 	}
--- a/internal/control/failed_attempts_test.go
+++ b/internal/control/failed_attempts_test.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/peer"
@@ -17,12 +19,14 @@
 	g := NewWithT(t)
 	client := peer.NewClient(peer.DialFrom(""))
 	defer client.Close()
-	p := NewProposer(nil, client, func() []string { return []string{"127.0.0.1:1"} }, NewHealth())
+	var out bytes.Buffer
+	p := NewProposer(nil, client, func() []string { return []string{"127.0.0.1:1"} }, NewHealth(), log.New(&out))
 	ctx, cancel := context.WithTimeout(t.Context(), 2*replicaRetryInterval)
 	defer cancel()
 	_, err := p.Propose(ctx, state.Command{VersionPut: &state.VersionPut{Model: "m", Version: 2}})
 	g.Expect(result.CodeOf(err)).To(Equal(result.NoQuorum))
-	g.Expect(result.From(err).Message).To(MatchRegexp(`asked 127\.0\.0\.1:1 \(\d+ ms\): .*unreachable`))
+	g.Expect(out.String()).To(MatchRegexp(`asked="127\.0\.0\.1:1 \(\d+ ms\): .*unreachable`))
+	g.Expect(result.From(err).Message).NotTo(ContainSubstring("127.0.0.1"), "callers are told nothing of the replicas")
 }
 
 func TestFailedAttemptsAreBounded(t *testing.T) {
@@ -32,5 +36,5 @@
 		f.add("a", result.New(result.NotLeader, "no leader"))
 	}
 	g.Expect(f.String()).To(HaveSuffix("; and 3 more"))
-	g.Expect(newFailedAttempts().String()).To(Equal("no replica was asked"))
+	g.Expect(newFailedAttempts().String()).To(Equal("none"))
 }
--- a/internal/control/folder_failure_test.go
+++ b/internal/control/folder_failure_test.go
@@ -230,7 +230,7 @@
 	others := func() []string {
 		return slices.DeleteFunc(slices.Sorted(maps.Keys(f.folders)), func(a string) bool { return a == r.address })
 	}
-	p := NewProposer(r, r.client, others, NewHealth())
+	p := NewProposer(r, r.client, others, NewHealth(), r.log)
 	_, err := p.Propose(ctx, state.Command{VersionPut: &state.VersionPut{Model: "m", Version: version}})
 	return err
 }
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
 	"github.com/apricotstream/apricotstream/internal/peer"
@@ -49,12 +50,13 @@
 	client    *peer.Client
 	addresses Addresses
 	health    *Health
+	log       *log.Logger
 }
 
 // NewProposer returns a Log that uses the local replica, if there is one, and the
 // replicas at addresses.
-func NewProposer(local *Replica, client *peer.Client, addresses Addresses, health *Health) *Proposer {
-	return &Proposer{local: local, client: client, addresses: addresses, health: health}
+func NewProposer(local *Replica, client *peer.Client, addresses Addresses, health *Health, logger *log.Logger) *Proposer {
+	return &Proposer{local: local, client: client, addresses: addresses, health: health, log: logger}
 }
 
 // Propose implements Log.
@@ -135,10 +137,11 @@
 		}
 		select {
 		case <-ctx.Done():
+			p.log.Warn("No replica gave a final result.", "method", method, "unknown", outcomeUnknown, "asked", failed)
 			if outcomeUnknown {
-				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active; %s", failed)
+				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active")
 			}
-			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time; %s", failed)
+			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
 		case <-time.After(replicaRetryInterval):
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 // of the control log, membership and the upstream directory.
 func (d *Daemon) buildControl() {
 	d.follower = control.NewFollower(d.sources, d.cfg.FreshnessLease, d.log.WithPrefix("follow"))
-	d.proposer = control.NewProposer(d.replica, d.client, d.replicaAddresses, d.health)
+	d.proposer = control.NewProposer(d.replica, d.client, d.replicaAddresses, d.health, d.log.WithPrefix("control"))
 	d.gossip = member.NewGossip(d.client, func() []string { return d.cfg.Peers }, d.self)
 	d.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(d.log, known, renewed) }
 	d.gossip.Register(d.server)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 			return nil, err
 		}
 	}
-	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health)
+	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
