Record and log the rates that upstreams name, and what is sent to them

The logs could not tell whether a daemon that had read a rate goes beyond it, or only the sum over daemons, or retries: no line showed what an answer names nor the attempts by upstream. Now each daemon records the rate of an answer, logs when it changes and when it is invalid, and once a second how many requests it sent to such an upstream, by purpose. Nothing acts on it yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -59,6 +60,7 @@
 
 	directory    *upstream.Directory
 	versionTable *weights.VersionTable
+	rates        *ratecap.Keeper
 	quarantine   *quarantine.Table
 	proxy        *proxy.Proxy
 	counter      *duty.Counter
@@ -98,6 +100,7 @@
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
+	n.rates = ratecap.NewKeeper(logger.WithPrefix("rates"))
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
 	n.quarantine.Register(n.server)
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
@@ -233,6 +236,7 @@
 	n.spawn(func() { n.updateTable(ctx) })
 	n.spawn(func() { n.gossip.Run(ctx) })
 	n.spawn(func() { n.quarantine.Run(ctx) })
+	n.spawn(func() { n.rates.Run(ctx) })
 	status := newStatusLogger(n)
 	n.spawn(func() {
 		periodic.Every(ctx, expireInterval, func() {
@@ -358,6 +362,10 @@
 	return n.proxy.Serve(ctx, q)
 }
 
+// Rates returns the tracker to which the clients of upstreams and engines report what they
+// send and what the answers say of the rate that an upstream takes.
+func (n *Node) Rates() ratecap.Tracker { return n.rates }
+
 // Departures returns the tracker to which the clients of upstreams and engines report that
 // an upstream leaves.
 func (n *Node) Departures() upstream.DepartureTracker {
