--- a/internal/ratecap/table_test.go
+++ b/internal/ratecap/table_test.go
@@ -96,7 +96,9 @@
 			g := NewWithT(t)
 			r := newRecorder(log.New(io.Discard))
 			u := upstream.Announcement{ID: "u", Incarnation: 1}
-			answer := func(s float64, named ...string) { r.observe(at(s), Answer{Upstream: u, SentAt: at(s - 0.05), Named: named}) }
+			answer := func(s float64, named ...string) {
+				r.observe(at(s), Answer{Upstream: u, SentAt: at(s - 0.05), Named: named})
+			}
 			answer(1, values...)
 			_, ok := r.table.Get(at(1), "u", 1)
 			g.Expect(ok).To(BeFalse(), "no bound from it")
