Keep all daemons together within the rate that an upstream names

Cause: what an answer says of its upstream was read by nobody. Even a daemon that acted on it alone would not do: a bound on the sum over daemons needs somebody who knows the sum. Change: daemons report rates to the leader, which tells the others and issues a token for each request; without a leader, each daemon sends its even share. Choices leave out upstreams without tokens; callers' requests are rejected at once with spaced times to return; items and reward requests wait. A token that was held too long is not used. Why it works: tokens of one bucket add up, and they end within a second, so those of two leaders do not.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -44,6 +44,11 @@
 	Versions(a upstream.Announcement) map[string]uint64
 	// Slots returns the number of requests that an upstream runs concurrently.
 	Slots(a upstream.Announcement) int
+	// Turns returns how many items may begin at an upstream now. It returns false if the
+	// upstream names no rate, which would bound them.
+	Turns(a upstream.Announcement) (n int, bounded bool)
+	// TakeTurn records that an item begins at an upstream.
+	TakeTurn(a upstream.Announcement)
 	// RecordDemand records the number of tokens that a batch job needs from a model, and
 	// the oldest weight version that may produce them.
 	RecordDemand(model string, tokens int, minVersion uint64)
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -44,6 +44,8 @@
 	Loading    bool              // loads weights and rejects new requests meanwhile
 	BackingOff bool              // recently rejected a request or could not be reached
 	Slowness   float64           // time per event divided by the median; 1 if unknown
+	NamesRate  bool              // names a rate, which bounds the items that may begin
+	Turns      int               // items that may begin now, if NamesRate is set
 }
 
 // Assignment is the decision to run an item on an engine.
@@ -103,6 +105,7 @@
 			continue
 		}
 		e.Running++
+		e.Turns--
 		it.phase = phaseRunning
 		it.startedAt = now
 		s.prompts[it.spec.Prompt] = e.Upstream.ID
@@ -162,7 +165,7 @@
 // canRun reports whether the engine can run the item now.
 func (e *Engine) canRun(now time.Time, it *item) bool {
 	b := it.job.batch
-	if e.Upstream.Service != b.Service || e.Loading || e.BackingOff || e.Running >= e.Slots {
+	if e.Upstream.Service != b.Service || e.Loading || e.BackingOff || e.Running >= e.Slots || e.NamesRate && e.Turns <= 0 {
 		return false
 	}
 	if v, ok := e.Versions[it.spec.Model]; ok && v < b.MinVersion {
--- a/internal/batch/scheduler_test.go
+++ b/internal/batch/scheduler_test.go
@@ -198,3 +198,18 @@
 	g.Expect(tracker.At(noon).Slowness("b")).To(BeNumerically("<", 1.2))
 	g.Expect(tracker.At(noon.Add(speedTTL+time.Millisecond)).Slowness("c")).To(Equal(1.0), "the measurement has expired")
 }
+
+// Guards against items that begin at an engine beyond the rate that it names, and against
+// items that wait although engines without a rate have free slots.
+func TestItemsBeginWithinTheTurnsOfAnEngine(t *testing.T) {
+	g := NewWithT(t)
+	scheduler := NewScheduler()
+	scheduler.Update([]OpenJob{testJob("j", 10, 4, noon)})
+	engines := testEngines(3, 8)
+	engines[0].NamesRate, engines[0].Turns = true, 2
+	engines[1].NamesRate = true
+	g.Expect(countByEngine(scheduler.Schedule(noon, engines))).To(Equal(map[string]int{"e0": 2, "e2": 8}))
+	g.Expect(scheduler.Schedule(noon, engines)).To(BeEmpty(), "the turns are used up")
+	engines[1].Turns = 5
+	g.Expect(countByEngine(scheduler.Schedule(noon, engines))).To(Equal(map[string]int{"e1": 5}))
+}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -150,6 +150,7 @@
 	}
 	s.lastScheduled = now
 	for _, x := range s.scheduler.Schedule(now, s.engineStates(now)) {
+		s.pool.TakeTurn(x.Engine)
 		a := newAttempt(ctx, s.term, x.item, x.Engine, &s.output)
 		s.attempts[x.item] = a
 		s.output.attempts.Store(int64(len(s.attempts)))
@@ -173,7 +174,9 @@
 	speeds := s.speedTracker.At(now)
 	var out []Engine
 	for _, u := range s.pool.Known() {
+		turns, namesRate := s.pool.Turns(u)
 		out = append(out, Engine{
+			NamesRate: namesRate, Turns: turns,
 			Upstream: u, Slots: s.pool.Slots(u), Running: running[u.ID], Versions: s.pool.Versions(u),
 			Loading: s.pool.Loading(u.ID), BackingOff: now.Before(s.backoffUntil[u.ID]), Slowness: speeds.Slowness(u.ID),
 		})
--- a/internal/batch/session_test.go
+++ b/internal/batch/session_test.go
@@ -97,6 +97,8 @@
 func (stubPool) Slots(upstream.Announcement) int                  { return 1 }
 func (stubPool) RecordDemand(string, int, uint64)                 {}
 func (stubPool) Seen(string, string, uint64)                      {}
+func (stubPool) Turns(upstream.Announcement) (int, bool)          { return 0, false }
+func (stubPool) TakeTurn(upstream.Announcement)                   {}
 
 // fakeEndlessEngines generates events until the attempt is cancelled, and counts attempts.
 type fakeEndlessEngines struct{ started, stopped atomic.Int32 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/apricotstream/apricotstream/internal/picker"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -18,11 +20,34 @@
 	Service(name string) []upstream.Announcement
 }
 
+// Rates keeps the requests of all daemons to an upstream within the rate that it names, see
+// ratecap.Keeper.
+type Rates interface {
+	Wait(now time.Time, a upstream.Announcement) time.Duration
+	Acquire(ctx context.Context, a upstream.Announcement, p ratecap.Purpose, request string) (sendBy time.Time, ok bool)
+	ReturnDelay(service string, list []upstream.Announcement) (time.Duration, bool)
+}
+
+// maxAcquires is the number of upstreams that one choice asks a token for.
+const maxAcquires = 4
+
+// Choice is the upstream that a request is sent to.
+type Choice struct {
+	upstream.Announcement
+	SendBy time.Time // the request must not be sent after it; zero: at any time
+}
+
+// Expired reports whether the request must not be sent to the choice any more.
+func (c Choice) Expired(now time.Time) bool { return !c.SendBy.IsZero() && !now.Before(c.SendBy) }
+
 // Chooser picks upstreams. It may be used by many goroutines.
 type Chooser struct {
 	// Entry identifies this daemon, which in a large deployment keeps to a subset of the
 	// upstreams. Empty: it uses all. It must be set before the first call.
 	Entry string
+	// Rates bounds the requests to upstreams that name a rate. Nil: nothing does. It must be
+	// set before the first call.
+	Rates Rates
 
 	directory Directory
 	pipeline  picker.Pipeline
@@ -43,8 +68,38 @@
 }
 
 // Pick picks an upstream for a request and counts the request as in flight there until
-// Release is called. It returns false if no upstream can take the request.
-func (c *Chooser) Pick(q picker.Request) (upstream.Announcement, bool) {
+// Release is called. If the upstream names a rate, Pick takes a token for the request, for
+// which it may ask the leader until ctx ends. It returns false if no upstream can take the
+// request.
+func (c *Chooser) Pick(ctx context.Context, q picker.Request) (Choice, bool) {
+	for range maxAcquires {
+		u, ok := c.pick(q)
+		if !ok {
+			break
+		}
+		if sendBy, ok := c.acquire(ctx, u, q); ok {
+			metrics.GetOrCreateCounter(`apricotstream_dispatched_total{class="` + u.Class + `"}`).Inc()
+			return Choice{u, sendBy}, true
+		}
+		c.uncount(u)
+	}
+	return Choice{}, false
+}
+
+// acquire takes a token for a request to u.
+func (c *Chooser) acquire(ctx context.Context, u upstream.Announcement, q picker.Request) (sendBy time.Time, ok bool) {
+	if c.Rates == nil {
+		return time.Time{}, true
+	}
+	purpose := ratecap.ForCaller
+	if q.Background {
+		purpose = ratecap.ForBackground
+	}
+	return c.Rates.Acquire(ctx, u, purpose, q.ID)
+}
+
+// pick picks an upstream and counts the request as in flight there.
+func (c *Chooser) pick(q picker.Request) (upstream.Announcement, bool) {
 	all := c.directory.Service(q.Service)
 	q.Entry = c.Entry
 	now := time.Now()
@@ -54,11 +109,48 @@
 	if ok {
 		c.inFlight[u.ID]++
 		c.health.BeginProbe(now, u)
-		metrics.GetOrCreateCounter(`apricotstream_dispatched_total{class="` + u.Class + `"}`).Inc()
 	}
 	return u, ok
 }
 
+// uncount ends the counting of a request that was not sent.
+func (c *Chooser) uncount(u upstream.Announcement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endRequest(u)
+}
+
+// endRequest counts a request less as in flight at u. The caller holds c.mu.
+func (c *Chooser) endRequest(u upstream.Announcement) {
+	c.inFlight[u.ID]--
+	if c.inFlight[u.ID] == 0 {
+		delete(c.inFlight, u.ID)
+	}
+}
+
+// AtRate returns when one of the upstreams of a service may be tried again, if all of them
+// are at the rates that they name. It returns false if one may be tried now.
+func (c *Chooser) AtRate(service string) (time.Duration, bool) {
+	all := c.directory.Service(service)
+	if c.Rates == nil || len(all) == 0 {
+		return 0, false
+	}
+	now, earliest := time.Now(), time.Duration(math.MaxInt64)
+	for _, a := range all {
+		earliest = min(earliest, c.Rates.Wait(now, a))
+	}
+	return earliest, earliest > 0
+}
+
+// ReturnDelay returns when a caller should return that no upstream of a service can take,
+// because all of them are at the rates that they name. It returns false if they are not.
+func (c *Chooser) ReturnDelay(service string) (time.Duration, bool) {
+	if c.Rates == nil {
+		return 0, false
+	}
+	return c.Rates.ReturnDelay(service, c.directory.Service(service))
+}
+
 // candidates returns the upstreams with what this daemon has observed of them. The caller
 // holds c.mu.
 func (c *Chooser) candidates(now time.Time, all []upstream.Announcement) []picker.Candidate {
@@ -66,7 +158,8 @@
 	slowness := c.latencies.slowness(now, all)
 	cs := make([]picker.Candidate, 0, len(all))
 	for i, a := range all {
-		cs = append(cs, picker.Candidate{Upstream: a, InFlight: c.inFlight[a.ID], Ejected: ejected[i], Slowness: slowness[i]})
+		atRate := c.Rates != nil && c.Rates.Wait(now, a) > 0
+		cs = append(cs, picker.Candidate{Upstream: a, InFlight: c.inFlight[a.ID], Ejected: ejected[i], Slowness: slowness[i], AtRate: atRate})
 	}
 	return cs
 }
@@ -76,10 +169,7 @@
 func (c *Chooser) Release(ctx context.Context, u upstream.Announcement, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight[u.ID]--
-	if c.inFlight[u.ID] == 0 {
-		delete(c.inFlight, u.ID)
-	}
+	c.endRequest(u)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/rollout"
 	"github.com/apricotstream/apricotstream/internal/settings"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -52,6 +53,7 @@
 	limits      *limit.Limiter
 	usage       *usage.Counter
 	gateway     *gateway.Gateway
+	rates       *ratecap.Keeper
 	quarantine  *quarantine.Table
 	tracing     *telemetry.Tracing
 	claims      *claim.Runner
@@ -103,6 +105,12 @@
 	d.quarantine.Register(d.server)
 	dispatcher := dispatch.New(d.cfg.Zone, d.directory, forward.New(), d.quarantine, d.tracing.Tracer)
 	dispatcher.TrackDepartures(d.departures())
+	d.rates = ratecap.NewKeeper(ratecap.Deployment{
+		Daemon: d.cfg.ID, Replicas: d.replicaAddresses, Leads: d.leads, Daemons: func() int { return len(d.gossip.Live()) },
+		Broadcast: d.gossip.Broadcast, Ask: ratecap.AskOver(d.client), Gone: d.directory.Ended,
+	}, d.log.WithPrefix("rates"))
+	d.rates.Register(d.server)
+	dispatcher.KeepRates(d.rates)
 	d.usage = usage.NewCounter(d.incarnation)
 	d.admission = admission.NewFairAdmitter(admission.NewSlotAllocator(d.directory, d.entryCount))
 	d.limits = limit.New(d.incarnation, d.follower.Config, d.client, d.grantorAddresses, d.leadership)
@@ -184,6 +192,7 @@
 	d.spawn(func() { d.follower.Run(ctx) })
 	d.spawn(func() { d.gossip.Run(ctx) })
 	d.spawn(func() { d.quarantine.Run(ctx) })
+	d.spawn(func() { d.rates.Run(ctx) })
 	d.spawn(func() { d.gateway.Sessions().Run(ctx) })
 	d.spawn(func() { periodic.Every(ctx, expireInterval, d.directory.Expire) })
 	d.spawn(func() { periodic.Every(ctx, admissionInterval, d.admission.Tick) })
--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -63,6 +63,12 @@
 	return d.replica.Leadership()
 }
 
+// leads returns the term of the leader lease that this daemon holds.
+func (d *Daemon) leads() (term uint64, ok bool) {
+	l := d.leadership()
+	return l.Term, l.Valid()
+}
+
 // entryCount returns the number of entries that share the upstreams.
 func (d *Daemon) entryCount() int {
 	return len(member.Entries(d.gossip.Live(), d.cfg.Zone))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,8 +16,10 @@
 
 	"github.com/apricotstream/apricotstream/internal/chooser"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -55,6 +57,14 @@
 	OnCrash func(upstream.Announcement)
 }
 
+// purpose returns what the job's requests are for.
+func (j Job) purpose() ratecap.Purpose {
+	if j.Owed {
+		return ratecap.ForBackground
+	}
+	return ratecap.ForCaller
+}
+
 // Consumer reads the response of an upstream. Once it has sent any byte to the caller, it
 // must wrap its error with Delivered, so that the job is not retried.
 type Consumer func(resp *http.Response, from upstream.Announcement) error
@@ -84,6 +94,7 @@
 	quarantine *quarantine.Table
 	tracer     trace.Tracer
 	departures upstream.DepartureTracker
+	rates      ratecap.Tracker
 
 	mu           sync.Mutex
 	retryBudgets map[string]*RetryBudget // by service
@@ -93,10 +104,14 @@
 func New(zone string, dir chooser.Directory, f *forward.Forwarder, q *quarantine.Table, tracer trace.Tracer) *Dispatcher {
 	return &Dispatcher{
 		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, tracer: tracer,
-		retryBudgets: map[string]*RetryBudget{}, departures: upstream.IgnoreDepartures{},
+		retryBudgets: map[string]*RetryBudget{}, departures: upstream.IgnoreDepartures{}, rates: ratecap.IgnoreRates{},
 	}
 }
 
+// KeepRates makes the dispatcher tell k of the rates that upstreams name, and send them no
+// more. It must be called before Run.
+func (d *Dispatcher) KeepRates(k *ratecap.Keeper) { d.rates, d.chooser.Rates = k, k }
+
 // TrackDepartures makes the dispatcher tell t of the upstreams that leave, and send nothing
 // to those that have left. It must be called before Run.
 func (d *Dispatcher) TrackDepartures(t upstream.DepartureTracker) { d.departures = t }
@@ -107,7 +122,7 @@
 func (d *Dispatcher) Run(ctx context.Context, job Job, consume Consumer) error {
 	req := picker.Request{
 		Service: job.Service, Zone: d.zone, MinVersion: job.MinVersion, Exclude: slices.Clone(job.Exclude),
-		Repeatable: job.Idempotent, Prefix: job.promptPrefix(),
+		Repeatable: job.Idempotent, Prefix: job.promptPrefix(), ID: job.Out.RequestID, Background: job.Owed,
 	}
 	req.Ends, _ = ctx.Deadline()
 	d.depositRetry(job.Service)
@@ -117,12 +132,12 @@
 		if record.Blocked() {
 			return quarantinedError(attemptErr)
 		}
-		u, release, ok := d.pickUpstream(ctx, req, record.Suspect() || job.Alone && d.mayReserve(job.Service))
+		u, release, ok := d.awaitUpstream(ctx, job, req, record.Suspect() || job.Alone && d.mayReserve(job.Service))
 		if !ok {
 			break
 		}
 		err := d.attempt(ctx, job, u, consume)
-		d.chooser.Release(ctx, u, err)
+		d.chooser.Release(ctx, u.Announcement, err)
 		release()
 		if err == nil {
 			d.clear(record)
@@ -139,9 +154,27 @@
 	if attemptErr != nil {
 		return withRetryAfter(job, attemptErr)
 	}
+	if delay, ok := d.chooser.ReturnDelay(job.Service); ok {
+		return result.NewRetryAfter(result.NoUpstream, delay, "all upstreams of %s are at the rates that they name", job.Service)
+	}
 	return result.NewRetryAfter(result.NoUpstream, noUpstreamRetryAfter, "no upstream of %s can take the request", job.Service)
 }
 
+// awaitUpstream picks an upstream. An owed job waits while all of them are at the rates that
+// they name.
+func (d *Dispatcher) awaitUpstream(ctx context.Context, job Job, req picker.Request, alone bool) (chooser.Choice, func(), bool) {
+	for {
+		u, release, ok := d.pickUpstream(ctx, req, alone)
+		if ok || !job.Owed {
+			return u, release, ok
+		}
+		wait, atRate := d.chooser.AtRate(job.Service)
+		if !atRate || !periodic.Pause(ctx, wait) {
+			return u, release, false
+		}
+	}
+}
+
 // record returns the quarantine's record of job; an owed job has none.
 func (d *Dispatcher) record(job Job) quarantine.Record {
 	if job.Owed {
@@ -225,7 +258,8 @@
 
 // send sends job to u and passes the response to consume. An owed job leaves an upstream
 // that has died without closing its connection.
-func (d *Dispatcher) send(ctx context.Context, job Job, u upstream.Announcement, consume Consumer) error {
+func (d *Dispatcher) send(ctx context.Context, job Job, choice chooser.Choice, consume Consumer) error {
+	u := choice.Announcement
 	var watch *silenceWatch
 	if job.Owed {
 		var stop func()
@@ -233,13 +267,16 @@
 		defer stop()
 	}
 	out := job.Out
-	out.Check = func() error { return d.checkBeforeSend(job, u) }
+	out.Check = func() error { return d.checkBeforeSend(job, choice) }
+	sentAt := time.Now()
+	d.rates.Sent(u, job.purpose())
 	resp, err := d.forwarder.Send(ctx, u.Address, out)
 	if err == nil {
 		defer resp.Body.Close()
 		if forward.SaysLeaving(resp) {
 			d.departures.Observe(upstream.Sighting{Upstream: u, Request: job.Out.RequestID, Status: resp.StatusCode})
 		}
+		d.rates.Answered(ratecap.Answer{Upstream: u, Request: job.Out.RequestID, Status: resp.StatusCode, SentAt: sentAt, Named: forward.NamedRate(resp)})
 		if watch != nil {
 			resp.Body = watch.body(resp)
 		}
@@ -251,12 +288,15 @@
 	return err
 }
 
-// checkBeforeSend returns an error of the class "not run" if u has left since it was chosen,
-// and otherwise the error of the job's own check.
-func (d *Dispatcher) checkBeforeSend(job Job, u upstream.Announcement) error {
-	if d.departures.Left(u) {
+// checkBeforeSend returns an error of the class "not run" if u has left since it was chosen or
+// the token for it has run out, and otherwise the error of the job's own check.
+func (d *Dispatcher) checkBeforeSend(job Job, u chooser.Choice) error {
+	if d.departures.Left(u.Announcement) {
 		return result.New(result.UpstreamUnreached, "the upstream has said that it leaves")
 	}
+	if u.Expired(time.Now()) {
+		return result.New(result.UpstreamUnreached, "the token for the rate of the upstream has run out")
+	}
 	if job.Out.Check == nil {
 		return nil
 	}
@@ -264,14 +304,15 @@
 }
 
 // attempt sends job to u once and passes the response to consume.
-func (d *Dispatcher) attempt(ctx context.Context, job Job, u upstream.Announcement, consume Consumer) error {
+func (d *Dispatcher) attempt(ctx context.Context, job Job, choice chooser.Choice, consume Consumer) error {
+	u := choice.Announcement
 	ctx, span := d.tracer.Start(ctx, "upstream", trace.WithAttributes(
 		attribute.String("upstream", u.ID), attribute.String("zone", u.Zone), attribute.String("request", job.Out.RequestID)))
 	defer span.End()
 	if job.OnAttempt != nil {
 		job.OnAttempt(u)
 	}
-	err := d.send(ctx, job, u, consume)
+	err := d.send(ctx, job, choice, consume)
 	code := result.CodeOf(err)
 	span.SetAttributes(attribute.Int("code", int(code)))
 	d.detectCrash(ctx, job, u, err)
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/chooser"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -26,35 +27,35 @@
 // that runs no requests of this entry and reserves it, so that no other requests are sent
 // there meanwhile. It also returns a function that must be called when the attempt has
 // ended. It returns false if no upstream can take the request.
-func (d *Dispatcher) pickUpstream(ctx context.Context, req picker.Request, suspect bool) (upstream.Announcement, func(), bool) {
+func (d *Dispatcher) pickUpstream(ctx context.Context, req picker.Request, suspect bool) (chooser.Choice, func(), bool) {
 	if !suspect {
 		req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
-		u, ok := d.chooser.Pick(req)
+		u, ok := d.chooser.Pick(ctx, req)
 		return u, func() {}, ok
 	}
 	for range maxReservations {
-		u, ok := d.pickIdle(req)
+		u, ok := d.pickIdle(ctx, req)
 		if !ok {
 			break
 		}
 		if release, ok := d.quarantine.Reserve(u.ID); ok {
 			return u, release, true
 		}
-		d.chooser.Release(ctx, u, result.New(result.NoUpstream, "another request has reserved the upstream"))
+		d.chooser.Release(ctx, u.Announcement, result.New(result.NoUpstream, "another request has reserved the upstream"))
 	}
-	return upstream.Announcement{}, nil, false
+	return chooser.Choice{}, nil, false
 }
 
 // pickIdle picks an upstream that is not reserved, if possible one that runs no requests of
 // this entry.
-func (d *Dispatcher) pickIdle(req picker.Request) (upstream.Announcement, bool) {
+func (d *Dispatcher) pickIdle(ctx context.Context, req picker.Request) (chooser.Choice, bool) {
 	req.Exclude = slices.Concat(req.Exclude, d.quarantine.Reserved())
 	alone := req
 	alone.Exclude = slices.Concat(req.Exclude, d.chooser.InUse())
-	if u, ok := d.chooser.Pick(alone); ok {
+	if u, ok := d.chooser.Pick(ctx, alone); ok {
 		return u, true
 	}
-	return d.chooser.Pick(req)
+	return d.chooser.Pick(ctx, req)
 }
 
 // mayReserve reports whether an owed job may reserve an upstream of a service. At most half
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,13 @@
 // SaysLeaving reports whether the upstream that sent a response says in it that it leaves.
 func SaysLeaving(resp *http.Response) bool { return resp.Header.Get(HeaderLeaving) == "1" }
 
+// HeaderRate is the rate in requests a second, a decimal number above 0, that an upstream takes
+// from all daemons together, in each answer as long as it holds.
+const HeaderRate = "X-Upstream-Rate"
+
+// NamedRate returns the values of HeaderRate in a response; none if it names no rate.
+func NamedRate(resp *http.Response) []string { return resp.Header.Values(HeaderRate) }
+
 // Limits of the connections to upstreams.
 const (
 	dialTimeout             = time.Second
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -21,6 +21,12 @@
 func (d engineDirectory) Known() []upstream.Announcement { return d.n.directory.Known() }
 func (d engineDirectory) Loading(id string) bool         { return d.n.versionTable.Loading(id) }
 
+func (d engineDirectory) Turns(a upstream.Announcement) (n int, bounded bool) {
+	return d.n.rates.Turns(a)
+}
+
+func (d engineDirectory) TakeTurn(a upstream.Announcement) { d.n.rates.TakeTurn(a) }
+
 func (d engineDirectory) Versions(a upstream.Announcement) map[string]uint64 {
 	return d.n.versionTable.Versions(a)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,12 +100,16 @@
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
-	n.rates = ratecap.NewKeeper(logger.WithPrefix("rates"))
+	n.rates = ratecap.NewKeeper(ratecap.Deployment{
+		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, Daemons: func() int { return len(n.gossip.Live()) },
+		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended,
+	}, logger.WithPrefix("rates"))
+	n.rates.Register(n.server)
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
 	n.quarantine.Register(n.server)
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
 	c := chooser.New(upstream.KnownDirectory{Directory: n.directory})
-	c.Entry = cfg.ID
+	c.Entry, c.Rates = cfg.ID, n.rates
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n})
 	if n.replica != nil {
 		n.replica.Register(n.server)
@@ -298,6 +302,15 @@
 	return duty.NewTerm(n.replica.Leadership, n.cfg.ID, n.cfg.TakeoverDelay)
 }
 
+// leads returns the term of the leader lease that this node holds.
+func (n *Node) leads() (term uint64, ok bool) {
+	if n.replica == nil {
+		return 0, false
+	}
+	l := n.replica.Leadership()
+	return l.Term, l.Valid()
+}
+
 func (n *Node) spawn(f func()) { n.wg.Go(f) }
 
 // Wait blocks until all goroutines of Start have ended, then closes the peer client.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -23,6 +23,8 @@
 	Repeatable bool      // may be resumed or run again, so cheap upstreams may run it
 	Prefix     string    // start of the prompt; empty if there is nothing to cache
 	Ends       time.Time // deadline; zero for none
+	ID         string    // of the request, for logs
+	Background bool      // work that was handed in for later; no caller's connection waits
 }
 
 // Candidate is an upstream with what this entry has observed of it.
@@ -31,6 +33,7 @@
 	InFlight int     // requests of this entry that are in flight there
 	Ejected  bool    // it or most of its zone could not be reached recently, see upstream.Health
 	Slowness float64 // its response time relative to its peers; 0 or 1 if unknown
+	AtRate   bool    // it gets nothing for now, because it is at the rate that it names
 }
 
 // Filter drops candidates that must not run a request.
@@ -66,7 +69,7 @@
 // Default returns the pipeline that an entry uses.
 func Default() Pipeline {
 	return Pipeline{
-		Filters:     []Filter{excludedFilter{}, versionFilter{}, reclaimFilter{}},
+		Filters:     []Filter{excludedFilter{}, versionFilter{}, reclaimFilter{}, rateFilter{}},
 		Preferences: []Preference{recentPreference{}, healthyPreference{}, slownessPreference{}, classPreference{}, affinityPreference{}, subsetPreference{}},
 		Scorers:     []Weighted{{loadScorer{}, 1}, {zoneScorer{}, 0.2}},
 		Picker:      TwoChoices{},
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -41,6 +42,7 @@
 	ran         int // number of ended attempts that may have run the request
 	notRun      int // number of ended attempts that did not run the request
 	hedged      bool
+	atRate      bool     // it has waited for, or was rejected because of, the rates that upstreams name
 	tried       []string // IDs of the upstreams of all attempts
 	bestFailure *Attempt // failure with the highest rank so far
 }
@@ -73,8 +75,8 @@
 			cancel()
 		}
 	}()
-	if !e.startAttempt(ctx) {
-		return nil, result.NewRetryAfter(result.NoUpstream, e.retryAfter(), "no upstream of %s can take the request", e.request.Service)
+	if !e.startFirst(ctx) {
+		return nil, result.NewRetryAfter(result.NoUpstream, e.retryAfter(), "no upstream of %s can take the request%s", e.request.Service, e.reason())
 	}
 	hedge := time.NewTimer(e.hedgeDelay())
 	defer hedge.Stop()
@@ -116,21 +118,74 @@
 	return max(minHedgeDelay, time.Duration(hedgeDelayShare*float64(e.request.Route.TargetLatency)))
 }
 
+// startFirst starts the first attempt. If no upstream takes the request now, it waits for one
+// as long as the request has time for that.
+func (e *execution) startFirst(ctx context.Context) bool {
+	until := e.waitsUntil()
+	for {
+		if e.startAttempt(ctx) {
+			return true
+		}
+		wait, ok := e.waitForUpstream()
+		if !ok || time.Now().Add(wait).After(until) || !periodic.Pause(ctx, wait) {
+			return false
+		}
+	}
+}
+
+// waitForUpstream returns after what time an upstream may take the request. It returns false
+// if waiting is of no use.
+func (e *execution) waitForUpstream() (time.Duration, bool) {
+	if wait, ok := e.proxy.chooser.AtRate(e.request.Service); ok {
+		e.atRate = true
+		return wait, true
+	}
+	return 0, false
+}
+
+// waitsUntil returns until when the request may wait for an upstream that is at its rate.
+// Background work has its whole time. A caller's request waits a part of its target latency,
+// or of its time without one: later it is better told to return than served late.
+func (e *execution) waitsUntil() time.Time {
+	now := time.Now()
+	switch {
+	case e.request.Background:
+		return e.request.Deadline
+	case e.request.Route != nil && e.request.Route.TargetLatency > 0:
+		return now.Add(time.Duration(rateWaitShare * float64(e.request.Route.TargetLatency)))
+	}
+	return now.Add(time.Duration(rateWaitShareOfTime * float64(e.request.Deadline.Sub(now))))
+}
+
+// reason returns why no upstream can take the request, as the end of a sentence.
+func (e *execution) reason() string {
+	if e.atRate {
+		return ": all are at the rates that they name"
+	}
+	return ""
+}
+
 // startAttempt sends the request to another upstream. It returns false when the picker
 // finds none.
 func (e *execution) startAttempt(ctx context.Context) bool {
-	u, ok := e.proxy.chooser.Pick(picker.Request{
+	choice, ok := e.proxy.chooser.Pick(ctx, picker.Request{
 		Service: e.request.Service, Zone: e.proxy.zone, Exclude: e.tried, Ends: e.request.Deadline,
-		Repeatable: e.maxAttempts > 1,
+		Repeatable: e.maxAttempts > 1, ID: e.request.ID,
+		Background: e.request.Background,
 	})
 	if !ok {
 		return false
 	}
+	u := choice.Announcement
 	e.tried = append(e.tried, u.ID)
 	e.inFlight++
 	e.pending.Go(func() {
 		a := Attempt{To: u, Began: time.Now()}
-		a.Answer, a.Err = e.proxy.upstreams.Send(ctx, u, e.request)
+		if choice.Expired(a.Began) {
+			a.Err = result.New(result.UpstreamBusy, "the token for the rate of the upstream has run out")
+		} else {
+			a.Answer, a.Err = e.proxy.upstreams.Send(ctx, u, e.request)
+		}
 		e.proxy.chooser.Release(ctx, u, a.Err)
 		if a.Err == nil {
 			e.proxy.chooser.RecordLatency(u, time.Since(a.Began))
@@ -218,6 +273,9 @@
 	if len(e.proxy.chooser.Upstreams(e.request.Service)) == 0 {
 		return unlistedRetryAfter
 	}
+	if d, ok := e.proxy.chooser.ReturnDelay(e.request.Service); ok {
+		return d
+	}
 	return retryAfter
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,11 @@
 	hedgeDelayShare = 0.55
 	// minHedgeDelay keeps a short target latency from doubling every request.
 	minHedgeDelay = 40 * time.Millisecond
+	// rateWaitShare is the share of the route's target latency for which a request waits for
+	// an upstream that is at the rate that it names. The rest is for the upstream's response.
+	rateWaitShare = 0.4
+	// rateWaitShareOfTime is the share of a request's time without a target latency.
+	rateWaitShareOfTime = 0.1
 	// retryAfter is the delay that callers are told to wait when upstreams are full. It is
 	// about the time that an upstream takes to respond, so that a concurrency slot is free
 	// by then.
--- a/internal/ratecap/answer.go
+++ b/internal/ratecap/answer.go
@@ -52,7 +52,7 @@
 const (
 	ForCaller     Purpose = iota // a caller's connection waits for the response
 	ForBackground                // work that was handed in for later, such as batch items
-	ForControl                   // orders to the upstream, and questions about its state
+	ForControl                   // orders to the upstream and questions about its state, which need no token
 	purposes
 )
 
--- a/internal/ratecap/recorder.go
+++ b/internal/ratecap/recorder.go
@@ -1,7 +1,6 @@
 package ratecap
 
 import (
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,11 +20,10 @@
 )
 
 // recorder is the part of a Keeper that records and logs what upstreams name and what is
-// sent to them.
+// sent to them. The Keeper's lock guards it.
 type recorder struct {
 	log *log.Logger
 
-	mu         sync.Mutex
 	table      *Table
 	sent       map[string]*sentCounts // since the last report, by upstream
 	reportedAt time.Time
@@ -47,8 +45,6 @@
 func (r *recorder) observe(now time.Time, a Answer) (o Observation, changed, ok bool) {
 	rate, err := a.rate()
 	u := a.Upstream
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if err != nil {
 		invalidNamed.Inc()
 		if now.Sub(r.invalidAt[u.ID]) >= reportInterval {
@@ -78,8 +74,6 @@
 
 // countSent counts a request to an upstream that names a rate.
 func (r *recorder) countSent(now time.Time, to upstream.Announcement, p Purpose) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if _, ok := r.table.Get(now, to.ID, to.Incarnation); !ok {
 		return
 	}
@@ -95,8 +89,6 @@
 // report logs once per reportInterval how many requests this daemon has sent to each
 // upstream that names a rate.
 func (r *recorder) report(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if now.Sub(r.reportedAt) < reportInterval {
 		return
 	}
--- /dev/null
+++ b/internal/ratecap/run.go
@@ -0,0 +1,149 @@
+package ratecap
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apricotstream/apricotstream/internal/periodic"
+)
+
+// Periodic work of a Keeper. The bounds keep its notices below 3 KB/s for each daemon, also
+// when all upstreams of a large deployment name rates at once.
+const (
+	tickInterval = 100 * time.Millisecond
+	// capsPerNotice is the number of caps that the leader tells in one tick.
+	capsPerNotice = 3
+	// refreshInterval is the time between two rounds in which the leader tells all caps, for
+	// those whose notice was lost.
+	refreshInterval = 2 * time.Second
+	// maxCapsInReply bounds a reply with all caps.
+	maxCapsInReply = 1024
+	// maxPending bounds the observations that wait for a leader; older ones are dropped.
+	maxPending = 64
+	// searchDelay is the time between two searches for a leader.
+	searchDelay = 300 * time.Millisecond
+)
+
+// Run reports to the leader or tells the other daemons, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	periodic.Every(ctx, tickInterval, func() { k.tick(ctx) })
+}
+
+func (k *Keeper) tick(ctx context.Context) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recorder.report(now)
+	k.recorder.table.Expire(now, k.deployment.Gone)
+	k.countCaps()
+	k.forget(now)
+	if k.leads() {
+		k.fetched, k.leader, k.pending = true, "", nil
+		k.tell(now)
+		return
+	}
+	if now.Before(k.retryAt) || k.fetched && len(k.pending) == 0 && (k.leader != "" || len(k.recorder.table.caps) == 0) {
+		return
+	}
+	k.reportToLeader(ctx, now)
+}
+
+// forget removes what is kept of upstreams and services without a cap or a hold. The caller
+// holds k.mu.
+func (k *Keeper) forget(now time.Time) {
+	for id, until := range k.holds {
+		if !now.Before(until) {
+			delete(k.holds, id)
+		}
+	}
+	for service, at := range k.returns {
+		if now.After(at) {
+			delete(k.returns, service)
+		}
+	}
+	gone := func(id string) bool { _, ok := k.recorder.table.caps[id]; return !ok }
+	for id := range k.reported {
+		if gone(id) {
+			delete(k.reported, id)
+		}
+	}
+	for id := range k.shares.next {
+		if gone(id) {
+			delete(k.shares.next, id)
+		}
+	}
+	if k.issuer != nil {
+		k.issuer.Retain(func(id string, _ int64) bool { return !gone(id) })
+	}
+}
+
+// reportToLeader reports the pending observations and finds the leader, if it is not known.
+// The caller holds k.mu, which is released during the calls.
+func (k *Keeper) reportToLeader(ctx context.Context, now time.Time) {
+	addresses := k.deployment.Replicas()
+	if k.leader != "" {
+		addresses = []string{k.leader}
+	}
+	pending := k.pending
+	q := AcquireRequest{Seen: k.takePending(now), All: !k.fetched}
+	for _, address := range addresses {
+		if ctx.Err() != nil {
+			break
+		}
+		if _, ok := k.ask(ctx, address, q); ok {
+			k.fetched = true
+			return
+		}
+	}
+	k.retryAt = time.Now().Add(searchDelay)
+	k.pending = append(pending, k.pending...)
+	k.pending = k.pending[max(0, len(k.pending)-maxPending):]
+}
+
+// noteChanged records that a cap must be told. The caller holds k.mu.
+func (k *Keeper) noteChanged(id string) {
+	if !slices.Contains(k.changed, id) {
+		k.changed = append(k.changed, id)
+	}
+}
+
+// tell tells the other daemons the caps that have changed, and all of them in turn. The
+// caller holds k.mu.
+func (k *Keeper) tell(now time.Time) {
+	if len(k.refresh) == 0 && now.Sub(k.toldAt) >= refreshInterval {
+		k.refresh, k.toldAt = k.sorted(), now
+	}
+	var out []SentCap
+	take := func(list []string) []string {
+		for len(list) > 0 && len(out) < capsPerNotice {
+			if c, ok := k.recorder.table.caps[list[0]]; ok {
+				out = append(out, c.toSend(now, list[0]))
+			}
+			list = list[1:]
+		}
+		return list
+	}
+	k.changed = take(k.changed)
+	k.refresh = take(k.refresh)
+	if len(out) > 0 {
+		k.deployment.Broadcast(MethodCaps, out)
+	}
+}
+
+// Told takes the caps that the leader tells.
+func (k *Keeper) Told(caps []SentCap) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.merge(time.Now(), caps)
+}
+
+// merge takes the caps that another daemon knows. The caller holds k.mu.
+func (k *Keeper) merge(now time.Time, caps []SentCap) {
+	for _, s := range caps {
+		if s.valid() && k.recorder.table.Merge(s.ID, s.received(now)) {
+			k.log.Info("Rate of an upstream learned from the leader.", "upstream", s.ID, "incarnation", s.Incarnation, "rate", s.Rate, "named_ms", s.NamedMs, "ended", s.Ended)
+		}
+	}
+	k.countCaps()
+}
--- a/internal/ratecap/table.go
+++ b/internal/ratecap/table.go
@@ -13,10 +13,16 @@
 	// recoveryTime is how long the rate of an upstream that names none any more is still
 	// bounded. The bound doubles every recoveryDoubling, so that the requests of all daemons
 	// do not return at once.
-	recoveryTime     = 5 * time.Second
-	recoveryDoubling = time.Second
+	recoveryTime     = 3 * time.Second
+	recoveryDoubling = 500 * time.Millisecond
 	// minRecoveryRate is the bound at the beginning of the recovery, in requests a second.
 	minRecoveryRate = 1
+	// endedRetention is how long a cap is kept after its end, so that a daemon that has not
+	// heard of the end does not bring it back.
+	endedRetention = time.Minute
+	// goneRetention is how long the cap of an upstream that is not listed is kept. A daemon
+	// may hear of a cap before it hears of the upstream.
+	goneRetention = 30 * time.Second
 	// maxCaps bounds the memory of a table. It is several times the largest number of
 	// upstreams of a deployment.
 	maxCaps = 1 << 14
@@ -123,7 +129,7 @@
 		return false
 	}
 	t.put(id, other)
-	return c.Incarnation != other.Incarnation || c.Rate != other.Rate || c.EndedAt != other.EndedAt
+	return c.Incarnation != other.Incarnation || c.Rate != other.Rate || c.EndedAt.IsZero() != other.EndedAt.IsZero()
 }
 
 // put stores a cap. When there are too many, the one that has not changed for the longest
@@ -142,10 +148,12 @@
 	delete(t.caps, oldest)
 }
 
-// Expire removes the caps that are over, and those of upstreams for which gone returns true.
+// Expire removes the caps that ended endedRetention ago, and those of upstreams for which
+// gone returns true.
 func (t *Table) Expire(now time.Time, gone func(id string, incarnation int64) bool) {
 	for id, c := range t.caps {
-		if c.over(now) || gone(id, c.Incarnation) {
+		age := now.Sub(c.changedAt())
+		if !c.EndedAt.IsZero() && age > endedRetention || age > goneRetention && gone(id, c.Incarnation) {
 			delete(t.caps, id)
 		}
 	}
--- a/internal/ratecap/table_test.go
+++ b/internal/ratecap/table_test.go
@@ -76,7 +76,7 @@
 	table.Observe(seen(0, 2, 2.1))
 	table.Observe(seen(0, 2.5, 3))
 	before := 0.0
-	for s := 3.0; s < 3+recoveryTime.Seconds(); s += 0.5 {
+	for s := 3.0; s < 3+recoveryTime.Seconds(); s += recoveryDoubling.Seconds() {
 		x, ok := table.Get(at(s), "u", 1)
 		g.Expect(ok).To(BeTrue())
 		g.Expect(x.RateAt(at(s))).To(And(BeNumerically(">=", 2), BeNumerically(">", before), BeNumerically("<=", max(4, before*2))))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -133,3 +133,9 @@
 	}
 	return out
 }
+
+// Ended reports whether an incarnation is not listed, or a newer one of the upstream is.
+func (d *Directory) Ended(id string, incarnation int64) bool {
+	a, ok := d.Get(id)
+	return !ok || a.Incarnation > incarnation
+}
