Name the leader to daemons that search for one for their tokens

Each of hundreds of daemons would call all replicas three times a second while it finds no leader, at the start of a deployment above all. A replica that does not lead now names the leader, and a search asks three replicas.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -71,18 +71,27 @@
 	return nil
 }
 
+// LeaderAddress returns the peer address of the leader that this replica knows, if that is
+// another one; otherwise "".
+func (r *Replica) LeaderAddress() string {
+	st := r.Status()
+	if st.Leader == st.ID {
+		return ""
+	}
+	return st.Members[st.Leader].Address
+}
+
 // relay relays a call to the leader. It returns NotLeader if no leader is known, if the
 // call was relayed already, or if the leader does not answer.
 func relay[R any](ctx context.Context, r *Replica, relayed bool, method string, params any) (R, error) {
 	var none R
-	st := r.Status()
-	leader, ok := st.Members[st.Leader]
-	if !ok || relayed || st.Leader == st.ID {
+	leader := r.LeaderAddress()
+	if leader == "" || relayed {
 		return none, result.NewRetryAfter(result.NotLeader, time.Second, "this replica knows no leader")
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	out, err := peer.Call[R](ctx, r.client, leader.Address, method, params)
+	out, err := peer.Call[R](ctx, r.client, leader, method, params)
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, context.DeadlineExceeded) {
 		return none, result.NewRetryAfter(result.NotLeader, time.Second, "the leader does not answer")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,7 +106,7 @@
 	dispatcher := dispatch.New(d.cfg.Zone, d.directory, forward.New(), d.quarantine, d.tracing.Tracer)
 	dispatcher.TrackDepartures(d.departures())
 	d.rates = ratecap.NewKeeper(ratecap.Deployment{
-		Daemon: d.cfg.ID, Replicas: d.replicaAddresses, Leads: d.leads, Daemons: func() int { return len(d.gossip.Live()) },
+		Daemon: d.cfg.ID, Replicas: d.replicaAddresses, Leads: d.leads, LeaderAddress: d.leaderAddress, Daemons: func() int { return len(d.gossip.Live()) },
 		Broadcast: d.gossip.Broadcast, Ask: ratecap.AskOver(d.client), Gone: d.directory.Ended,
 	}, d.log.WithPrefix("rates"))
 	d.rates.Register(d.server)
--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -69,6 +69,14 @@
 	return l.Term, l.Valid()
 }
 
+// leaderAddress returns the peer address of the leader that the replica knows, or "".
+func (d *Daemon) leaderAddress() string {
+	if d.replica == nil {
+		return ""
+	}
+	return d.replica.LeaderAddress()
+}
+
 // entryCount returns the number of entries that share the upstreams.
 func (d *Daemon) entryCount() int {
 	return len(member.Entries(d.gossip.Live(), d.cfg.Zone))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
 	n.rates = ratecap.NewKeeper(ratecap.Deployment{
-		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, Daemons: func() int { return len(n.gossip.Live()) },
+		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
 		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended,
 	}, logger.WithPrefix("rates"))
 	n.rates.Register(n.server)
@@ -311,6 +311,14 @@
 	return l.Term, l.Valid()
 }
 
+// leaderAddress returns the peer address of the leader that the replica knows, or "".
+func (n *Node) leaderAddress() string {
+	if n.replica == nil {
+		return ""
+	}
+	return n.replica.LeaderAddress()
+}
+
 func (n *Node) spawn(f func()) { n.wg.Go(f) }
 
 // Wait blocks until all goroutines of Start have ended, then closes the peer client.
--- a/internal/ratecap/fleet_test.go
+++ b/internal/ratecap/fleet_test.go
@@ -62,8 +62,9 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	k := NewKeeper(Deployment{
 		Daemon: id, Leads: func() (uint64, bool) { return f.leads(id) }, Daemons: func() int { return len(f.keepers) },
-		Replicas:  func() []string { return []string{"d0", "d1", "d2"} },
-		Broadcast: func(_ string, params any) { f.broadcast(id, params.([]SentCap)) },
+		Replicas:      func() []string { return []string{"d0", "d1", "d2", "d5", "d6"} },
+		LeaderAddress: func() string { return f.knownLeader(id) },
+		Broadcast:     func(_ string, params any) { f.broadcast(id, params.([]SentCap)) },
 		Ask: func(ctx context.Context, address string, q AcquireRequest) (AcquireReply, error) {
 			return f.call(ctx, id, address, q)
 		},
@@ -109,6 +110,16 @@
 	return f.term, f.leader == id && !f.cut[id]
 }
 
+// knownLeader returns the leader if the daemon is a replica that knows one.
+func (f *fleet) knownLeader(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id != "d0" && id != "d1" || f.cut[id] || f.leader == id {
+		return ""
+	}
+	return f.leader
+}
+
 // elect makes a daemon the leader of a new term; "" leaves the group without one.
 func (f *fleet) elect(id string) {
 	f.mu.Lock()
--- a/internal/ratecap/keeper.go
+++ b/internal/ratecap/keeper.go
@@ -38,12 +38,15 @@
 
 // Deployment is what a Keeper needs to know of the daemons.
 type Deployment struct {
-	Daemon    string                        // ID of this daemon
-	Replicas  func() []string               // peer addresses of the other replicas, best first
-	Leads     func() (term uint64, ok bool) // whether this daemon holds the leader lease
-	Daemons   func() int                    // number of daemons that send requests to upstreams
-	Broadcast func(method string, params any)
-	Ask       func(ctx context.Context, address string, q AcquireRequest) (AcquireReply, error)
+	Daemon   string                        // ID of this daemon
+	Replicas func() []string               // peer addresses of the other replicas, best first
+	Leads    func() (term uint64, ok bool) // whether this daemon holds the leader lease
+	// LeaderAddress returns the peer address of the leader that this daemon's replica knows;
+	// empty if it knows none. Nil without a replica.
+	LeaderAddress func() string
+	Daemons       func() int // number of daemons that send requests to upstreams
+	Broadcast     func(method string, params any)
+	Ask           func(ctx context.Context, address string, q AcquireRequest) (AcquireReply, error)
 	// Gone reports whether an incarnation of an upstream has certainly ended.
 	Gone func(id string, incarnation int64) bool
 }
@@ -63,6 +66,7 @@
 
 	leader   string    // peer address of the replica that last granted tokens; empty if none does
 	fetched  bool      // all caps were read from a leader
+	asked    int       // replicas asked in searches for a leader
 	retryAt  time.Time // when a leader is looked for again
 	pending  []Observation
 	reported map[string]time.Time // when an unchanged rate was last reported, by upstream
@@ -216,7 +220,7 @@
 	cancel()
 	k.mu.Lock()
 	switch {
-	case err == nil:
+	case err == nil && reply.Leader == "":
 		if k.leader != address {
 			k.leader = address
 			clear(k.shares.next)
@@ -224,13 +228,16 @@
 		}
 		k.merge(time.Now(), reply.Caps)
 		return reply, true
+	case err == nil:
+		err = result.New(result.NotLeader, "the leader is %s", reply.Leader)
 	case ctx.Err() != nil:
-		return AcquireReply{}, false // the request has ended, which says nothing about the leader
-	case k.leader == address:
+		return reply, false // the request has ended, which says nothing about the leader
+	}
+	if k.leader == address {
 		k.leader = ""
 		k.log.Warn("Leader issues no tokens; the daemon keeps to its even share of the rates that upstreams name.", "leader", address, "err", err.Error())
 	}
-	return AcquireReply{}, false
+	return reply, false
 }
 
 // takePending returns the observations to report. The caller holds k.mu.
@@ -243,12 +250,16 @@
 	return out
 }
 
-// Issue answers a request for a token, as the leader. Error: NotLeader.
+// Issue answers a request for a token, as the leader. Another replica names the leader. Error:
+// NotLeader, if it knows none.
 func (k *Keeper) Issue(q AcquireRequest) (AcquireReply, error) {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.leads() {
+		if a := k.knownLeader(); a != "" {
+			return AcquireReply{Leader: a}, nil
+		}
 		return AcquireReply{}, result.New(result.NotLeader, "this daemon is not the leader")
 	}
 	for _, s := range q.Seen {
@@ -277,6 +288,14 @@
 	return r, nil
 }
 
+// knownLeader returns the peer address of the leader that this daemon's replica knows, or "".
+func (k *Keeper) knownLeader() string {
+	if k.deployment.LeaderAddress == nil {
+		return ""
+	}
+	return k.deployment.LeaderAddress()
+}
+
 // allCaps returns the caps, at most maxCapsInReply. The caller holds k.mu.
 func (k *Keeper) allCaps(now time.Time) []SentCap {
 	var out []SentCap
--- a/internal/ratecap/messages.go
+++ b/internal/ratecap/messages.go
@@ -25,8 +25,9 @@
 	All         bool              `json:"all,omitempty"` // asks for all caps
 }
 
-// AcquireReply is the leader's reply.
+// AcquireReply is the leader's reply, or the address of the leader from another replica.
 type AcquireReply struct {
+	Leader  string    `json:"leader,omitempty"` // peer address; the replica that was asked does not lead
 	Granted bool      `json:"ok,omitempty"`
 	WaitMs  int64     `json:"wait_ms,omitempty"` // until there may be a token; 0 if granted
 	Caps    []SentCap `json:"caps,omitempty"`    // of the upstream, or all
--- a/internal/ratecap/run.go
+++ b/internal/ratecap/run.go
@@ -23,6 +23,9 @@
 	maxPending = 64
 	// searchDelay is the time between two searches for a leader.
 	searchDelay = 300 * time.Millisecond
+	// maxAsked is the number of replicas that one search asks. A replica names the leader, and
+	// hundreds of daemons search at the same time.
+	maxAsked = 3
 )
 
 // Run reports to the leader or tells the other daemons, until ctx ends.
@@ -81,9 +84,16 @@
 // reportToLeader reports the pending observations and finds the leader, if it is not known.
 // The caller holds k.mu, which is released during the calls.
 func (k *Keeper) reportToLeader(ctx context.Context, now time.Time) {
-	addresses := k.deployment.Replicas()
+	var addresses []string
 	if k.leader != "" {
 		addresses = []string{k.leader}
+	} else if a := k.knownLeader(); a != "" {
+		addresses = []string{a}
+	} else if all := k.deployment.Replicas(); len(all) > 0 {
+		for range min(len(all), maxAsked) {
+			addresses = append(addresses, all[k.asked%len(all)])
+			k.asked++
+		}
 	}
 	pending := k.pending
 	q := AcquireRequest{Seen: k.takePending(now), All: !k.fetched}
@@ -91,7 +101,11 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if _, ok := k.ask(ctx, address, q); ok {
+		reply, ok := k.ask(ctx, address, q)
+		if !ok && reply.Leader != "" {
+			_, ok = k.ask(ctx, reply.Leader, q)
+		}
+		if ok {
 			k.fetched = true
 			return
 		}
