Do not report as read what the leader told of an upstream's rate

Cause: a daemon sent the cap that it had been told back to the leader with its next question, and on each way the moment at which the rate was last named moved on by the time of the way, past the answers without a rate. Only what a daemon has read itself is reported now; its moment is fixed.

TestRateThatWasToldIsNotReportedAsRead fails each time without the change, at the moment that moves.

--- a/internal/ratecap/fleet_test.go
+++ b/internal/ratecap/fleet_test.go
@@ -318,3 +318,34 @@
 		f.wg.Wait()
 	})
 }
+
+// Guards against a rate that never ends because daemons report as read what the leader told
+// them: on each way the moment of the last naming would move on, past the answers without it.
+func TestRateThatWasToldIsNotReportedAsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(t, ctx, 1, 6)
+		lead := f.keepers["d0"]
+		readAt := time.Now()
+		lead.Answered(Answer{Upstream: named, SentAt: readAt, Named: []string{"12"}})
+		time.Sleep(300 * time.Millisecond)
+		for range 50 {
+			time.Sleep(20 * time.Millisecond)
+			lead.mu.Lock()
+			c, ok := lead.recorder.table.Get(time.Now(), named.ID, named.Incarnation)
+			lead.mu.Unlock()
+			if !ok || !c.EndedAt.IsZero() {
+				break
+			}
+			g.Expect(c.NamedAt).To(Equal(readAt))
+		}
+		time.Sleep(2 * time.Second)
+		lead.mu.Lock()
+		c := lead.recorder.table.caps[named.ID]
+		lead.mu.Unlock()
+		g.Expect(c.EndedAt.IsZero()).To(BeFalse(), "two answers without it end it")
+		cancel()
+		f.wg.Wait()
+	})
+}
--- a/internal/ratecap/keeper.go
+++ b/internal/ratecap/keeper.go
@@ -205,7 +205,9 @@
 	}
 	now := time.Now()
 	q := AcquireRequest{Upstream: a.ID, Incarnation: a.Incarnation, Purpose: p, Seen: k.takePending(now)}
-	if c.EndedAt.IsZero() {
+	// A new leader may not know what this daemon has read. What it was told stays out: its time
+	// is later with each way between daemons, so that it would never end.
+	if c.EndedAt.IsZero() && !c.told {
 		q.Seen = append(q.Seen, Observation{ID: a.ID, Incarnation: c.Incarnation, Rate: c.Rate, SentAt: c.NamedAt, At: c.NamedAt}.toSend(now))
 	}
 	return k.ask(ctx, k.leader, q)
--- a/internal/ratecap/table.go
+++ b/internal/ratecap/table.go
@@ -35,6 +35,7 @@
 	NamedAt     time.Time // when an answer last named it
 	EndedAt     time.Time // since when it is no longer named; zero while it is
 	unnamed     int       // answers in a row without a rate, see unnamedAnswers
+	told        bool      // learned from another daemon, not read in an answer
 }
 
 // RateAt returns the rate that may be used at now.
@@ -128,6 +129,7 @@
 	if ok && (other.Incarnation < c.Incarnation || other.Incarnation == c.Incarnation && !other.changedAt().After(c.changedAt())) {
 		return false
 	}
+	other.told = true
 	t.put(id, other)
 	return c.Incarnation != other.Incarnation || c.Rate != other.Rate || c.EndedAt.IsZero() != other.EndedAt.IsZero()
 }
