Log which software version begins a text and which goes on with it

Cause: no log line or metric named a software version, so the three hypotheses of the incident could not be told apart. Change: the lines of upstreams name it; a line for each item that goes on and each stream that begins or goes on, with origin and choice; a counter of items that go on at the same and at another version. The origin of an item is recorded, and read by nothing else.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
 
@@ -32,6 +33,7 @@
 	lastEventID     int
 	committedEvents int            // number of events that are committed or queued for a commit
 	versions        []uint64       // weight versions that produced events, in order of appearance
+	origin          origin.Origin  // of the events received so far
 	overlong        int            // attempts since the latest event that exceeded the limit of the output
 	failures        int            // attempts answered with 500
 	rewardFailures  int            // reward requests answered with 500
@@ -88,6 +90,7 @@
 // engine can continue it.
 func (it *item) reset() {
 	it.events, it.versions, it.lastEventID, it.committedEvents = nil, nil, 0, 0
+	it.origin = origin.Origin{}
 	it.versionMissingSince = time.Time{}
 	it.overlong = 0
 }
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 )
@@ -17,11 +19,15 @@
 	itemsCompleted = metrics.NewCounter(`apricotstream_items_total{outcome="completed"}`)
 	itemsAborted   = metrics.NewCounter(`apricotstream_items_total{outcome="aborted"}`)
 	itemAttempts   = metrics.NewCounter("apricotstream_item_runs_total")
-	itemResumes    = metrics.NewCounter("apricotstream_item_resumes_total")
 	itemMoves      = metrics.NewCounter("apricotstream_item_moves_total")
 	itemSeconds    = metrics.NewHistogram("apricotstream_item_seconds")
 )
 
+// itemResumes counts the attempts that went on after events of earlier ones.
+func itemResumes(sameSoftware bool) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`apricotstream_item_resumes_total{same_software="%t"}`, sameSoftware))
+}
+
 // session runs batch jobs in one term. Only the goroutine of run uses the scheduler.
 type session struct {
 	*Runner
@@ -155,9 +161,7 @@
 		s.attempts[x.item] = a
 		s.output.attempts.Store(int64(len(s.attempts)))
 		itemAttempts.Inc()
-		if x.item.lastEventID > 0 {
-			itemResumes.Inc()
-		}
+		s.recordResume(x)
 		s.wg.Go(func() {
 			a.run(s.engines)
 			s.endedAttempts <- a
@@ -165,6 +169,18 @@
 	}
 }
 
+// recordResume counts and logs that an item with events goes on at an engine.
+func (s *session) recordResume(x Assignment) {
+	it := x.item
+	if it.lastEventID == 0 {
+		return
+	}
+	same := it.origin.Allows(x.Engine)
+	itemResumes(same).Inc()
+	s.log.Info("Item goes on.", "item", it.spec.ID, "batch", it.job.batch.ID, "events", it.lastEventID, "origin", it.origin.Software,
+		"upstream", x.Engine.ID, "incarnation", x.Engine.Incarnation, "software", x.Engine.Software, "allowed", same)
+}
+
 // engineStates returns the state of all known engines.
 func (s *session) engineStates(now time.Time) []Engine {
 	running := map[string]int{}
@@ -203,6 +219,9 @@
 		return
 	}
 	now := time.Now()
+	if len(a.events) > 0 && it.origin.IsZero() {
+		it.origin = origin.Of(a.engine)
+	}
 	for _, e := range a.events {
 		it.appendEvent(e)
 	}
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -57,6 +57,6 @@
 }
 
 func (l *statusLogger) logUpstream(message string, a upstream.Announcement) {
-	l.n.log.Info(message, "upstream", a.ID, "service", a.Service, "address", a.Address, "incarnation", a.Incarnation, "seq", a.Seq, "models", a.Models,
+	l.n.log.Info(message, "upstream", a.ID, "service", a.Service, "address", a.Address, "incarnation", a.Incarnation, "seq", a.Seq, "models", a.Models, "software", a.Software,
 		"up_s", int(time.Since(time.UnixMilli(a.Incarnation)).Seconds()))
 }
--- /dev/null
+++ b/internal/origin/origin.go
@@ -0,0 +1,24 @@
+package origin
+
+import "github.com/apricotstream/apricotstream/internal/upstream"
+
+// Origin is what generated the first part of a text. The zero value means that there is no
+// text yet, which any upstream may begin.
+type Origin struct {
+	Service  string `json:"service"`
+	Software string `json:"software,omitempty"` // as announced; empty if the upstreams state none
+}
+
+// Of returns the origin of a text that an upstream begins.
+func Of(a upstream.Announcement) Origin { return Origin{Service: a.Service, Software: a.Software} }
+
+// IsZero reports whether there is no text yet.
+func (o Origin) IsZero() bool { return o == Origin{} }
+
+// Allows reports whether an upstream may generate the rest of the text.
+func (o Origin) Allows(a upstream.Announcement) bool {
+	return o.IsZero() || o.Known() && Of(a) == o
+}
+
+// Known reports whether the software version of the text is known.
+func (o Origin) Known() bool { return o.Software != upstream.SoftwareUnknown }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,10 +111,26 @@
 		return
 	}
 	requests("answered").Inc()
+	if response.Stream != nil {
+		p.logStream(q, response)
+	}
 	p.log.Info("Request answered.", "request", q.ID, "route", route, "account", q.Account, "upstream", response.From.ID,
 		"status", response.Status, "runs", e.ran, "refused", e.notRun, "hedged", e.hedged, "routing", q.Routing, "ms", took.Milliseconds())
 }
 
+// logStream logs that a stream begins or goes on at an upstream.
+func (p *Proxy) logStream(q *Request, response *Answer) {
+	fields := []any{
+		"request", q.ID, "account", q.Account, "service", q.Service, "upstream", response.From.ID, "incarnation", response.From.Incarnation,
+		"software", response.From.Software,
+	}
+	if q.TakeUp == nil {
+		p.log.Info("Stream begins.", fields...)
+		return
+	}
+	p.log.Info("Stream goes on.", append(fields, "began", q.TakeUp.Began, "last_event", q.TakeUp.LastEventID)...)
+}
+
 // isFinal reports whether a response ends the request even if another attempt is allowed. A
 // response with a status of 500 or above isn't final.
 func isFinal(a *Answer) bool { return a.Status < http.StatusInternalServerError }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -23,12 +23,20 @@
 	Body     []byte
 	Deadline time.Time // from the caller's or the route's timeout
 	Routing  uint64    // version of the routing configuration that was used
+	// TakeUp is set if the request goes on with a stream that broke off.
+	TakeUp *TakeUp
 	// Background is set if no caller's connection waits for the response: the request belongs
 	// to work that was handed in for later. It is then not counted as usage, and it is not
 	// held to be the cause when upstreams crash under it.
 	Background bool
 }
 
+// TakeUp says which stream a request goes on with.
+type TakeUp struct {
+	Began       string // id of the request that brought the first event; empty if the caller does not name it
+	LastEventID int    // id of the last event that the caller has
+}
+
 // Answer is an upstream's HTTP response.
 type Answer struct {
 	Status int
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -31,6 +31,9 @@
 	Silent        bool    `json:"-"`                        // its newest announcement has expired
 }
 
+// SoftwareUnknown is the software version of an upstream whose version cannot be known.
+const SoftwareUnknown = "?"
+
 // Classes of upstreams.
 const (
 	ClassRegular = "regular"
