--- /dev/null
+++ b/internal/batch/software_test.go
@@ -0,0 +1,188 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+)
+
+// softwarePool has an engine for each software version listed, with six slots each.
+type softwarePool struct {
+	fakeFleetPool
+	mu       sync.Mutex
+	software []string
+}
+
+func (p *softwarePool) Known() []upstream.Announcement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []upstream.Announcement
+	for i, v := range p.software {
+		if v != "" {
+			out = append(out, upstream.Announcement{ID: fmt.Sprint("e", i), Service: "s", Software: v})
+		}
+	}
+	return out
+}
+
+// fakeBreakingEngines generates testItemEvents events, 10 ms each, that name the software
+// version of the engine. A run that begins an item breaks off in the middle of it, as long as
+// breaks are left.
+type fakeBreakingEngines struct {
+	mu      sync.Mutex
+	breaks  int
+	resumed int
+}
+
+func (e *fakeBreakingEngines) Generate(_ context.Context, to upstream.Announcement, g GenerateRequest, emit func(Event)) error {
+	e.mu.Lock()
+	breaks := g.LastEventID == 0 && e.breaks > 0
+	if breaks {
+		e.breaks--
+	}
+	if g.LastEventID > 0 {
+		e.resumed++
+	}
+	e.mu.Unlock()
+	for n := g.LastEventID + 1; n <= testItemEvents; n++ {
+		time.Sleep(10 * time.Millisecond)
+		if breaks && n > testItemEvents/2 {
+			return result.New(result.AnswerCut, "connection reset")
+		}
+		emit(Event{ID: n, Data: to.Software, Version: 3})
+	}
+	return nil
+}
+
+// textReplica records the texts and the progress that are committed.
+type textReplica struct {
+	resultReplica
+	texts    map[string]string
+	progress []state.BatchProgress
+}
+
+func (r *textReplica) Propose(ctx context.Context, q control.ProposeRequest) (state.Outcome, error) {
+	r.mu.Lock()
+	for _, x := range q.Command.BatchRecord.Results {
+		r.texts[x.Item] = x.Text
+	}
+	r.progress = append(r.progress, q.Command.BatchRecord.Progress...)
+	r.mu.Unlock()
+	return r.resultReplica.Propose(ctx, q)
+}
+
+// joinedTexts returns the number of texts with events of several software versions.
+func (r *textReplica) joinedTexts() int {
+	n := 0
+	for _, text := range r.texts {
+		if len(slices.Compact(strings.Split(text, "\n"))) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func newTextReplica(jobs ...OpenJob) *textReplica {
+	r := &textReplica{resultReplica: resultReplica{fakeReplica: fakeReplica{term: 1, change: make(chan struct{})}, results: map[string]time.Time{}}, texts: map[string]string{}}
+	for _, j := range jobs {
+		j.Batch.RunDeadline, j.Batch.ItemTTL = time.Hour, time.Hour
+		r.jobs = append(r.jobs, control.OpenBatch(j))
+	}
+	return r
+}
+
+// Guards against texts of items joined from two software versions: an item whose run broke off
+// goes on at its version, and is not generated anew while that one has room.
+func TestItemGoesOnOnlyAtTheSoftwareVersionThatBeganIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		replica := newTextReplica(testJob("j", 3, 4, time.Now()))
+		engines := &fakeBreakingEngines{breaks: 12}
+		ctx, cancel := context.WithCancel(t.Context())
+		r := NewRunner(replica, &softwarePool{software: []string{"v1", "v2"}}, engines, stubFailingScorer{}, log.New(io.Discard))
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		g.Expect(replica.texts).To(HaveLen(12))
+		g.Expect(replica.joinedTexts()).To(BeZero())
+		g.Expect(engines.resumed).To(Equal(12), "no work is lost")
+	})
+}
+
+// Guards against an item that the next leader goes on with at another software version, and
+// against one that waits until its time is up because its version has left.
+func TestNextLeaderGoesOnAtTheSoftwareVersionOfTheCommittedText(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		software []string // versions of the engines of the next leader; empty: the engine has left
+		resumed  int
+	}{
+		{"the version still serves", []string{"v1", "v2", "v2"}, 1},
+		{"the version has left", []string{"", "v2", "v2"}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				job := testJob("j", 1, 1, time.Now())
+				first := newItemOf(job)
+				a := newAttempt(t.Context(), 1, first, upstream.Announcement{ID: "e0", Service: "s", Software: "v1"}, &outputBudget{})
+				for _, e := range testEvents(1, minProgressEvents, 3) {
+					e.Data = "v1"
+					a.appendEvent(e)
+				}
+				s := newSession(&Runner{log: log.New(io.Discard)}, 1)
+				s.resultCommitter = newCommitter(nil, s.log)
+				s.attempts[first] = a
+				s.commitProgress()
+				job.Partial = map[string]state.Partial{"j-0-0": (<-s.resultCommitter.queue).progress.Partial}
+
+				replica := newTextReplica(job)
+				engines := &fakeEndingEngines{events: minProgressEvents + 5}
+				ctx, cancel := context.WithCancel(t.Context())
+				r := NewRunner(replica, &softwarePool{software: c.software}, engines, stubFailingScorer{}, log.New(io.Discard))
+				done := make(chan struct{})
+				go func() { defer close(done); r.Run(ctx) }()
+				time.Sleep(5 * time.Second)
+				cancel()
+				<-done
+				g.Expect(replica.texts).To(HaveLen(1))
+				g.Expect(replica.joinedTexts()).To(BeZero())
+				g.Expect(engines.resumed).To(Equal(c.resumed))
+			})
+		})
+	}
+}
+
+// newItemOf returns the only item of a job.
+func newItemOf(job OpenJob) *item { return newJob(job).items[0] }
+
+// fakeEndingEngines generates the given number of events, 10 ms each, that name the software
+// version of the engine.
+type fakeEndingEngines struct{ events, resumed int }
+
+func (e *fakeEndingEngines) Generate(_ context.Context, to upstream.Announcement, g GenerateRequest, emit func(Event)) error {
+	if g.LastEventID > 0 {
+		e.resumed++
+	}
+	for n := g.LastEventID + 1; n <= e.events; n++ {
+		time.Sleep(10 * time.Millisecond)
+		emit(Event{ID: n, Data: to.Software, Version: 3})
+	}
+	return nil
+}
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -161,3 +161,8 @@
 	}
 	return out, err
 }
+
+// Upstreams returns the upstreams of a service that this node knows, silent ones included.
+func (n *Node) Upstreams(service string) []upstream.Announcement {
+	return upstream.KnownDirectory{Directory: n.directory}.Service(service)
+}
