Continue items only at the software version that began their text

Cause: the scheduler chose the engine for the rest of a text by load, failures and weights. Change: an item keeps the origin of its text, also in what is committed for the next leader; only engines of the same software version may continue it. Without one it begins anew at once; while all are full or back off it waits no longer than its text took, then begins anew. Attempts leave a slow engine only for room at their own version. Events of an engine that has started again under its id with another version are dropped, with those that were committed. Why it works: all ways on to an engine (crash, move, next leader, carrier) go through canRun.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -136,6 +137,16 @@
 	}
 }
 
+// origin returns the origin of the item's text, that of no text before its first event.
+func (a *attempt) origin() origin.Origin {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.earlier == 0 && a.counted == 0 {
+		return origin.Origin{}
+	}
+	return origin.Of(a.engine)
+}
+
 // eventsSoFar returns a copy of the events received so far.
 func (a *attempt) eventsSoFar() []Event {
 	a.mu.Lock()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 // abortMargin is added to the TTL of items before they are aborted, because the wall
@@ -33,7 +34,8 @@
 	lastEventID     int
 	committedEvents int            // number of events that are committed or queued for a commit
 	versions        []uint64       // weight versions that produced events, in order of appearance
-	origin          origin.Origin  // of the events received so far
+	origin          origin.Origin  // of the events received so far, if there are any
+	generatedFor    time.Duration  // time of the attempts that produced these events
 	overlong        int            // attempts since the latest event that exceeded the limit of the output
 	failures        int            // attempts answered with 500
 	rewardFailures  int            // reward requests answered with 500
@@ -43,6 +45,9 @@
 	// versionMissingSince is the time since which no engine holds the weight version of the
 	// partial output; zero if one does.
 	versionMissingSince time.Time
+	// originFullSince is the time since which no engine of the origin can continue the partial
+	// output; zero if one can, or if there is no such engine.
+	originFullSince time.Time
 }
 
 type phase int
@@ -86,12 +91,24 @@
 	}
 }
 
+// beginsAt records that an upstream has generated events. Only the first one sets the origin.
+func (it *item) beginsAt(u upstream.Announcement) {
+	if len(it.events) == 0 {
+		it.origin = origin.Of(u)
+	}
+}
+
+// mayContinueAt reports whether an upstream may generate the rest of the item's text.
+func (it *item) mayContinueAt(u upstream.Announcement) bool {
+	return len(it.events) == 0 || it.origin.Allows(u)
+}
+
 // reset discards the partial output, because its weight versions are not allowed or no
 // engine can continue it.
 func (it *item) reset() {
 	it.events, it.versions, it.lastEventID, it.committedEvents = nil, nil, 0, 0
-	it.origin = origin.Origin{}
-	it.versionMissingSince = time.Time{}
+	it.origin, it.generatedFor = origin.Origin{}, 0
+	it.versionMissingSince, it.originFullSince = time.Time{}, time.Time{}
 	it.overlong = 0
 }
 
@@ -109,21 +126,33 @@
 	if it.overlong++; it.overlong >= maxOverlongAttempts {
 		it.reset()
 	}
+	return it.replaceCommitted(committed)
+}
+
+// replaceCommitted returns the progress that replaces the first committed events, some of
+// which were dropped, or nil if none of them was.
+func (it *item) replaceCommitted(committed int) *state.BatchProgress {
 	if committed <= len(it.events) {
 		return nil
 	}
 	it.committedEvents = len(it.events)
 	return &state.BatchProgress{
 		Batch: it.job.batch.ID, Item: it.spec.ID,
-		Partial: state.Partial{Events: slices.Clone(it.events), LastID: it.lastEventID, Versions: slices.Clone(it.versions)},
+		Partial: state.Partial{Events: slices.Clone(it.events), LastID: it.lastEventID, Versions: slices.Clone(it.versions), Software: it.origin.Software},
 	}
 }
 
+// assumedEventTime is the time that an event of a partial output is taken to have cost, if
+// another leader received it.
+const assumedEventTime = 30 * time.Millisecond
+
 // restore resumes from the partial output that an earlier leader committed, unless its
 // weight versions are not allowed or it exceeds its limit.
 func (it *item) restore(p state.Partial) {
 	it.events, it.versions = slices.Clone(p.Events), slices.Clone(p.Versions)
 	it.lastEventID, it.committedEvents = p.LastID, len(p.Events)
+	it.origin = origin.Origin{Service: it.job.batch.Service, Software: p.Software}
+	it.generatedFor = time.Duration(len(p.Events)) * assumedEventTime
 	if !it.versionsAllowed() || limitOf(it.spec).exceeded(len(it.events), textBytes(it.events)) {
 		it.reset()
 	}
@@ -149,7 +178,7 @@
 		return nil
 	}
 	p := &state.BatchProgress{Batch: it.job.batch.ID, Item: it.spec.ID, After: it.committedEvents}
-	p.Events, p.LastID, p.Versions = whole.events[it.committedEvents:], whole.lastEventID, whole.versions
+	p.Events, p.LastID, p.Versions, p.Software = whole.events[it.committedEvents:], whole.lastEventID, whole.versions, it.origin.Software
 	it.committedEvents = len(whole.events)
 	return p
 }
@@ -194,6 +223,23 @@
 	return !mayLoad || now.Sub(it.versionMissingSince) >= versionWait
 }
 
+// originLost reports whether the partial output should not wait for an engine of its origin:
+// no such engine announces itself, or none could continue it for as long as it took to
+// generate. Beginning anew elsewhere then costs no more than waiting has.
+func (it *item) originLost(now time.Time, engines []Engine) bool {
+	if len(it.events) == 0 {
+		return false
+	}
+	listed := slices.ContainsFunc(engines, func(e Engine) bool { return it.origin.Allows(e.Upstream) })
+	if !listed {
+		return true
+	}
+	if it.originFullSince.IsZero() {
+		it.originFullSince = now
+	}
+	return now.Sub(it.originFullSince) >= it.generatedFor
+}
+
 // estimatedTokens returns the estimated length of the item: the caller's estimate of the
 // output tokens or, if there is none, the maximum number of tokens of prompt and output.
 func (it *item) estimatedTokens() int {
--- a/internal/batch/maintenance.go
+++ b/internal/batch/maintenance.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -31,6 +32,7 @@
 // leader can resume them.
 func (s *session) commitProgress() {
 	for it, a := range s.attempts {
+		it.beginsAt(a.engine)
 		if p := it.takeProgress(a.eventsSoFar()); p != nil {
 			s.resultCommitter.add(pendingRecord{progress: p})
 		}
@@ -39,10 +41,10 @@
 
 // moveAttempts cancels attempts on slow engines and on engines that are reclaimed soon.
 // Their items resume from their last event on another engine. Attempts on slow engines are
-// cancelled only while other engines have free slots.
+// cancelled only while other engines that may continue the item have free slots.
 func (s *session) moveAttempts(now time.Time) {
 	engineStates := s.engineStates(now)
-	freeSlots := 0
+	freeSlots := map[origin.Origin]int{} // that of no text: of all engines
 	slow := map[string]bool{}
 	reclaimedSoon := map[string]bool{}
 	for _, e := range engineStates {
@@ -52,14 +54,17 @@
 		case e.Slowness > moveSlownessRatio:
 			slow[e.Upstream.ID] = true
 		case !e.Loading && !e.BackingOff:
-			freeSlots += max(0, e.Slots-e.Running)
+			free := max(0, e.Slots-e.Running)
+			freeSlots[origin.Of(e.Upstream)] += free
+			freeSlots[origin.Origin{}] += free
 		}
 	}
 	for _, a := range s.attempts {
-		if !reclaimedSoon[a.engine.ID] && (!slow[a.engine.ID] || freeSlots == 0 || now.Sub(a.startedAt) < maintenanceInterval) {
+		from := a.origin()
+		if !reclaimedSoon[a.engine.ID] && (!slow[a.engine.ID] || freeSlots[from] <= 0 || now.Sub(a.startedAt) < maintenanceInterval) {
 			continue
 		}
-		freeSlots--
+		freeSlots[from]--
 		itemMoves.Inc()
 		a.cancel(result.New(result.SampleMoved, "engine %s is slow or about to be reclaimed", a.engine.ID))
 	}
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -50,8 +50,9 @@
 
 // Assignment is the decision to run an item on an engine.
 type Assignment struct {
-	item   *item
-	Engine upstream.Announcement
+	item      *item
+	Engine    upstream.Announcement
+	discarded int // events of the partial output that no engine could continue
 }
 
 // Scheduler decides which items run on which engines. It is a state machine without I/O;
@@ -94,26 +95,42 @@
 	var out []Assignment
 	for _, it := range readyItems {
 		e := s.pickEngine(now, it, engines)
-		if e == nil && it.versionLost(now, engines) {
-			begun := *it
-			begun.reset()
-			if e = s.pickEngine(now, &begun, engines); e != nil {
-				it.reset()
-			}
+		events := len(it.events)
+		if e == nil {
+			e = s.beginAnew(now, it, engines)
 		}
 		if e == nil {
 			continue
 		}
+		it.originFullSince = time.Time{}
 		e.Running++
 		e.Turns--
 		it.phase = phaseRunning
 		it.startedAt = now
 		s.prompts[it.spec.Prompt] = e.Upstream.ID
-		out = append(out, Assignment{item: it, Engine: e.Upstream})
+		out = append(out, Assignment{item: it, Engine: e.Upstream, discarded: events - len(it.events)})
 	}
 	return out
 }
 
+// beginAnew discards the partial output of an item if no engine can continue it, and returns
+// the engine where the item begins anew. It returns nil if the item should wait, or if no
+// engine can run it.
+func (s *Scheduler) beginAnew(now time.Time, it *item, engines []Engine) *Engine {
+	versionLost, originLost := it.versionLost(now, engines), it.originLost(now, engines)
+	if !versionLost && !originLost {
+		return nil
+	}
+	begun := *it
+	begun.reset()
+	e := s.pickEngine(now, &begun, engines)
+	if e == nil || !versionLost && it.origin.Allows(e.Upstream) {
+		return nil
+	}
+	it.reset()
+	return e
+}
+
 // readyItems returns the waiting items whose retry delay has passed. It sorts them by the
 // deadline of their job, then by the number of unfinished items of their group, then by
 // estimated length, longest first.
@@ -165,6 +182,9 @@
 // canRun reports whether the engine can run the item now.
 func (e *Engine) canRun(now time.Time, it *item) bool {
 	b := it.job.batch
+	if !it.mayContinueAt(e.Upstream) {
+		return false
+	}
 	if e.Upstream.Service != b.Service || e.Loading || e.BackingOff || e.Running >= e.Slots || e.NamesRate && e.Turns <= 0 {
 		return false
 	}
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -10,15 +11,16 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/apricotstream/apricotstream/internal/control"
-	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
+	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 var (
 	itemsCompleted = metrics.NewCounter(`apricotstream_items_total{outcome="completed"}`)
 	itemsAborted   = metrics.NewCounter(`apricotstream_items_total{outcome="aborted"}`)
 	itemAttempts   = metrics.NewCounter("apricotstream_item_runs_total")
+	itemsBegunAnew = metrics.NewCounter("apricotstream_items_begun_anew_total")
 	itemMoves      = metrics.NewCounter("apricotstream_item_moves_total")
 	itemSeconds    = metrics.NewHistogram("apricotstream_item_seconds")
 )
@@ -169,16 +171,18 @@
 	}
 }
 
-// recordResume counts and logs that an item with events goes on at an engine.
+// recordResume counts and logs that an item with events goes on at an engine, or begins anew.
 func (s *session) recordResume(x Assignment) {
 	it := x.item
-	if it.lastEventID == 0 {
-		return
+	fields := []any{"item", it.spec.ID, "batch", it.job.batch.ID, "upstream", x.Engine.ID, "incarnation", x.Engine.Incarnation, "software", x.Engine.Software}
+	switch {
+	case x.discarded > 0:
+		itemsBegunAnew.Inc()
+		s.log.Info("Item begins anew: no engine could continue it.", append(fields, "discarded", x.discarded)...)
+	case it.lastEventID > 0:
+		itemResumes(it.mayContinueAt(x.Engine)).Inc()
+		s.log.Info("Item goes on.", append(fields, "events", it.lastEventID, "origin", it.origin.Software)...)
 	}
-	same := it.origin.Allows(x.Engine)
-	itemResumes(same).Inc()
-	s.log.Info("Item goes on.", "item", it.spec.ID, "batch", it.job.batch.ID, "events", it.lastEventID, "origin", it.origin.Software,
-		"upstream", x.Engine.ID, "incarnation", x.Engine.Incarnation, "software", x.Engine.Software, "allowed", same)
 }
 
 // engineStates returns the state of all known engines.
@@ -219,8 +223,10 @@
 		return
 	}
 	now := time.Now()
-	if len(a.events) > 0 && it.origin.IsZero() {
-		it.origin = origin.Of(a.engine)
+	s.dropDoubtful(a)
+	if len(a.events) > 0 {
+		it.beginsAt(a.engine)
+		it.generatedFor += now.Sub(a.startedAt)
 	}
 	for _, e := range a.events {
 		it.appendEvent(e)
@@ -272,6 +278,33 @@
 	}
 }
 
+// dropDoubtful drops the events of an attempt whose engine has started again under its id with
+// another software version: either version may have generated them. A complete text of one
+// attempt is of one process, and stays.
+func (s *session) dropDoubtful(a *attempt) {
+	it := a.item
+	if len(a.events) == 0 || a.err == nil && len(it.events) == 0 || !s.restartedWithOtherSoftware(a.engine) {
+		return
+	}
+	s.log.Warn("Events dropped: the engine has started again with another software version.", "item", it.spec.ID, "batch", it.job.batch.ID,
+		"upstream", a.engine.ID, "incarnation", a.engine.Incarnation, "software", a.engine.Software, "events", len(a.events))
+	a.events = nil
+	if a.err == nil {
+		a.err = result.New(result.SampleMoved, "the engine has started again with another software version")
+	}
+	if p := it.replaceCommitted(it.committedEvents); p != nil {
+		s.resultCommitter.add(pendingRecord{progress: p})
+	}
+}
+
+// restartedWithOtherSoftware reports whether a newer incarnation of an engine announces another
+// software version.
+func (s *session) restartedWithOtherSoftware(engine upstream.Announcement) bool {
+	return slices.ContainsFunc(s.pool.Known(), func(u upstream.Announcement) bool {
+		return u.ID == engine.ID && u.Incarnation > engine.Incarnation && u.Software != engine.Software
+	})
+}
+
 // completeItem queues the result of an item for the commit.
 func (s *session) completeItem(it *item, score string) {
 	s.log.Info("Item completed.", "item", it.spec.ID, "batch", it.job.batch.ID, "group", it.spec.Group, "events", len(it.events), "versions", it.versions, "age_ms", time.Since(it.job.batch.Accepted).Milliseconds())
--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -186,3 +186,100 @@
 	}
 	return nil
 }
+
+// Guards against an item that waits for its software version until its time is up, and against
+// one that is generated anew although its version is only full for a moment.
+func TestItemWaitsForItsSoftwareVersionNoLongerThanItsTextTook(t *testing.T) {
+	const generatedFor = 2 * time.Second
+	for _, c := range []struct {
+		name     string
+		change   func(own *Engine)
+		after    time.Duration // until the item begins anew
+		goesOnAt time.Duration // when an engine of its version has room again; 0 for never
+	}{
+		{name: "silent", change: func(own *Engine) { own.Upstream.Silent = true }},
+		{name: "replaced by the other version", change: func(own *Engine) { own.Upstream.Software = "v2"; own.BackingOff = true }},
+		{name: "version not known", change: func(own *Engine) { own.Upstream.Software = upstream.SoftwareUnknown }},
+		{name: "backing off for good", change: func(own *Engine) { own.BackingOff = true }, after: generatedFor},
+		{name: "full for a second", change: func(own *Engine) { own.Running = own.Slots }, goesOnAt: time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			scheduler := NewScheduler()
+			scheduler.Update([]OpenJob{testJob("j", 1, 1, noon)})
+			it := scheduler.jobs["j"].items[0]
+			it.beginsAt(upstream.Announcement{ID: "e0", Service: "s", Software: "v1"})
+			it.appendEvent(Event{ID: 1, Data: "x", Version: 3})
+			it.generatedFor = generatedFor
+			for waited := time.Duration(0); ; waited += 100 * time.Millisecond {
+				engines := testEngines(2, 8)
+				engines[0].Upstream.Software, engines[1].Upstream.Software = "v1", "v2"
+				if c.goesOnAt == 0 || waited < c.goesOnAt {
+					c.change(&engines[0])
+				}
+				got := scheduler.Schedule(noon.Add(waited), engines)
+				if len(got) == 0 {
+					g.Expect(waited).To(BeNumerically("<", generatedFor))
+					continue
+				}
+				if c.goesOnAt > 0 {
+					g.Expect(waited).To(Equal(c.goesOnAt))
+					g.Expect(it.lastEventID).To(Equal(1))
+					g.Expect(got[0].Engine.ID).To(Equal("e0"))
+					break
+				}
+				g.Expect(waited).To(Equal(c.after))
+				g.Expect(it.lastEventID).To(BeZero())
+				g.Expect(got[0].discarded).To(Equal(1))
+				break
+			}
+		})
+	}
+}
+
+// Guards against a text joined from two software versions because the engine started again
+// under its id with another one, which its heartbeat says only later.
+func TestEventsOfAnEngineThatStartedAgainWithOtherSoftwareAreDropped(t *testing.T) {
+	engine := upstream.Announcement{ID: "e0", Service: "s", Incarnation: 1, Software: "v1"}
+	for _, c := range []struct {
+		name    string
+		now     upstream.Announcement
+		dropped bool
+	}{
+		{"same process", engine, false},
+		{"started again, same version", upstream.Announcement{ID: "e0", Service: "s", Incarnation: 2, Software: "v1"}, false},
+		{"started again, other version", upstream.Announcement{ID: "e0", Service: "s", Incarnation: 2, Software: "v2"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSession(&Runner{pool: restartedPool{now: c.now}, log: log.New(io.Discard)}, 1)
+			s.resultCommitter = newCommitter(nil, s.log)
+			it := newItemOf(testJob("j", 1, 1, noon))
+			a := newAttempt(t.Context(), 1, it, engine, &s.output)
+			for _, e := range testEvents(1, minProgressEvents, 3) {
+				a.appendEvent(e)
+			}
+			s.attempts[it] = a
+			s.commitProgress()
+			<-s.resultCommitter.queue
+			a.err = result.New(result.AnswerCut, "connection reset")
+			s.handleEndedAttempt(t.Context(), a)
+			if !c.dropped {
+				g.Expect(it.lastEventID).To(Equal(minProgressEvents))
+				return
+			}
+			g.Expect(it.lastEventID).To(BeZero())
+			replaced := <-s.resultCommitter.queue
+			g.Expect(replaced.progress.After).To(BeZero())
+			g.Expect(replaced.progress.Events).To(BeEmpty(), "the next leader must not go on with them")
+		})
+	}
+}
+
+// restartedPool knows one engine.
+type restartedPool struct {
+	stubPool
+	now upstream.Announcement
+}
+
+func (p restartedPool) Known() []upstream.Announcement { return []upstream.Announcement{p.now} }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -15,10 +15,8 @@
 // IsZero reports whether there is no text yet.
 func (o Origin) IsZero() bool { return o == Origin{} }
 
-// Allows reports whether an upstream may generate the rest of the text.
+// Allows reports whether an upstream may generate the rest of the text. An upstream that is
+// silent may have started again with another version.
 func (o Origin) Allows(a upstream.Announcement) bool {
-	return o.IsZero() || o.Known() && Of(a) == o
+	return o.IsZero() || o.Software != upstream.SoftwareUnknown && Of(a) == o && !a.Silent
 }
-
-// Known reports whether the software version of the text is known.
-func (o Origin) Known() bool { return o.Software != upstream.SoftwareUnknown }
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -79,6 +79,9 @@
 	Events   []string `json:"events"`   // data of the events so far; append-only
 	LastID   int      `json:"last_id"`  // ID of the last of these events
 	Versions []uint64 `json:"versions"` // weight versions that produced these events
+	// Software is the software version of the upstreams that produced these events. Only the
+	// same one may produce the next.
+	Software string `json:"software,omitempty"`
 }
 
 // BatchProgress appends to the partial output of an item if exactly After events are known
@@ -203,9 +206,9 @@
 		if b.Partial == nil {
 			b.Partial = map[string]*Partial{}
 		}
-		b.Partial[p.Item] = &Partial{Events: p.Events, LastID: p.LastID, Versions: p.Versions}
+		b.Partial[p.Item] = &Partial{Events: p.Events, LastID: p.LastID, Versions: p.Versions, Software: p.Software}
 	case old != nil && len(old.Events) == p.After:
-		b.Partial[p.Item] = &Partial{Events: append(old.Events, p.Events...), LastID: p.LastID, Versions: p.Versions}
+		b.Partial[p.Item] = &Partial{Events: append(old.Events, p.Events...), LastID: p.LastID, Versions: p.Versions, Software: p.Software}
 	}
 }
 
