Resume samples only at the software version that began their text

What trainers of the own interface saw: samples joined from two software versions after their upstream failed, was slow or crashed. Cause: the same as for items: the request for the rest of a sample named a weight version, and no software version. Change: the partial sample keeps its origin, the job names it, and a filter of the picker drops all other upstreams. Without one the generation ends after its tries, and the sample begins anew.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/chooser"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
@@ -40,6 +41,7 @@
 	Account     string                      // client account; empty on routes that need no key
 	Fingerprint string                      // of the request, see quarantine.Fingerprint
 	MinVersion  uint64                      // oldest weight version that may run it; 0 for any
+	Origin      origin.Origin               // of the text that it goes on with; zero if it begins one
 	Idempotent  bool                        // may run more than once
 	Exclude     []string                    // ids of upstreams that must not run it
 	OnAttempt   func(upstream.Announcement) // called before each attempt; may be nil
@@ -121,7 +123,7 @@
 // any of them. The error carries a retry delay if the caller may send the request again.
 func (d *Dispatcher) Run(ctx context.Context, job Job, consume Consumer) error {
 	req := picker.Request{
-		Service: job.Service, Zone: d.zone, MinVersion: job.MinVersion, Exclude: slices.Clone(job.Exclude),
+		Service: job.Service, Zone: d.zone, MinVersion: job.MinVersion, Origin: job.Origin, Exclude: slices.Clone(job.Exclude),
 		Repeatable: job.Idempotent, Prefix: job.promptPrefix(), ID: job.Out.RequestID, Background: job.Owed,
 	}
 	req.Ends, _ = ctx.Deadline()
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,22 +10,24 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 // Request describes the request that an upstream is chosen for.
 type Request struct {
 	Service    string
-	Entry      string    // ID of the entry; empty if it uses all upstreams alike
-	Zone       string    // availability zone of the entry
-	MinVersion uint64    // oldest weight version that may run it; 0 for any
-	Exclude    []string  // ids of upstreams that must not run it
-	Repeatable bool      // may be resumed or run again, so cheap upstreams may run it
-	Prefix     string    // start of the prompt; empty if there is nothing to cache
-	Ends       time.Time // deadline; zero for none
-	ID         string    // of the request, for logs
-	Background bool      // work that was handed in for later; no caller's connection waits
-	LeaveRoom  bool      // can wait: it must not queue at an upstream whose slots this entry has filled
+	Entry      string        // ID of the entry; empty if it uses all upstreams alike
+	Zone       string        // availability zone of the entry
+	MinVersion uint64        // oldest weight version that may run it; 0 for any
+	Origin     origin.Origin // of the text that it goes on with; zero if it begins one
+	Exclude    []string      // ids of upstreams that must not run it
+	Repeatable bool          // may be resumed or run again, so cheap upstreams may run it
+	Prefix     string        // start of the prompt; empty if there is nothing to cache
+	Ends       time.Time     // deadline; zero for none
+	ID         string        // of the request, for logs
+	Background bool          // work that was handed in for later; no caller's connection waits
+	LeaveRoom  bool          // can wait: it must not queue at an upstream whose slots this entry has filled
 }
 
 // Candidate is an upstream with what this entry has observed of it.
@@ -70,7 +72,7 @@
 // Default returns the pipeline that an entry uses.
 func Default() Pipeline {
 	return Pipeline{
-		Filters:     []Filter{excludedFilter{}, versionFilter{}, reclaimFilter{}, rateFilter{}, roomFilter{}},
+		Filters:     []Filter{excludedFilter{}, versionFilter{}, originFilter{}, reclaimFilter{}, rateFilter{}, roomFilter{}},
 		Preferences: []Preference{recentPreference{}, healthyPreference{}, slownessPreference{}, classPreference{}, affinityPreference{}, subsetPreference{}},
 		Scorers:     []Weighted{{loadScorer{}, 1}, {zoneScorer{}, 0.2}},
 		Picker:      TwoChoices{},
--- a/internal/rollout/generate.go
+++ b/internal/rollout/generate.go
@@ -14,6 +14,7 @@
 	"github.com/apricotstream/apricotstream/internal/dispatch"
 	"github.com/apricotstream/apricotstream/internal/engine"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -115,6 +116,7 @@
 	defer cancel(nil)
 	job.OnAttempt = func(u upstream.Announcement) {
 		g.partialSample.beginUpstream(u.ID, job.Out.RequestID)
+		g.partialSample.current = origin.Of(u)
 		g.firstTokenAt, g.survived = time.Time{}, false
 		g.onStart(g.partialSample.sample.Tokens(), cancel)
 	}
@@ -169,6 +171,7 @@
 		Service:    q.Model,
 		Account:    g.account,
 		MinVersion: g.oldestAllowed(),
+		Origin:     g.partialSample.origin(),
 		Idempotent: true,
 		Owed:       true,
 		Alone:      g.alone,
--- a/internal/rollout/partial_sample.go
+++ b/internal/rollout/partial_sample.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/apricotstream/apricotstream/internal/engine"
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/overlong"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
@@ -16,6 +17,16 @@
 	part   int // number of tokens that the current upstream has generated
 	// earlier is the text and the segments before the current upstream.
 	earlier Sample
+	current origin.Origin // of what the current upstream generates
+	first   origin.Origin // of the text, if there is any
+}
+
+// origin returns the origin of the text, the zero value if there is none.
+func (p *partialSample) origin() origin.Origin {
+	if len(p.sample.Segments) == 0 {
+		return origin.Origin{}
+	}
+	return p.first
 }
 
 // maxUnlimitedBytes bounds the text of a sample whose step has no max_tokens, like the body
@@ -59,6 +70,9 @@
 // chunk has tokens without a weight version or text without tokens, or if the usage
 // reported by the engine differs from the number of tokens received.
 func (p *partialSample) appendChunk(c engine.Chunk) error {
+	if len(p.sample.Segments) == 0 {
+		p.first = p.current
+	}
 	if err := p.sample.add(c.Text(), c.Tokens(), c.WeightVersion); err != nil {
 		return err
 	}
