Take streams up only at the software version that began them

Change: the entry where a stream begins tells two replicas in different availability zones what began it, without waiting for them, and again when replicas change. An entry that takes a stream up asks them, sends the request to upstreams of that service and version only, and refuses it as not run when there is none or when the origin is not certain (another account, a reused id, an upstream that started again with another version, nobody knows). Why it works: a lost record costs a take-up, never a join. All ways on go through Origin.Allows.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/storage"
+	"github.com/apricotstream/apricotstream/internal/takeup"
 	"github.com/apricotstream/apricotstream/internal/telemetry"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 	"github.com/apricotstream/apricotstream/internal/weights"
@@ -61,6 +62,7 @@
 	directory    *upstream.Directory
 	versionTable *weights.VersionTable
 	rates        *ratecap.Keeper
+	origins      *takeup.Keeper
 	quarantine   *quarantine.Table
 	proxy        *proxy.Proxy
 	counter      *duty.Counter
@@ -110,7 +112,12 @@
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
 	c := chooser.New(upstream.KnownDirectory{Directory: n.directory})
 	c.Entry, c.Rates = cfg.ID, n.rates
+	n.origins = takeup.NewKeeper(takeup.Deployment{
+		Daemon: cfg.ID, Replicas: n.recordKeepers, Notify: n.client.Notify, Ask: takeup.AskOver(n.client), Current: n.directory.Get,
+	}, logger.WithPrefix("takeup"))
+	n.origins.Register(n.server)
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n})
+	n.proxy.KeepOrigins(n.origins)
 	if n.replica != nil {
 		n.replica.Register(n.server)
 		n.registerUsage()
@@ -241,6 +248,7 @@
 	n.spawn(func() { n.gossip.Run(ctx) })
 	n.spawn(func() { n.quarantine.Run(ctx) })
 	n.spawn(func() { n.rates.Run(ctx) })
+	n.spawn(func() { n.origins.Run(ctx) })
 	status := newStatusLogger(n)
 	n.spawn(func() {
 		periodic.Every(ctx, expireInterval, func() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,6 +12,7 @@
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/periodic"
+	"github.com/apricotstream/apricotstream/internal/takeup"
 )
 
 // seeds returns the peer addresses through which the gossip finds other daemons: those of
@@ -53,6 +54,15 @@
 	return addresses
 }
 
+// recordKeepers returns the live replicas, which keep the origins of streams.
+func (n *Node) recordKeepers() []takeup.Replica {
+	var out []takeup.Replica
+	for _, d := range member.Replicas(n.gossip.Live()) {
+		out = append(out, takeup.Replica{ID: d.ID, Incarnation: d.Incarnation, Zone: d.Zone, Address: d.PeerAddress})
+	}
+	return out
+}
+
 // sortByHash sorts daemons in an order that depends on who asks.
 func sortByHash(daemons []member.Daemon, asker string) {
 	slices.SortFunc(daemons, func(a, b member.Daemon) int {
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/picker"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
@@ -36,6 +37,7 @@
 	request     *Request
 	fingerprint string
 	maxAttempts int
+	origin      origin.Origin // of the stream that the request takes up; zero if it begins one
 	results     chan Attempt
 	pending     sync.WaitGroup
 	inFlight    int // attempts without a result yet
@@ -75,6 +77,11 @@
 			cancel()
 		}
 	}()
+	if e.request.TakeUp != nil {
+		if err := e.findOrigin(ctx); err != nil {
+			return nil, err
+		}
+	}
 	if !e.startFirst(ctx) {
 		return nil, result.NewRetryAfter(result.NoUpstream, e.retryAfter(), "no upstream of %s can take the request%s", e.request.Service, e.reason())
 	}
@@ -170,7 +177,7 @@
 func (e *execution) startAttempt(ctx context.Context) bool {
 	choice, ok := e.proxy.chooser.Pick(ctx, picker.Request{
 		Service: e.request.Service, Zone: e.proxy.zone, Exclude: e.tried, Ends: e.request.Deadline,
-		Repeatable: e.maxAttempts > 1, ID: e.request.ID,
+		Repeatable: e.maxAttempts > 1, ID: e.request.ID, Origin: e.origin,
 		Background: e.request.Background, LeaveRoom: e.request.Background,
 	})
 	if !ok {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,7 +10,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/chooser"
+	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
 // Limits of one request.
@@ -53,6 +55,17 @@
 	upstreams Upstreams
 	usage     UsageCounter
 	crashes   CrashTracker
+	origins   Origins
+}
+
+// Origins keeps which upstreams began callers' streams, see takeup.Keeper.
+type Origins interface {
+	// Began records that an upstream generates events of the stream that a request of an
+	// account began, until the given time at most.
+	Began(account, request string, from upstream.Announcement, until time.Time)
+	// Find returns the origin of the stream that a request of an account began. Error:
+	// OriginUnknown.
+	Find(ctx context.Context, account, request string) (origin.Origin, error)
 }
 
 // UsageCounter counts the attempts that may have run a request.
@@ -72,9 +85,13 @@
 
 // New returns a proxy for a daemon in the given zone.
 func New(logger *log.Logger, zone string, c *chooser.Chooser, u Upstreams, usage UsageCounter, crashes CrashTracker) *Proxy {
-	return &Proxy{log: logger, zone: zone, chooser: c, upstreams: u, usage: usage, crashes: crashes}
+	return &Proxy{log: logger, zone: zone, chooser: c, upstreams: u, usage: usage, crashes: crashes, origins: noOrigins{}}
 }
 
+// KeepOrigins makes the proxy tell o of the streams that begin, and ask it where a stream may
+// go on. It must be called before the first request.
+func (p *Proxy) KeepOrigins(o Origins) { p.origins = o }
+
 var (
 	requests = func(outcome string) *metrics.Counter {
 		return metrics.GetOrCreateCounter(`apricotstream_requests_total{outcome="` + outcome + `"}`)
@@ -105,21 +122,30 @@
 	if err != nil {
 		failure := result.From(err)
 		requests(failure.Code.Info().Name).Inc()
+		if q.TakeUp != nil {
+			p.log.Warn("Stream not taken up.", "request", q.ID, "began", q.TakeUp.Began, "last_event", q.TakeUp.LastEventID, "account", q.Account,
+				"service", q.Service, "origin", e.origin.Software, "code", int(failure.Code), "err", failure.Message)
+		}
 		p.log.Warn("Request failed.", "request", q.ID, "route", route, "service", q.Service, "account", q.Account,
 			"code", int(failure.Code), "class", failure.Code.Info().Class, "runs", e.ran, "refused", e.notRun, "hedged", e.hedged, "tried", e.tried, "routing", q.Routing,
 			"ms", took.Milliseconds(), "left_ms", time.Until(q.Deadline).Milliseconds(), "err", failure.Message)
 		return
 	}
 	requests("answered").Inc()
-	if response.Stream != nil {
-		p.logStream(q, response)
+	if response.Stream != nil && response.Status/100 == 2 {
+		p.recordStream(q, e, response)
 	}
 	p.log.Info("Request answered.", "request", q.ID, "route", route, "account", q.Account, "upstream", response.From.ID,
 		"status", response.Status, "runs", e.ran, "refused", e.notRun, "hedged", e.hedged, "routing", q.Routing, "ms", took.Milliseconds())
 }
 
-// logStream logs that a stream begins or goes on at an upstream.
-func (p *Proxy) logStream(q *Request, response *Answer) {
+// recordStream records and logs that a stream begins or goes on at an upstream.
+func (p *Proxy) recordStream(q *Request, e *execution, response *Answer) {
+	began := q.ID
+	if q.TakeUp != nil && q.TakeUp.Began != "" {
+		began = q.TakeUp.Began
+	}
+	p.origins.Began(q.Account, began, response.From, q.Deadline)
 	fields := []any{
 		"request", q.ID, "account", q.Account, "service", q.Service, "upstream", response.From.ID, "incarnation", response.From.Incarnation,
 		"software", response.From.Software,
@@ -128,7 +154,7 @@
 		p.log.Info("Stream begins.", fields...)
 		return
 	}
-	p.log.Info("Stream goes on.", append(fields, "began", q.TakeUp.Began, "last_event", q.TakeUp.LastEventID)...)
+	p.log.Info("Stream goes on.", append(fields, "began", q.TakeUp.Began, "last_event", q.TakeUp.LastEventID, "origin", e.origin.Software)...)
 }
 
 // isFinal reports whether a response ends the request even if another attempt is allowed. A
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -31,12 +31,6 @@
 	Background bool
 }
 
-// TakeUp says which stream a request goes on with.
-type TakeUp struct {
-	Began       string // id of the request that brought the first event; empty if the caller does not name it
-	LastEventID int    // id of the last event that the caller has
-}
-
 // Answer is an upstream's HTTP response.
 type Answer struct {
 	Status int
--- /dev/null
+++ b/internal/proxy/take_up.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apricotstream/apricotstream/internal/origin"
+	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+)
+
+// TakeUp says which stream a request goes on with.
+type TakeUp struct {
+	Began       string // id of the request that brought the first event; empty if the caller does not name it
+	LastEventID int    // id of the last event that the caller has
+}
+
+// noOrigins knows no stream.
+type noOrigins struct{}
+
+func (noOrigins) Began(string, string, upstream.Announcement, time.Time) {}
+
+func (noOrigins) Find(context.Context, string, string) (origin.Origin, error) {
+	return origin.Origin{}, result.New(result.OriginUnknown, "this daemon keeps no origins of streams")
+}
+
+// findOrigin finds out which upstreams may go on with the stream that the request takes up. The
+// request goes to the service that began the stream, whatever share of the route that has now.
+func (e *execution) findOrigin(ctx context.Context) error {
+	q := e.request
+	if q.TakeUp.Began == "" {
+		return e.onlyOrigin()
+	}
+	found, err := e.proxy.origins.Find(ctx, q.Account, q.TakeUp.Began)
+	if err != nil {
+		return err
+	}
+	if !q.Route.LeadsTo(found.Service) {
+		return result.New(result.VersionGone, "the route does not lead to %s, which began the stream", found.Service)
+	}
+	q.Service, e.origin = found.Service, found
+	all := e.proxy.chooser.Upstreams(q.Service)
+	if !slices.ContainsFunc(all, e.origin.Allows) {
+		return result.NewRetryAfter(result.VersionGone, unlistedRetryAfter, "no upstream of %s with software version %q, which began the stream", q.Service, found.Software)
+	}
+	return nil
+}
+
+// onlyOrigin handles a caller that does not name the request that began its stream. It may go
+// on if all upstreams of the service are of one software version.
+func (e *execution) onlyOrigin() error {
+	all := e.proxy.chooser.Upstreams(e.request.Service)
+	if len(all) == 0 {
+		return nil // rejected for want of upstreams
+	}
+	e.origin = origin.Of(all[0])
+	if slices.ContainsFunc(all, func(a upstream.Announcement) bool { return origin.Of(a) != e.origin }) {
+		return result.New(result.OriginUnknown, "the caller does not name the request that began the stream, and several software versions serve")
+	}
+	return nil
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -43,6 +43,8 @@
 	NoConfiguration   Code = 221
 	Stopped           Code = 222
 	NoEntry           Code = 223
+	OriginUnknown     Code = 224
+	VersionGone       Code = 225
 
 	StepUnknown    Code = 301
 	StepMoved      Code = 302
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -72,6 +72,11 @@
 	return strings.ToLower(host)
 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service selects one of the services of the route by weight. draw is a random number in
 // [0, 1).
 func (r *Route) Service(draw float64) string {
