Believe one software version of an incarnation of an upstream

What callers would see: after a heartbeat that lacks the version, or one of another writer, a stream or text goes on at an upstream whose version is not the one believed. Cause: the newest announcement replaced the version whatever it said. An incarnation is one process, whose version does not change. The comparison of tables left the version out, too. Change: an announcement without a version says nothing; if two of one incarnation differ, the version is unknown until the upstream starts again: it gets new work and goes on with nothing, and what it began before is not taken up. Daemons tell each other what is believed, not what was announced last.

--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -278,30 +278,30 @@
 	}
 }
 
-// dropDoubtful drops the events of an attempt whose engine has started again under its id with
-// another software version: either version may have generated them. A complete text of one
-// attempt is of one process, and stays.
+// dropDoubtful drops the events of an attempt whose engine announces another software version
+// than before, for example because it has started again under its id: either version may have
+// generated them. A complete text of one attempt is of one process, and stays.
 func (s *session) dropDoubtful(a *attempt) {
 	it := a.item
-	if len(a.events) == 0 || a.err == nil && len(it.events) == 0 || !s.restartedWithOtherSoftware(a.engine) {
+	if len(a.events) == 0 || a.err == nil && len(it.events) == 0 || !s.announcesOtherSoftware(a.engine) {
 		return
 	}
-	s.log.Warn("Events dropped: the engine has started again with another software version.", "item", it.spec.ID, "batch", it.job.batch.ID,
+	s.log.Warn("Events dropped: the engine announces another software version.", "item", it.spec.ID, "batch", it.job.batch.ID,
 		"upstream", a.engine.ID, "incarnation", a.engine.Incarnation, "software", a.engine.Software, "events", len(a.events))
 	a.events = nil
 	if a.err == nil {
-		a.err = result.New(result.SampleMoved, "the engine has started again with another software version")
+		a.err = result.New(result.SampleMoved, "the engine announces another software version")
 	}
 	if p := it.replaceCommitted(it.committedEvents); p != nil {
 		s.resultCommitter.add(pendingRecord{progress: p})
 	}
 }
 
-// restartedWithOtherSoftware reports whether a newer incarnation of an engine announces another
-// software version.
-func (s *session) restartedWithOtherSoftware(engine upstream.Announcement) bool {
+// announcesOtherSoftware reports whether an engine announces another software version than it
+// did when the attempt was sent there.
+func (s *session) announcesOtherSoftware(engine upstream.Announcement) bool {
 	return slices.ContainsFunc(s.pool.Known(), func(u upstream.Announcement) bool {
-		return u.ID == engine.ID && u.Incarnation > engine.Incarnation && u.Software != engine.Software
+		return u.ID == engine.ID && u.Incarnation >= engine.Incarnation && u.Software != engine.Software
 	})
 }
 
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -42,6 +42,8 @@
 		switch {
 		case !ok || previous.Incarnation != a.Incarnation:
 			l.logUpstream("Upstream is up.", a)
+		case previous.Software != a.Software:
+			l.logUpstream("Upstream announces another software version.", a)
 		case previous.Silent != a.Silent && a.Silent:
 			l.logUpstream("Upstream is silent.", a)
 		case previous.Silent != a.Silent:
--- a/internal/takeup/find.go
+++ b/internal/takeup/find.go
@@ -38,7 +38,7 @@
 			return origin.Origin{}, k.notFound(request, complete)
 		}
 	}
-	if k.restarted(r) {
+	if k.doubtful(r) {
 		r.ambiguous()
 		k.mu.Lock()
 		k.table.Add(r) // stays ambiguous
--- a/internal/takeup/keeper.go
+++ b/internal/takeup/keeper.go
@@ -90,7 +90,7 @@
 	if limit := now.Add(maxRetention); r.Until.After(limit) {
 		r.Until = limit
 	}
-	if k.restarted(r) {
+	if k.doubtful(r) {
 		r.ambiguous()
 	}
 	k.mu.Lock()
@@ -123,11 +123,11 @@
 	return list[:min(copies, len(list))]
 }
 
-// restarted reports whether the upstream that began the stream of r has started again with
-// another software version: either of them may have begun it.
-func (k *Keeper) restarted(r Record) bool {
+// doubtful reports whether the upstream that began the stream of r announces another software
+// version now. It may have started again before it began the stream.
+func (k *Keeper) doubtful(r Record) bool {
 	a, ok := k.deployment.Current(r.Upstream)
-	return ok && a.Incarnation > r.Incarnation && a.Software != r.Origin.Software
+	return ok && a.Incarnation >= r.Incarnation && a.Software != r.Origin.Software
 }
 
 // Told takes the records that an entry tells.
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -31,7 +31,8 @@
 	Silent        bool    `json:"-"`                        // its newest announcement has expired
 }
 
-// SoftwareUnknown is the software version of an upstream whose version cannot be known.
+// SoftwareUnknown is the software version of an upstream whose announcements contradict each
+// other. It gets new work, but goes on with no text.
 const SoftwareUnknown = "?"
 
 // Classes of upstreams.
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -56,25 +56,26 @@
 	if err := a.Check(); err != nil {
 		return err
 	}
-	if d.record(a, false) {
-		d.group.Broadcast(MethodAnnounce, a)
+	if recorded, due := d.record(a, false); due {
+		d.group.Broadcast(MethodAnnounce, recorded)
 	}
 	return nil
 }
 
-// record records a and reports whether it must be sent to the other daemons. notified
-// means that they have received it already.
-func (d *Directory) record(a Announcement, notified bool) bool {
+// record records a. It returns what is believed now, and whether that must be sent to the
+// other daemons. notified means that they have received a already.
+func (d *Directory) record(a Announcement, notified bool) (recorded Announcement, notify bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	a = d.registry.WithSoftware(a)
 	due := d.registry.ShouldNotify(now, a)
 	changed := d.registry.Record(now, a)
 	if changed && (due || notified) {
 		d.registry.MarkNotified(now, a.ID)
 	}
 	d.lists.Store(nil)
-	return changed && due
+	return a, changed && due
 }
 
 // recordDeparture records that a has departed, see Registry.RecordDeparture. The lists are
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -52,12 +52,12 @@
 	})
 }
 
-// hash returns a hash of the id, models, leaving state and incarnation of all
+// hash returns a hash of the id, models, software, leaving state and incarnation of all
 // announcements, but not of their load. The caller holds d.mu.
 func (d *Directory) hash() uint64 {
 	h := xxhash.New()
 	for _, a := range d.registry.All() {
-		_, _ = h.WriteString(a.ID + "|" + a.Models + "|")
+		_, _ = h.WriteString(a.ID + "|" + a.Models + "|" + a.Software + "|")
 		if a.Leaving {
 			_, _ = h.WriteString("leaving")
 		}
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -37,6 +37,7 @@
 // so a late announcement cannot bring it back.
 func (r *Registry) Record(now time.Time, a Announcement) bool {
 	r.departures.Mention(now, a.ID)
+	a = r.WithSoftware(a)
 	old, ok := r.byID[a.ID]
 	if ok {
 		order := cmp.Or(cmp.Compare(a.Incarnation, old.a.Incarnation), cmp.Compare(a.Seq, old.a.Seq))
@@ -56,6 +57,21 @@
 	return true
 }
 
+// WithSoftware returns a with the software version that is believed of it. An incarnation is one
+// process, whose version does not change: an announcement without one says nothing, and if two
+// of them differ, one is not the upstream's own, and neither is believed.
+func (r *Registry) WithSoftware(a Announcement) Announcement {
+	old, ok := r.Get(a.ID)
+	switch {
+	case !ok || old.Incarnation != a.Incarnation || old.Software == a.Software || old.Software == "":
+	case a.Software == "":
+		a.Software = old.Software
+	default:
+		a.Software = SoftwareUnknown
+	}
+	return a
+}
+
 // Withdrawal returns the withdrawal to record for a, which another daemon sends. One
 // without an incarnation comes from a daemon that does not know the upstream, and applies to
 // the current incarnation. It must not be used for announcements of an exchange, where such
