--- a/internal/takeup/record.go
+++ b/internal/takeup/record.go
@@ -12,7 +12,7 @@
 	// maxRetention is the longest time for which a record is kept after it was last used.
 	maxRetention = 10 * time.Minute
 	// maxNameBytes bounds the names in a record that another daemon sends.
-	maxNameBytes = 256
+	maxNameBytes = upstream.MaxSoftwareBytes
 )
 
 // Record is what is kept of one stream.
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -14,8 +14,8 @@
 			return result.New(result.BodyMalformed, "%q: %v", n, err)
 		}
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return result.New(result.BodyMalformed, "address %q is not of the form IP:port", a.Address)
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || address.Port() == 0 {
+		return result.New(result.BodyMalformed, "address %.64q is not of the form IP:port", a.Address)
 	}
 	if a.Class != "regular" && a.Class != "cheap" {
 		return result.New(result.BodyMalformed, "class %q is neither regular nor cheap", a.Class)
@@ -23,5 +23,11 @@
 	if a.Incarnation <= 0 || a.Concurrency < 1 {
 		return result.New(result.BodyMalformed, "incarnation and concurrency must be above 0")
 	}
+	if a.Seq > maxSeq || a.Concurrency > maxConcurrency {
+		return result.New(result.BodyMalformed, "the sequence number %d or the concurrency %d is too large", a.Seq, a.Concurrency)
+	}
+	if len(a.Software) > MaxSoftwareBytes {
+		return result.New(result.BodyMalformed, "the software version has %d bytes, at most %d are allowed", len(a.Software), MaxSoftwareBytes)
+	}
 	return nil
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -76,7 +76,9 @@
 		return err
 	}
 	for _, a := range reply.Announcements {
-		d.record(a, true)
+		if a.Leaving || a.Check() == nil { // withdrawals may have an id only
+			d.record(a, true)
+		}
 	}
 	return nil
 }
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -34,7 +34,8 @@
 // Record records a and reports whether it replaced an older announcement. An older
 // incarnation or sequence number is ignored, except that the withdrawal of the current
 // incarnation counts whatever its sequence number. A leaving incarnation stays leaving,
-// so a late announcement cannot bring it back.
+// so a late announcement cannot bring it back. An older sequence number counts once the
+// newest announcement has expired: the newer number was not the upstream's own.
 func (r *Registry) Record(now time.Time, a Announcement) bool {
 	r.departures.Mention(now, a.ID)
 	a = r.WithSoftware(a)
@@ -42,7 +43,8 @@
 	if ok {
 		order := cmp.Or(cmp.Compare(a.Incarnation, old.a.Incarnation), cmp.Compare(a.Seq, old.a.Seq))
 		withdrawn := a.Leaving && !old.a.Leaving && a.Incarnation == old.a.Incarnation
-		if order <= 0 && !withdrawn {
+		refuted := !old.a.Leaving && a.Incarnation == old.a.Incarnation && a.Seq < old.a.Seq && now.After(old.expiresAt)
+		if order <= 0 && !withdrawn && !refuted {
 			return false
 		}
 		if a.Incarnation == old.a.Incarnation && old.a.Leaving {
--- a/internal/upstream/registry_test.go
+++ b/internal/upstream/registry_test.go
@@ -71,3 +71,23 @@
 	g.Expect(r.Record(now, newAnnouncement("a", 6, 1))).To(BeTrue())
 	g.Expect(r.Known(now)).To(HaveLen(1), "the withdrawal does not affect the next incarnation")
 }
+
+// Guards against an upstream that gets no requests because another writer announced it with a
+// sequence number that it will never reach.
+func TestHeartbeatsCountAgainAfterASequenceNumberOfAnotherWriter(t *testing.T) {
+	g := NewWithT(t)
+	r := NewRegistry()
+	now := time.Now()
+	g.Expect(r.Record(now, newAnnouncement("a", 5, 7))).To(BeTrue())
+	odd := newAnnouncement("a", 5, maxSeq)
+	odd.Address = "10.0.0.9:9"
+	g.Expect(r.Record(now, odd)).To(BeTrue())
+	g.Expect(r.Record(now.Add(time.Second), newAnnouncement("a", 5, 8))).To(BeFalse(), "a late heartbeat")
+	later := now.Add(3 * time.Second)
+	g.Expect(r.Record(later, newAnnouncement("a", 5, 10))).To(BeTrue())
+	g.Expect(r.Known(later)).To(HaveLen(1))
+	g.Expect(r.Known(later)[0].Address).To(Equal("10.0.0.1:80"))
+	g.Expect(r.Known(later)[0].Silent).To(BeFalse())
+	g.Expect(r.Record(later.Add(time.Second), newAnnouncement("a", 5, 11))).To(BeTrue())
+	g.Expect(r.Record(later.Add(time.Minute), newAnnouncement("a", 4, 99))).To(BeFalse(), "an earlier incarnation has ended")
+}
