Record only streams that may be taken up, and test what the next leader reads

Streams of routes that are not resumable were recorded in vain. Two mutations had survived: an id used for two streams is tested with upstreams that did not restart, and the committed text passes through the replicated state, in one and in several parts.

--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -131,10 +131,12 @@
 	for _, c := range []struct {
 		name     string
 		software []string // versions of the engines of the next leader; empty: the engine has left
+		commits  int
 		resumed  int
 	}{
-		{"the version still serves", []string{"v1", "v2", "v2"}, 1},
-		{"the version has left", []string{"", "v2", "v2"}, 0},
+		{"the version still serves", []string{"v1", "v2", "v2"}, 1, 1},
+		{"the version still serves, long text", []string{"v1", "v2", "v2"}, 3, 1},
+		{"the version has left", []string{"", "v2", "v2"}, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -142,18 +144,24 @@
 				job := testJob("j", 1, 1, time.Now())
 				first := newItemOf(job)
 				a := newAttempt(t.Context(), 1, first, upstream.Announcement{ID: "e0", Service: "s", Software: "v1"}, &outputBudget{})
-				for _, e := range testEvents(1, minProgressEvents, 3) {
-					e.Data = "v1"
-					a.appendEvent(e)
-				}
 				s := newSession(&Runner{log: log.New(io.Discard)}, 1)
 				s.resultCommitter = newCommitter(nil, s.log)
 				s.attempts[first] = a
-				s.commitProgress()
-				job.Partial = map[string]state.Partial{"j-0-0": (<-s.resultCommitter.queue).progress.Partial}
+				committed := state.New()
+				job.Batch.Retention = time.Hour
+				committed.Apply(state.Command{At: time.Now(), BatchAccept: &state.BatchAccept{Batch: *job.Batch}})
+				for n := range c.commits {
+					for _, e := range testEvents(1+n*minProgressEvents, minProgressEvents, 3) {
+						e.Data = "v1"
+						a.appendEvent(e)
+					}
+					s.commitProgress()
+					committed.Apply(state.Command{At: time.Now(), BatchRecord: &state.BatchRecord{Progress: []state.BatchProgress{*nextProgress(t, s)}}})
+				}
+				job.Partial = map[string]state.Partial{"j-0-0": *committed.Ledger.Batches["j"].Partial["j-0-0"]}
 
 				replica := newTextReplica(job)
-				engines := &fakeEndingEngines{events: minProgressEvents + 5}
+				engines := &fakeEndingEngines{events: 3*minProgressEvents + 5}
 				ctx, cancel := context.WithCancel(t.Context())
 				r := NewRunner(replica, &softwarePool{software: c.software}, engines, stubFailingScorer{}, log.New(io.Discard))
 				done := make(chan struct{})
@@ -169,6 +177,17 @@
 	}
 }
 
+// nextProgress returns the progress that waits for its commit.
+func nextProgress(t *testing.T, s *session) *state.BatchProgress {
+	select {
+	case r := <-s.resultCommitter.queue:
+		return r.progress
+	default:
+		t.Fatal("nothing waits for a commit")
+		return nil
+	}
+}
+
 // newItemOf returns the only item of a job.
 func newItemOf(job OpenJob) *item { return newJob(job).items[0] }
 
@@ -261,7 +280,7 @@
 			}
 			s.attempts[it] = a
 			s.commitProgress()
-			<-s.resultCommitter.queue
+			nextProgress(t, s)
 			a.err = result.New(result.AnswerCut, "connection reset")
 			s.handleEndedAttempt(t.Context(), a)
 			if !c.dropped {
@@ -269,9 +288,9 @@
 				return
 			}
 			g.Expect(it.lastEventID).To(BeZero())
-			replaced := <-s.resultCommitter.queue
-			g.Expect(replaced.progress.After).To(BeZero())
-			g.Expect(replaced.progress.Events).To(BeEmpty(), "the next leader must not go on with them")
+			replaced := nextProgress(t, s)
+			g.Expect(replaced.After).To(BeZero())
+			g.Expect(replaced.Events).To(BeEmpty(), "the next leader must not go on with them")
 		})
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -145,7 +145,9 @@
 	if q.TakeUp != nil && q.TakeUp.Began != "" {
 		began = q.TakeUp.Began
 	}
-	p.origins.Began(q.Account, began, response.From, q.Deadline)
+	if q.Route != nil && q.Route.Resumable {
+		p.origins.Began(q.Account, began, response.From, q.Deadline)
+	}
 	fields := []any{
 		"request", q.ID, "account", q.Account, "service", q.Service, "upstream", response.From.ID, "incarnation", response.From.Incarnation,
 		"software", response.From.Software,
--- a/internal/takeup/fleet_test.go
+++ b/internal/takeup/fleet_test.go
@@ -203,8 +203,8 @@
 		for _, n := range []int{0, 1, 2} {
 			f.begin("e0", n)
 		}
-		f.begin("e1", 100)                                                               // by u2, v0
-		f.keeper("e0").Began("a", "q100", engineOf(101), time.Now().Add(10*time.Second)) // by u3, v1
+		f.begin("e1", 102)                                                               // by u4, v0
+		f.keeper("e0").Began("a", "q102", engineOf(103), time.Now().Add(10*time.Second)) // by u5, v1
 		f.mu.Lock()
 		f.upstreams["u2"] = upstream.Announcement{ID: "u2", Incarnation: 2, Service: "s", Software: "v1"} // v0 before
 		f.upstreams["u1"] = upstream.Announcement{ID: "u1", Incarnation: 2, Service: "s", Software: "v1"} // as before
@@ -224,7 +224,7 @@
 		refused("a", "q2")
 		_, err := f.keeper("e2").Find(f.ctx, "a", "q1")
 		g.Expect(err).NotTo(HaveOccurred(), "started again with the same version")
-		_, err = f.keeper("e2").Find(f.ctx, "a", "q100")
+		_, err = f.keeper("e2").Find(f.ctx, "a", "q102")
 		g.Expect(result.CodeOf(err)).To(Equal(result.OriginUnknown), "used twice")
 		time.Sleep(10*time.Second + retention)
 		refused("a", "q0")
