Test lists of other daemons and the moves of items at two versions

Two mutations had survived: lists of announcements that are not checked, and items that leave a slow engine for room that only another version has.

--- a/internal/batch/software_test.go
+++ b/internal/batch/software_test.go
@@ -302,3 +302,36 @@
 }
 
 func (p restartedPool) Known() []upstream.Announcement { return []upstream.Announcement{p.now} }
+
+// Guards against items that leave a slow engine for room that only another software version has,
+// and lose their text.
+func TestItemsLeaveASlowEngineOnlyForRoomAtTheirSoftwareVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		software []string // of the slow engine, and of two fast ones
+		events   int
+		leaves   bool
+	}{
+		{"room at its version", []string{"v1", "v1", "v2"}, 3, true},
+		{"room at another version", []string{"v1", "v2", "v2"}, 3, false},
+		{"no text yet", []string{"v1", "v2", "v2"}, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSession(&Runner{pool: &softwarePool{software: c.software}, log: log.New(io.Discard)}, 1)
+			now := time.Now()
+			for i, events := range []int{10, 1000, 1000} {
+				s.speedTracker.Record(now, fmt.Sprint("e", i), events, 10*time.Second)
+			}
+			it := newItemOf(testJob("j", 1, 1, now))
+			a := newAttempt(t.Context(), 1, it, s.pool.Known()[0], &s.output)
+			a.startedAt = now.Add(-time.Minute)
+			for _, e := range testEvents(1, c.events, 3) {
+				a.appendEvent(e)
+			}
+			s.attempts[it] = a
+			s.moveAttempts(now)
+			g.Expect(a.ctx.Err() != nil).To(Equal(c.leaves))
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -75,12 +75,17 @@
 	if err != nil {
 		return err
 	}
-	for _, a := range reply.Announcements {
+	d.merge(reply.Announcements)
+	return nil
+}
+
+// merge records the valid ones of the announcements that another daemon holds.
+func (d *Directory) merge(list []Announcement) {
+	for _, a := range list {
 		if a.Leaving || a.Check() == nil { // withdrawals may have an id only
 			d.record(a, true)
 		}
 	}
-	return nil
 }
 
 // Withdraw records that an upstream is leaving and waits until the other daemons have
--- a/internal/upstream/registry_test.go
+++ b/internal/upstream/registry_test.go
@@ -91,3 +91,16 @@
 	g.Expect(r.Record(later.Add(time.Second), newAnnouncement("a", 5, 11))).To(BeTrue())
 	g.Expect(r.Record(later.Add(time.Minute), newAnnouncement("a", 4, 99))).To(BeFalse(), "an earlier incarnation has ended")
 }
+
+// Guards against an odd entry that one daemon took, and that reaches all others with its list.
+func TestOddEntriesOfAnotherDaemonsListAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory(nil)
+	sound, odd := newAnnouncement("sound", 1, 1), newAnnouncement("odd", 1, 1)
+	odd.Concurrency = 1 << 62
+	d.merge([]Announcement{odd, sound, {ID: "gone", Leaving: true}})
+	g.Expect(d.Known()).To(HaveLen(1))
+	g.Expect(d.Known()[0].ID).To(Equal("sound"))
+	_, known := d.Get("gone")
+	g.Expect(known).To(BeTrue(), "a withdrawal")
+}
