--- a/internal/takeup/table.go
+++ b/internal/takeup/table.go
@@ -8,7 +8,7 @@
 	"github.com/apricotstream/apricotstream/internal/origin"
 )
 
-// maxRecords bounds the memory of a table, with about 300 bytes for each record. It is several
+// maxRecords bounds the memory of a table, with about 220 bytes for each record. It is several
 // times the number of streams that a daemon of a large deployment carries or keeps.
 const maxRecords = 1 << 15
 
