--- a/internal/takeup/find.go
+++ b/internal/takeup/find.go
@@ -70,8 +70,9 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	type answer struct {
-		reply FindReply
-		err   error
+		keeper string
+		reply  FindReply
+		err    error
 	}
 	answers := make(chan answer, len(replicas))
 	asked := 0
@@ -82,7 +83,7 @@
 		asked++
 		go func() {
 			reply, err := k.deployment.Ask(ctx, to.Address, FindRequest{Key: key[:]})
-			answers <- answer{reply, err}
+			answers <- answer{to.ID, reply, err}
 		}()
 	}
 	complete = len(replicas) > 0
@@ -90,7 +91,7 @@
 		a := <-answers
 		if a.err != nil {
 			complete = false
-			k.log.Warn("Keeper of a stream does not answer.", "err", a.err.Error())
+			k.log.Warn("Keeper of a stream does not answer.", "keeper", a.keeper, "err", a.err.Error())
 			continue
 		}
 		if a.reply.Record == nil {
