Do not say of a request that failed at its deadline that it has not run

A caller may send such a request again. Cause: when the result of an attempt and the end of the deadline were both there, and the result was taken first, it was not counted before the reason of the failure was chosen: no attempt seemed to have run. Why this works: every ended attempt is counted first. Test that failed before: TestRequestThatFailsAtItsDeadlineMayHaveRun.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -211,19 +211,18 @@
 	if a.Err == nil && isFinal(a.Answer) {
 		return a.Answer, nil, true
 	}
-	if ctx.Err() != nil {
-		e.recordFailure(a)
-		return nil, e.contextError(ctx), true
-	}
 	if mayHaveRun(a.Err) {
 		e.ran++
-		if connectionLost(a.Err) && !e.request.Background {
-			e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, a)
-		}
 	} else {
 		e.notRun++
 	}
 	e.recordFailure(a)
+	if ctx.Err() != nil {
+		return nil, e.contextError(ctx), true
+	}
+	if connectionLost(a.Err) && !e.request.Background {
+		e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, a)
+	}
 	e.proxy.log.Info("Attempt failed.", "request", e.request.ID, "upstream", a.To.ID, "incarnation", a.To.Incarnation, "silent", a.To.Silent,
 		"status", a.status(), "code", int(result.CodeOf(a.Err)), "ms", time.Since(a.Began).Milliseconds(), "left_ms", time.Until(e.request.Deadline).Milliseconds())
 	if e.blocked() {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/chooser"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -207,3 +208,35 @@
 		g.Expect(time.Since(began)).To(BeZero())
 	})
 }
+
+// slowRates is a chooser.Rates whose leader takes 10 ms for each token and has one.
+type slowRates struct{ asked int }
+
+func (*slowRates) Wait(time.Time, upstream.Announcement) time.Duration { return 0 }
+
+func (r *slowRates) Acquire(context.Context, upstream.Announcement, ratecap.Purpose, string) (time.Time, bool) {
+	time.Sleep(10 * time.Millisecond)
+	r.asked++
+	return time.Time{}, r.asked == 1
+}
+
+func (*slowRates) ReturnDelay(string, []upstream.Announcement) (time.Duration, bool) { return 0, false }
+
+// Guards against a request that is answered as not run although an upstream may have run it: its
+// only attempt fails at the deadline, while the hedge waits for a token.
+func TestRequestThatFailsAtItsDeadlineMayHaveRun(t *testing.T) {
+	for range 50 { // which of the events at the deadline is seen first is random
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := &fakeUpstreams{n: 2, respond: func(ctx context.Context, _ string, _ int) (*Answer, error) { return waitForCancel(ctx) }}
+			c := chooser.New(f)
+			c.Rates = &slowRates{}
+			p := New(log.New(io.Discard), "z", c, f, &fakeUsage{}, &fakeCrashTracker{})
+			route := routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 3}
+			_, err := p.Serve(t.Context(), &Request{ID: "r", Route: &route, Service: "s", Method: "POST", Target: "/", Deadline: time.Now().Add(time.Second)})
+			synctest.Wait()
+			g.Expect(f.sent).To(HaveLen(1))
+			g.Expect(result.CodeOf(err).Info().Class).NotTo(Equal(result.NotRun))
+		})
+	}
+}
