Bound sequence numbers at the platform's border only

Upstreams of the own interface may count in nanoseconds, as incarnations do, and were accepted so before. The platform's heartbeats keep the bound.

--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -50,9 +50,6 @@
 	// known. It may be partitioned from the daemons that receive announcements and still
 	// serve requests.
 	silentRetention = 40 * time.Second
-	// maxSeq is the largest sequence number, up to which all readers of JSON agree. A larger
-	// one is no count, and would make all later announcements count as old.
-	maxSeq = 1 << 53
 	// maxConcurrency bounds what one upstream adds to sums of concurrency slots.
 	maxConcurrency = 1 << 16
 	// MaxSoftwareBytes bounds the name of a software version.
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -23,8 +23,8 @@
 	if a.Incarnation <= 0 || a.Concurrency < 1 {
 		return result.New(result.BodyMalformed, "incarnation and concurrency must be above 0")
 	}
-	if a.Seq > maxSeq || a.Concurrency > maxConcurrency {
-		return result.New(result.BodyMalformed, "the sequence number %d or the concurrency %d is too large", a.Seq, a.Concurrency)
+	if a.Concurrency > maxConcurrency {
+		return result.New(result.BodyMalformed, "the concurrency %d is too large", a.Concurrency)
 	}
 	if len(a.Software) > MaxSoftwareBytes {
 		return result.New(result.BodyMalformed, "the software version has %d bytes, at most %d are allowed", len(a.Software), MaxSoftwareBytes)
