--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -224,7 +224,7 @@
 		e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, a)
 	}
 	e.proxy.log.Info("Attempt failed.", "request", e.request.ID, "upstream", a.To.ID, "incarnation", a.To.Incarnation, "silent", a.To.Silent,
-		"status", a.status(), "code", int(result.CodeOf(a.Err)), "ms", time.Since(a.Began).Milliseconds(), "left_ms", time.Until(e.request.Deadline).Milliseconds())
+		"status", a.status(), "code", int(result.CodeOf(a.Err)), "ms", time.Since(a.Began).Milliseconds(), "left_ms", time.Until(e.request.Deadline).Milliseconds(), "err", errorText(a.Err))
 	if e.blocked() {
 		return nil, result.New(result.QuarantinedNow, "the request crashed upstreams"), true
 	}
@@ -297,6 +297,14 @@
 	return result.New(result.UpstreamTimeout, "no response within the deadline")
 }
 
+// errorText returns the message of err for the log, or "" without an error.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return result.From(err).Message
+}
+
 // mayHaveRun reports whether an attempt that ended with err may have run the request.
 func mayHaveRun(err error) bool {
 	return err == nil || result.CodeOf(err).Info().Class != result.NotRun
--- /dev/null
+++ b/internal/reach/doc.go
@@ -0,0 +1,2 @@
+// Package reach opens connections to upstreams.
+package reach
