Pass connections to upstreams on for daemons that have lost their links

Cause: an entry had one way to an upstream. It took each failed connection for a fault of that upstream and tried the next one over the same dead link, 400 ms each, until the request had no time left.

Change: package reach. Where a direct connection cannot be had within 50 ms, another daemon, drawn at random among those that have not lost their links, opens it and passes the bytes on. The request stays with the daemon that has it, so attempts, deadline, usage, limits, cancelling and the origin of a stream are what they were. A path that has failed is probed only when it is asked for, and used again after half a second of sound probes. Orders to engines are never relayed: they must not arrive late.

--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -23,6 +23,8 @@
 	Replica       string `json:"replica,omitempty"`  // replica ID in the control group; empty: none
 	Fresh         bool   `json:"fresh,omitempty"`    // its configuration is new enough for routes that need a key
 	Draining      bool   `json:"draining,omitempty"` // accepts no new callers
+	Relays        bool   `json:"relays,omitempty"`   // passes connections to upstreams on for other daemons
+	Severed       bool   `json:"severed,omitempty"`  // has lost its links to upstreams
 	InFlight      int    `json:"in_flight,omitempty"`
 }
 
--- a/internal/node/founding_test.go
+++ b/internal/node/founding_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/apricotstream/apricotstream/internal/batch"
+	"github.com/apricotstream/apricotstream/internal/reach"
 )
 
 // foundingNode is a founder of a deployment whose settings always say that it starts for
@@ -50,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	newCtx, stopNew := context.WithTimeout(ctx, 20*time.Second)
 	defer stopNew()
-	deps := Dependencies{Scorer: func(*Node) batch.Scorer { return nil }}
+	deps := Dependencies{Links: reach.NewLinks(reach.Direct(""), log.New(io.Discard)), Scorer: func(*Node) batch.Scorer { return nil }}
 	n, err := New(newCtx, f.cfg, deps, log.New(io.Discard))
 	if err != nil {
 		cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/ratecap"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -34,6 +35,7 @@
 // Dependencies are the clients through which a node reaches upstreams, engines and the
 // provider.
 type Dependencies struct {
+	Links     *reach.Links // opens connections to upstreams
 	Upstreams proxy.Upstreams
 	Engines   batch.Engines // for batch items
 	Orders    duty.Engines  // for weight loads
@@ -116,6 +118,7 @@
 		Daemon: cfg.ID, Replicas: n.recordKeepers, Notify: n.client.Notify, Ask: takeup.AskOver(n.client), Current: n.directory.Get,
 	}, logger.WithPrefix("takeup"))
 	n.origins.Register(n.server)
+	deps.Links.Deploy(reach.Deployment{Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: n.upstreamAddresses}, n.server)
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n})
 	n.proxy.KeepOrigins(n.origins)
 	if n.replica != nil {
@@ -249,6 +252,7 @@
 	n.spawn(func() { n.quarantine.Run(ctx) })
 	n.spawn(func() { n.rates.Run(ctx) })
 	n.spawn(func() { n.origins.Run(ctx) })
+	n.spawn(func() { n.dependencies.Links.Run(ctx) })
 	status := newStatusLogger(n)
 	n.spawn(func() {
 		periodic.Every(ctx, expireInterval, func() {
@@ -353,7 +357,7 @@
 	return member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
 		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: n.announcedReplica(),
-		Fresh: n.follower.Fresh(), Draining: n.draining.Load(),
+		Fresh: n.follower.Fresh(), Draining: n.draining.Load(), Relays: true, Severed: n.dependencies.Links.Severed(),
 	}
 }
 
@@ -405,6 +409,7 @@
 // announces this to the other daemons. It can't be undone.
 func (n *Node) Drain() {
 	n.draining.Store(true)
+	n.dependencies.Links.Drain()
 	n.gossip.AnnounceChanges()
 	if n.carrier != nil {
 		n.carrier.Drain()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,6 +12,7 @@
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/periodic"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/takeup"
 )
 
@@ -63,6 +64,26 @@
 	return out
 }
 
+// helpers returns the other daemons that pass connections to upstreams on.
+func (n *Node) helpers() []reach.Helper {
+	var out []reach.Helper
+	for _, d := range n.gossip.Live() {
+		if d.Relays && !d.Draining && d.PeerAddress != n.cfg.PeerAddress {
+			out = append(out, reach.Helper{Address: d.PeerAddress, Zone: d.Zone, Replica: d.Replica != "", Severed: d.Severed})
+		}
+	}
+	return out
+}
+
+// upstreamAddresses returns the addresses of the upstreams that may get requests.
+func (n *Node) upstreamAddresses() []string {
+	var out []string
+	for _, a := range n.directory.Known() {
+		out = append(out, a.Address)
+	}
+	return out
+}
+
 // sortByHash sorts daemons in an order that depends on who asks.
 func sortByHash(daemons []member.Daemon, asker string) {
 	slices.SortFunc(daemons, func(a, b member.Daemon) int {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net"
@@ -28,9 +29,14 @@
 	calls   map[string]callHandler
 	notices map[string]noticeHandler
 
-	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]*stream
-	closed bool
+	// otherPrefix and other handle connections that carry neither calls nor notices.
+	otherPrefix string
+	other       func(c net.Conn, in *bufio.Reader)
+
+	mu      sync.Mutex
+	conns   map[*jsonrpc2.Conn]*stream
+	opening map[net.Conn]bool // connections that have not carried a call or notice
+	closed  bool
 }
 
 // NewServer returns a server without handlers.
@@ -39,6 +45,7 @@
 		calls:   map[string]callHandler{},
 		notices: map[string]noticeHandler{},
 		conns:   map[*jsonrpc2.Conn]*stream{},
+		opening: map[net.Conn]bool{},
 	}
 }
 
@@ -82,6 +89,13 @@
 	}
 }
 
+// HandleOther makes f serve the connections that begin with prefix, which must differ from the
+// beginning of a frame. in holds what was read of the connection. The connection is closed with
+// the server.
+func (s *Server) HandleOther(prefix string, f func(c net.Conn, in *bufio.Reader)) {
+	s.otherPrefix, s.other = prefix, f
+}
+
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,7 +103,34 @@
 		c.Close()
 		return
 	}
+	s.opening[c] = true
+	go s.serveOpening(ctx, c)
+}
+
+// serveOpening serves a connection according to its first bytes.
+func (s *Server) serveOpening(ctx context.Context, c net.Conn) {
 	st := newStream(c, s.handleNotice)
+	if s.other != nil {
+		first, err := st.in.Peek(len(s.otherPrefix))
+		if err == nil && string(first) == s.otherPrefix {
+			s.other(c, st.in)
+			err = net.ErrClosed
+		}
+		if err != nil {
+			c.Close()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.opening, c)
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.opening, c)
+	if s.closed {
+		c.Close()
+		return
+	}
 	conn := jsonrpc2.NewConn(ctx, st, s, discardLibraryLogs)
 	s.conns[conn] = st
 	go func() {
@@ -164,6 +205,9 @@
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
+	for c := range s.opening {
+		c.Close()
+	}
 	s.mu.Unlock()
 	for _, c := range conns {
 		_ = c.Close()
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -44,9 +44,11 @@
 	ran         int // number of ended attempts that may have run the request
 	notRun      int // number of ended attempts that did not run the request
 	hedged      bool
-	atRate      bool     // it has waited for, or was rejected because of, the rates that upstreams name
-	tried       []string // IDs of the upstreams of all attempts
-	bestFailure *Attempt // failure with the highest rank so far
+	atRate      bool        // it has waited for, or was rejected because of, the rates that upstreams name
+	tried       []string    // IDs of the upstreams of all attempts
+	newest      Unanswered  // the newest attempt
+	unanswered  *Unanswered // see Request
+	bestFailure *Attempt    // failure with the highest rank so far
 }
 
 // newExecution returns the state of a new request. Only a repeatable request may run on
@@ -99,6 +101,8 @@
 				return response, err
 			}
 		case <-hedge.C:
+			unanswered := e.newest
+			e.unanswered = &unanswered
 			if e.maxAttempts > 1 && e.ran+e.inFlight < e.maxAttempts && e.startAttempt(ctx) {
 				e.hedged = true
 				hedges.Inc()
@@ -185,13 +189,16 @@
 	}
 	u := choice.Announcement
 	e.tried = append(e.tried, u.ID)
+	e.newest = Unanswered{u.Address, time.Now()}
 	e.inFlight++
+	q := *e.request
+	q.Unanswered = e.unanswered
 	e.pending.Go(func() {
 		a := Attempt{To: u, Began: time.Now()}
 		if choice.Expired(a.Began) {
 			a.Err = result.New(result.UpstreamBusy, "the token for the rate of the upstream has run out")
 		} else {
-			a.Answer, a.Err = e.proxy.upstreams.Send(ctx, u, e.request)
+			a.Answer, a.Err = e.proxy.upstreams.Send(ctx, u, &q)
 		}
 		e.proxy.chooser.Release(ctx, u, a.Err)
 		if a.Err == nil {
@@ -220,6 +227,9 @@
 	if ctx.Err() != nil {
 		return nil, e.contextError(ctx), true
 	}
+	if connectionLost(a.Err) || result.CodeOf(a.Err) == result.UpstreamUnreached {
+		e.unanswered = &Unanswered{a.To.Address, a.Began}
+	}
 	if connectionLost(a.Err) && !e.request.Background {
 		e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, a)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -29,6 +29,15 @@
 	// to work that was handed in for later. It is then not counted as usage, and it is not
 	// held to be the cause when upstreams crash under it.
 	Background bool
+	// Unanswered is an earlier attempt that has got no answer, if there is one.
+	Unanswered *Unanswered
+}
+
+// Unanswered is an attempt of a request that has got no answer, so that the path to its upstream
+// may have failed.
+type Unanswered struct {
+	Address string // of the upstream
+	Since   time.Time
 }
 
 // Answer is an upstream's HTTP response.
--- /dev/null
+++ b/internal/reach/links.go
@@ -0,0 +1,455 @@
+package reach
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/apricotstream/apricotstream/internal/peer"
+	"github.com/apricotstream/apricotstream/internal/periodic"
+	"github.com/apricotstream/apricotstream/internal/sockopt"
+)
+
+// Times of connections that may go through another daemon.
+const (
+	// directPatience is how long a direct connection is awaited before another daemon is
+	// asked. It is many times the round-trip time in a region.
+	directPatience = 50 * time.Millisecond
+	// helperPatience is how long the answer of a helper is awaited before the next one is
+	// asked too, and helpersTimeout bounds the wait for all of them.
+	helperPatience = 60 * time.Millisecond
+	helpersTimeout = 300 * time.Millisecond
+	// helperAvoidance is how long a helper that did not pass a connection on is not asked.
+	helperAvoidance = time.Second
+	// probeTimeout bounds the probe of a path.
+	probeTimeout = 250 * time.Millisecond
+	// maxProbes is the number of paths that one daemon probes at a time.
+	maxProbes = 2
+	// severedProbeInterval is the time between the probes of a daemon that believes that it has
+	// lost its links, and gets no requests.
+	severedProbeInterval = time.Second
+)
+
+// Errors of connections.
+var (
+	errSlow     = errors.New("no direct connection in time")
+	errNoHelper = errors.New("no other daemon passes a connection on")
+)
+
+// Deployment is what a Links must know of the other daemons and of the upstreams.
+type Deployment struct {
+	Helpers    func() []Helper                                             // the daemons that may be asked
+	DialHelper func(ctx context.Context, address string) (net.Conn, error) // connects to a peer address
+	Upstreams  func() []string                                             // addresses of the upstreams that are known
+}
+
+// Links opens connections to upstreams for one daemon, and passes connections on for others. It
+// may be used by many goroutines.
+type Links struct {
+	log        *log.Logger
+	direct     sockopt.Dial
+	deployment Deployment
+	relay      *relay
+
+	mu        sync.Mutex
+	paths     *Paths
+	rnd       *rand.Rand
+	avoided   map[string]time.Time // until when, by peer address of the helper
+	probes    int                  // in flight
+	checkedAt time.Time            // when a severed daemon probed last
+	severed   bool                 // as logged last
+	draining  bool
+}
+
+// NewLinks returns Links whose direct connections are opened with dial. Until Deploy is called, all
+// connections are direct.
+func NewLinks(dial sockopt.Dial, logger *log.Logger) *Links {
+	l := &Links{log: logger, paths: NewPaths(), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), avoided: map[string]time.Time{}}
+	l.direct = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return &directConn{Conn: c, paths: l.paths, path: l.paths.get(time.Now(), address)}, nil
+	}
+	l.relay = &relay{dial: l.dialOnce, listed: l.lists, severed: l.Severed, passed: map[*passedConn]bool{}}
+	return l
+}
+
+// directConn is a direct connection to an upstream.
+type directConn struct {
+	net.Conn
+	paths *Paths
+	path  *path
+}
+
+// Read implements net.Conn.
+func (c *directConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.paths.hear(c.path, time.Now())
+	}
+	return n, err
+}
+
+// Deploy makes the links use other daemons, and pass connections on for those that call s. It must
+// be called before the first connection.
+func (l *Links) Deploy(d Deployment, s *peer.Server) {
+	l.deployment = d
+	s.HandleOther(opening, func(c net.Conn, in *bufio.Reader) { l.relay.serve(c, in) })
+}
+
+// Run probes while this daemon believes that it has lost its links, and logs when that begins and
+// ends, until ctx ends.
+func (l *Links) Run(ctx context.Context) { periodic.Every(ctx, initialProbeDelay, l.check) }
+
+func (l *Links) check() {
+	now := time.Now()
+	l.mu.Lock()
+	severed := l.paths.Severed()
+	changed := severed != l.severed
+	l.severed = severed
+	due := severed && now.Sub(l.checkedAt) >= severedProbeInterval
+	if due {
+		l.checkedAt = now
+	}
+	draining := l.draining
+	l.mu.Unlock()
+	if draining {
+		l.relay.drain(now)
+	}
+	switch {
+	case changed && severed:
+		l.log.Warn("Links to upstreams are lost: other daemons pass connections on.", "helpers", len(l.helpers()))
+	case changed:
+		l.log.Info("Links to upstreams are back.")
+	}
+	if all := l.upstreams(); due && len(all) > 0 {
+		l.probe(all[rand.IntN(len(all))])
+	}
+}
+
+// Drain makes the daemon pass on no further connections. Run closes those that are idle.
+func (l *Links) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+}
+
+// Severed reports whether this daemon believes that it has lost its links to upstreams.
+func (l *Links) Severed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.Severed()
+}
+
+func (l *Links) upstreams() []string {
+	if l.deployment.Upstreams == nil {
+		return nil
+	}
+	return l.deployment.Upstreams()
+}
+
+func (l *Links) lists(address string) bool {
+	for _, a := range l.upstreams() {
+		if a == address {
+			return true
+		}
+	}
+	return false
+}
+
+// helpers returns the helpers to ask now, best first.
+func (l *Links) helpers() []Helper {
+	if l.deployment.Helpers == nil {
+		return nil
+	}
+	all, now := l.deployment.Helpers(), time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return chooseHelpers(l.rnd, all, func(address string) bool { return now.Before(l.avoided[address]) })
+}
+
+// Relayed reports whether connections to address should go through another daemon for now.
+func (l *Links) Relayed(address string) bool {
+	l.mu.Lock()
+	relayed, probe := l.paths.Relayed(time.Now(), address)
+	l.mu.Unlock()
+	if probe {
+		l.startProbe(address, func() {})
+	}
+	return relayed
+}
+
+// HeardSince reports whether the upstream at address was heard directly since t.
+func (l *Links) HeardSince(address string, t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paths.HeardSince(time.Now(), address, t)
+}
+
+// Unanswered says that a request sent directly to address at the given time has got no answer yet.
+// If nothing was heard on the path since, it is probed, and lost is called if the probe fails and
+// another daemon reaches the upstream.
+func (l *Links) Unanswered(address string, since time.Time, lost func()) {
+	l.mu.Lock()
+	probe := l.paths.BeginProbe(time.Now(), address, since)
+	l.mu.Unlock()
+	if !probe {
+		return
+	}
+	l.startProbe(address, func() {
+		if c, err := l.DialRelayed(context.Background(), "tcp", address); err == nil {
+			c.Close()
+			lost()
+		}
+	})
+}
+
+// startProbe probes a path in the background, unless too many probes are in flight. It calls failed
+// if the probe fails.
+func (l *Links) startProbe(address string, failed func()) {
+	l.mu.Lock()
+	ok := l.probes < maxProbes
+	if ok {
+		l.probes++
+	} else {
+		l.paths.get(time.Now(), address).probing = false
+	}
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	go func() {
+		sound := l.probe(address)
+		l.mu.Lock()
+		l.probes--
+		l.mu.Unlock()
+		if !sound {
+			failed()
+		}
+	}()
+}
+
+// probe opens a direct connection, closes it and reports whether that succeeded.
+func (l *Links) probe(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := l.dialOnce(ctx, "tcp", address)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
+// dialOnce opens a direct connection and records the outcome.
+func (l *Links) dialOnce(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := l.direct(ctx, network, address)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return nil, err // says nothing about the path
+	}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		if l.paths.Failed(now, address) {
+			l.log.Warn("Direct path to an upstream has failed.", "address", address, "outcome", dialOutcome(err), "err", err.Error())
+		}
+		return nil, err
+	}
+	if l.paths.Connected(now, address) {
+		l.log.Info("Direct path to an upstream is used again.", "address", address)
+	}
+	return c, nil
+}
+
+// Dial opens a direct connection, but gives up early if another daemon can be asked instead. The
+// attempt goes on in the background, to learn about the path. DirectOnly in ctx prevents this.
+func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if isDirectOnly(ctx) || len(l.helpers()) == 0 {
+		return l.dialOnce(ctx, network, address)
+	}
+	type outcome struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan outcome, 1)
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		c, err := l.dialOnce(ctx, network, address)
+		results <- outcome{c, err}
+	}()
+	patience := time.NewTimer(directPatience)
+	defer patience.Stop()
+	select {
+	case o := <-results:
+		return o.conn, o.err
+	case <-patience.C:
+	}
+	go func() {
+		if o := <-results; o.conn != nil {
+			o.conn.Close()
+		}
+	}()
+	return nil, errSlow
+}
+
+// DialRelayed opens a connection through another daemon. Error: that of the last helper, or
+// errNoHelper.
+func (l *Links) DialRelayed(ctx context.Context, _, address string) (net.Conn, error) {
+	began := time.Now()
+	c, helper, err := l.dialHelpers(ctx, address)
+	if err != nil {
+		relayedConnections("failed").Inc()
+		if errors.Is(err, errUnreachable) {
+			l.mu.Lock()
+			l.paths.Down(time.Now(), address)
+			l.mu.Unlock()
+		}
+		return nil, err
+	}
+	relayedConnections("connected").Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paths.Relaying(time.Now(), address, began) {
+		l.log.Warn("Another daemon reaches an upstream that this one does not: its link has failed.", "address", address, "helper", helper.Address, "helper_zone", helper.Zone)
+	}
+	return c, nil
+}
+
+var relayedConnections = func(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`apricotstream_relayed_connections_total{outcome="` + outcome + `"}`)
+}
+
+// dialHelpers asks helpers for a connection, the next one when one has failed or is slow.
+func (l *Links) dialHelpers(ctx context.Context, address string) (net.Conn, Helper, error) {
+	all := l.helpers()
+	if len(all) == 0 {
+		return nil, Helper{}, errNoHelper
+	}
+	deadline := time.Now().Add(helpersTimeout)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	type outcome struct {
+		conn   *relayedConn
+		helper Helper
+		err    error
+	}
+	results := make(chan outcome, len(all))
+	asked, pending := 0, 0
+	ask := func() {
+		h := all[asked]
+		asked++
+		pending++
+		go func() {
+			c, err := l.dialHelper(ctx, h, address, deadline)
+			results <- outcome{c, h, err}
+		}()
+	}
+	defer func() {
+		cancel()
+		go closeOthers(pending, func() net.Conn {
+			if o := <-results; o.conn != nil {
+				return o.conn
+			}
+			return nil
+		})
+	}()
+	ask()
+	slow := time.NewTicker(helperPatience)
+	defer slow.Stop()
+	failure := errNoHelper
+	for pending > 0 {
+		select {
+		case o := <-results:
+			pending--
+			if o.err == nil {
+				return o.conn, o.helper, nil
+			}
+			l.avoid(o.helper, o.err)
+			if !errors.Is(failure, errUnreachable) {
+				failure = o.err
+			}
+		case <-slow.C:
+		}
+		if asked < len(all) {
+			ask()
+		}
+	}
+	return nil, Helper{}, failure
+}
+
+// closeOthers closes the connections that n further calls of next return.
+func closeOthers(n int, next func() net.Conn) {
+	for range n {
+		if c := next(); c != nil {
+			c.Close()
+		}
+	}
+}
+
+// avoid keeps a helper that failed from being asked for a while. One that could not connect to the
+// upstream either has done what it could.
+func (l *Links) avoid(h Helper, err error) {
+	if errors.Is(err, errUnreachable) {
+		return
+	}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, until := range l.avoided {
+		if now.After(until) {
+			delete(l.avoided, address)
+		}
+	}
+	l.avoided[h.Address] = now.Add(helperAvoidance)
+	l.log.Debug("A helper passes no connection on.", "helper", h.Address, "err", err.Error())
+}
+
+// dialHelper asks one helper for a connection.
+func (l *Links) dialHelper(ctx context.Context, h Helper, address string, deadline time.Time) (*relayedConn, error) {
+	c, err := sockopt.DropOnClose(func(ctx context.Context, _, address string) (net.Conn, error) {
+		return l.deployment.DialHelper(ctx, address)
+	})(ctx, "tcp", h.Address)
+	if err != nil {
+		return nil, err
+	}
+	r, err := openRelayed(c, address, deadline)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// DialAny opens a connection directly or through another daemon, whichever works.
+func (l *Links) DialAny(ctx context.Context, network, address string) (net.Conn, error) {
+	first, second := l.Dial, l.DialRelayed
+	if l.Relayed(address) {
+		first, second = l.DialRelayed, l.Dial
+	}
+	c, err := first(ctx, network, address)
+	if err == nil || ctx.Err() != nil {
+		return c, err
+	}
+	return second(ctx, network, address)
+}
+
+// directOnlyKey is the key of the context value of DirectOnly.
+type directOnlyKey struct{}
+
+// DirectOnly returns a context for requests that must not go through another daemon, because they
+// must not arrive after the sender has given them up.
+func DirectOnly(ctx context.Context) context.Context {
+	return context.WithValue(ctx, directOnlyKey{}, true)
+}
+
+func isDirectOnly(ctx context.Context) bool { return ctx.Value(directOnlyKey{}) != nil }
--- /dev/null
+++ b/internal/reach/relay.go
@@ -0,0 +1,228 @@
+package reach
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/apricotstream/apricotstream/internal/sockopt"
+)
+
+// Limits of a helper.
+const (
+	// maxRelayed bounds the connections that a daemon passes on at a time. Each has two
+	// descriptors and two buffers of maxFrameBytes.
+	maxRelayed = 256
+	// openingTimeout bounds the time in which the opening line must arrive.
+	openingTimeout = time.Second
+	// relayDialTimeout bounds the dial for another daemon, whose caller waits.
+	relayDialTimeout = 150 * time.Millisecond
+	// relayIdleTime is how long a connection must have been idle before a draining helper
+	// closes it.
+	relayIdleTime = 300 * time.Millisecond
+	// relaySilence is the time after which a helper gives up a connection to another daemon on
+	// which nothing is acknowledged.
+	relaySilence = 1500 * time.Millisecond
+)
+
+var relayedForOthers = func(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`apricotstream_relays_total{outcome="` + outcome + `"}`)
+}
+
+// relay passes connections to upstreams on for other daemons. It connects to upstreams itself and
+// never through a further daemon.
+type relay struct {
+	dial    sockopt.Dial
+	listed  func(address string) bool // whether an upstream has this address
+	severed func() bool
+
+	mu       sync.Mutex
+	passed   map[*passedConn]bool
+	draining bool
+}
+
+// passedConn is a connection that is passed on.
+type passedConn struct {
+	daemon, upstream net.Conn
+	mu               sync.Mutex
+	activeAt         time.Time
+}
+
+func (c *passedConn) close() {
+	c.daemon.Close()
+	c.upstream.Close()
+}
+
+func (c *passedConn) touch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activeAt = time.Now()
+}
+
+func (c *passedConn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.activeAt)
+}
+
+// serve passes the connection of another daemon on. in holds what was read of it already.
+func (r *relay) serve(daemon net.Conn, in *bufio.Reader) {
+	defer daemon.Close()
+	if err := daemon.SetDeadline(time.Now().Add(openingTimeout)); err != nil {
+		return
+	}
+	if _, err := in.Discard(len(opening)); err != nil {
+		return
+	}
+	address, err := readLine(in)
+	if err != nil {
+		return
+	}
+	upstream, answer := r.connect(address)
+	relayedForOthers(answer.outcome).Inc()
+	line := answer.outcome
+	if answer.reason != "" {
+		line += " " + answer.reason
+	}
+	if _, err := io.WriteString(daemon, line[:min(len(line), maxLineBytes-1)]+"\n"); err != nil || upstream == nil {
+		if upstream != nil {
+			upstream.Close()
+		}
+		return
+	}
+	c := &passedConn{daemon: daemon, upstream: upstream, activeAt: time.Now()}
+	defer c.close()
+	if !r.add(c) || daemon.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	defer r.remove(c)
+	noticeSilence(daemon)
+	c.pass(in)
+}
+
+// relayAnswer is a helper's answer to an opening.
+type relayAnswer struct{ outcome, reason string }
+
+// connect connects to an upstream for another daemon.
+func (r *relay) connect(address string) (net.Conn, relayAnswer) {
+	if _, err := netip.ParseAddrPort(address); err != nil || !r.listed(address) {
+		return nil, relayAnswer{answerRefused, "no upstream with this address is known"}
+	}
+	if reason := r.refusal(); reason != "" {
+		return nil, relayAnswer{answerRefused, reason}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
+	defer cancel()
+	c, err := r.dial(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		return c, relayAnswer{outcome: answerConnected}
+	case r.severed():
+		return nil, relayAnswer{answerRefused, "this daemon has lost its own links"}
+	}
+	return nil, relayAnswer{answerUnreachable, dialOutcome(err)}
+}
+
+// refusal returns why no connection is passed on now, or "".
+func (r *relay) refusal() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.draining:
+		return "this daemon stops"
+	case len(r.passed) >= maxRelayed:
+		return "this daemon passes on as many connections as it may"
+	case r.severed():
+		return "this daemon has lost its own links"
+	}
+	return ""
+}
+
+func (r *relay) add(c *passedConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.passed) >= maxRelayed {
+		return false
+	}
+	r.passed[c] = true
+	return true
+}
+
+func (r *relay) remove(c *passedConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.passed, c)
+}
+
+// drain accepts no further connections and closes those that are idle.
+func (r *relay) drain(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	for c := range r.passed {
+		if c.idleFor(now) >= relayIdleTime {
+			c.close()
+		}
+	}
+}
+
+// noticeSilence makes the kernel end a connection whose other end is gone.
+func noticeSilence(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return // closed meanwhile
+	}
+	_ = sockopt.SetUserTimeout(raw, relaySilence) // fails only on a closed connection
+	_ = t.SetKeepAliveConfig(keepAlive)
+}
+
+// pass copies in both directions until one side ends. The other one is closed then, with a reset
+// unless the upstream ended properly.
+func (c *passedConn) pass(in *bufio.Reader) {
+	go func() {
+		buf := make([]byte, maxFrameBytes)
+		for {
+			n, err := in.Read(buf)
+			if n > 0 {
+				c.touch()
+				if _, werr := c.upstream.Write(buf[:n]); werr != nil {
+					err = werr
+				}
+			}
+			if err != nil {
+				c.upstream.Close()
+				return
+			}
+		}
+	}()
+	buf := make([]byte, frameHeader+maxFrameBytes)
+	for {
+		n, err := c.upstream.Read(buf[frameHeader:])
+		if n > 0 {
+			c.touch()
+			binary.BigEndian.PutUint16(buf, uint16(n))
+			if _, werr := c.daemon.Write(buf[:frameHeader+n]); werr != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, _ = c.daemon.Write([]byte{0, 0}) // fails only if the daemon is gone
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
