Do not hold a lost link for the crash of an upstream

What callers saw: a request whose connection was reset because its entry lost its links was taken for one that crashes upstreams; after a few times it was refused at all entries (503, quarantined).

Cause: an entry decided by its own failed connection that the upstream had crashed, and the record is shared by all daemons.

Evidence: TestLostLinksAreNotHeldForCrashes failed before with 503 at the cut entry and, with the check of one daemon alone, at the sound one.

Change: a crash counts only if another daemon does not reach the upstream either. A daemon that has others but hears from none does not know, and records nothing; a newer incarnation still counts, as before.

--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -443,6 +443,27 @@
 	return second(ctx, network, address)
 }
 
+// RefusesConnections reports whether the upstream at address accepts no connections, as this daemon
+// and another one see it. If no other daemon can tell, a daemon that has others does not know.
+func (l *Links) RefusesConnections(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := l.dialOnce(ctx, "tcp", address)
+	if err == nil {
+		c.Close()
+		return false
+	}
+	if l.deployment.Helpers == nil || len(l.deployment.Helpers()) == 0 {
+		return true
+	}
+	c, _, err = l.dialHelpers(context.Background(), address)
+	if err == nil {
+		c.Close()
+		l.log.Warn("Another daemon reaches an upstream that this one does not: it has not crashed.", "address", address)
+	}
+	return errors.Is(err, errUnreachable)
+}
+
 // directOnlyKey is the key of the context value of DirectOnly.
 type directOnlyKey struct{}
 
