Limit the file size in a process of its own when a full disk is tested

Seen: package internal/node failed once with all its tests passed, "testing: can't write testlog.txt: file too large". Cause: the test limits the size of all files of its process to one byte, and go test's own log of opened files is written in that process whenever 4 KB of it have come together; if that falls into the time of the limit, the package fails without a failed test. The test now runs itself in a second process, which has no such log. What it checks and its bounds are the same.

--- a/internal/node/founding_test.go
+++ b/internal/node/founding_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -157,10 +159,23 @@
 	}
 }
 
+// limitedProcess is the environment variable that is set in the process whose file size is limited.
+const limitedProcess = "APRICOTSTREAM_TEST_LIMITED"
+
 // A process that starts with an empty folder while its disk is full must wait for space. It
 // ended, again and again, and with it the entry and the control calls that it serves.
 func TestStartWithEmptyFolderWaitsForSpace(t *testing.T) {
 	g := NewWithT(t)
+	if os.Getenv(limitedProcess) == "" {
+		// The limit holds for the whole process, and with it for go test's log of opened files.
+		cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.v")
+		cmd.Env = append(os.Environ(), limitedProcess+"=1")
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		out, err := cmd.CombinedOutput()
+		g.Expect(err).NotTo(HaveOccurred(), string(out))
+		g.Expect(string(out)).To(ContainSubstring("--- PASS: " + t.Name()))
+		return
+	}
 	f := newFoundingNodes(t, 1)[0]
 	var unlimited unix.Rlimit
 	g.Expect(unix.Getrlimit(unix.RLIMIT_FSIZE, &unlimited)).To(Succeed())
