Tell a lost zone of upstreams from lost links

What callers saw: with the upstreams of one zone gone, daemons that had just met two of them took their own links for lost; they tried no others directly and refused to help each other.

Cause: two unreached upstreams with none heard since counted as lost links, and that belief alone kept a daemon from connecting. All daemons see the same two upstreams fail.

Change: links count as lost only if upstreams of every zone were not reached. Whether they are or not, an upstream that has not just failed is tried.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 		Daemon: cfg.ID, Replicas: n.recordKeepers, Notify: n.client.Notify, Ask: takeup.AskOver(n.client), Current: n.directory.Get,
 	}, logger.WithPrefix("takeup"))
 	n.origins.Register(n.server)
-	deps.Links.Deploy(reach.Deployment{Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: n.upstreamAddresses}, n.server)
+	deps.Links.Deploy(reach.Deployment{Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: func() []reach.Upstream { return reach.UpstreamsOf(n.directory.Known()) }}, n.server)
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n})
 	n.proxy.KeepOrigins(n.origins)
 	if n.replica != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -66,22 +66,7 @@
 
 // helpers returns the other daemons that pass connections to upstreams on.
 func (n *Node) helpers() []reach.Helper {
-	var out []reach.Helper
-	for _, d := range n.gossip.Live() {
-		if d.Relays && !d.Draining && d.PeerAddress != n.cfg.PeerAddress {
-			out = append(out, reach.Helper{Address: d.PeerAddress, Zone: d.Zone, Replica: d.Replica != "", Severed: d.Severed})
-		}
-	}
-	return out
-}
-
-// upstreamAddresses returns the addresses of the upstreams that may get requests.
-func (n *Node) upstreamAddresses() []string {
-	var out []string
-	for _, a := range n.directory.Known() {
-		out = append(out, a.Address)
-	}
-	return out
+	return reach.HelpersOf(n.gossip.Live(), n.cfg.PeerAddress)
 }
 
 // sortByHash sorts daemons in an order that depends on who asks.
--- a/internal/reach/helper.go
+++ b/internal/reach/helper.go
@@ -1,6 +1,11 @@
 package reach
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+
+	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/upstream"
+)
 
 // Helper is another daemon that may pass connections on.
 type Helper struct {
@@ -10,6 +15,26 @@
 	Severed bool   // has itself lost its links to upstreams
 }
 
+// HelpersOf returns those of the live daemons that pass connections on, without the one at own.
+func HelpersOf(live []member.Daemon, own string) []Helper {
+	var out []Helper
+	for _, d := range live {
+		if d.Relays && !d.Draining && d.PeerAddress != own {
+			out = append(out, Helper{Address: d.PeerAddress, Zone: d.Zone, Replica: d.Replica != "", Severed: d.Severed})
+		}
+	}
+	return out
+}
+
+// UpstreamsOf returns the addresses of announced upstreams.
+func UpstreamsOf(known []upstream.Announcement) []Upstream {
+	var out []Upstream
+	for _, a := range known {
+		out = append(out, Upstream{a.Address, a.Zone})
+	}
+	return out
+}
+
 // maxHelpers is the number of helpers that are asked for one connection.
 const maxHelpers = 3
 
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 var (
 	// ErrSevered says that this daemon has lost its links to upstreams, so that no direct
 	// connection was tried.
-	ErrSevered = errors.New("this daemon has lost its links to upstreams")
+	ErrSevered  = errors.New("this daemon has lost its links to upstreams")
 	errSlow     = errors.New("no direct connection in time")
 	errNoHelper = errors.New("no other daemon passes a connection on")
 )
@@ -50,7 +51,13 @@
 type Deployment struct {
 	Helpers    func() []Helper                                             // the daemons that may be asked
 	DialHelper func(ctx context.Context, address string) (net.Conn, error) // connects to a peer address
-	Upstreams  func() []string                                             // addresses of the upstreams that are known
+	Upstreams  func() []Upstream                                           // those that are known
+}
+
+// Upstream is an address of an upstream.
+type Upstream struct {
+	Address string
+	Zone    string // availability zone
 }
 
 // Links opens connections to upstreams for one daemon, and passes connections on for others. It
@@ -61,14 +68,14 @@
 	deployment Deployment
 	relay      *relay
 
-	mu        sync.Mutex
-	paths     *Paths
-	rnd       *rand.Rand
-	avoided   map[string]time.Time // until when, by peer address of the helper
-	probes    int                  // in flight
-	checked   int                  // checks so far
-	severed   bool                 // as logged last
-	draining  bool
+	mu       sync.Mutex
+	paths    *Paths
+	rnd      *rand.Rand
+	avoided  map[string]time.Time // until when, by peer address of the helper
+	probes   int                  // in flight
+	checked  int                  // checks so far
+	severed  bool                 // as logged last
+	draining bool
 }
 
 // NewLinks returns Links whose direct connections are opened with dial. Until Deploy is called, all
@@ -84,7 +91,7 @@
 		defer l.mu.Unlock()
 		return &directConn{Conn: c, paths: l.paths, path: l.paths.get(time.Now(), address)}, nil
 	}
-	l.relay = &relay{dial: l.dialOnce, listed: l.lists, severed: l.Severed, passed: map[*passedConn]bool{}}
+	l.relay = &relay{dial: l.dialOnce, listed: l.lists, skips: l.skips, severed: l.Severed, passed: map[*passedConn]bool{}}
 	return l
 }
 
@@ -118,7 +125,10 @@
 func (l *Links) check() {
 	now := time.Now()
 	l.mu.Lock()
-	severed := l.paths.Severed()
+	suspected := l.paths.Unreached() != nil
+	l.mu.Unlock()
+	severed := l.Severed()
+	l.mu.Lock()
 	changed := severed != l.severed
 	l.severed = severed
 	l.checked++
@@ -133,8 +143,8 @@
 	case changed:
 		l.log.Info("Links to upstreams are back.")
 	}
-	if all := l.upstreams(); severed && len(all) > 0 {
-		l.probe(all[checked%len(all)])
+	if all := l.upstreams(); suspected && len(all) > 0 {
+		l.probe(all[checked%len(all)].Address)
 	}
 }
 
@@ -145,14 +155,26 @@
 	l.draining = true
 }
 
-// Severed reports whether this daemon believes that it has lost its links to upstreams.
+// Severed reports whether this daemon believes that it has lost its links to upstreams: several
+// could not be reached, among them some in each availability zone, and none was heard since.
 func (l *Links) Severed() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.paths.Severed()
+	unreached := l.paths.Unreached()
+	l.mu.Unlock()
+	if unreached == nil {
+		return false
+	}
+	lost := map[string]bool{} // availability zones
+	all := l.upstreams()
+	for _, u := range all {
+		if slices.Contains(unreached, u.Address) {
+			lost[u.Zone] = true
+		}
+	}
+	return !slices.ContainsFunc(all, func(u Upstream) bool { return !lost[u.Zone] })
 }
 
-func (l *Links) upstreams() []string {
+func (l *Links) upstreams() []Upstream {
 	if l.deployment.Upstreams == nil {
 		return nil
 	}
@@ -160,12 +182,16 @@
 }
 
 func (l *Links) lists(address string) bool {
-	for _, a := range l.upstreams() {
-		if a == address {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.upstreams(), func(u Upstream) bool { return u.Address == address })
+}
+
+// skips reports whether a direct connection to address need not be tried now: this daemon has lost
+// its links, and that to address has just failed.
+func (l *Links) skips(address string) bool {
+	l.mu.Lock()
+	failed := l.paths.FailedJustNow(time.Now(), address)
+	l.mu.Unlock()
+	return failed && l.Severed()
 }
 
 // hasOthers reports whether other daemons are known, whether they can help or not.
@@ -278,13 +304,13 @@
 }
 
 // Dial opens a direct connection, but gives up early if another daemon can be asked instead. The
-// attempt goes on in the background, to learn about the path. A daemon that has lost its links does
-// not try: probes tell it when they are back. DirectOnly in ctx prevents both.
+// attempt goes on in the background, to learn about the path. A daemon that has lost its links tries
+// rarely: probes tell it when they are back. DirectOnly in ctx prevents both.
 func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if isDirectOnly(ctx) || !l.hasOthers() {
 		return l.dialOnce(ctx, network, address)
 	}
-	if l.Severed() {
+	if l.skips(address) {
 		return nil, ErrSevered
 	}
 	type outcome struct {
@@ -455,16 +481,14 @@
 // RefusesConnections reports whether the upstream at address accepts no connections, as this daemon
 // and another one see it. If no other daemon can tell, a daemon that has others does not know.
 func (l *Links) RefusesConnections(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	c, err := l.dialOnce(ctx, "tcp", address)
+	if !l.hasOthers() {
+		return !l.probe(address)
+	}
+	c, err := l.Dial(context.Background(), "tcp", address)
 	if err == nil {
 		c.Close()
 		return false
 	}
-	if !l.hasOthers() {
-		return true
-	}
 	c, _, err = l.dialHelpers(context.Background(), address)
 	if err == nil {
 		c.Close()
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -1,6 +1,8 @@
 package reach
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -21,9 +23,8 @@
 	// soundProbeDelay is the time from a connection to the next probe of a path that has not
 	// failed.
 	soundProbeDelay = time.Second
-	// minUnreached is the number of upstreams that cannot be reached, with none reached since,
-	// from which on the link of this daemon is believed to be severed. A single upstream may
-	// have crashed.
+	// minUnreached is the number of upstreams that cannot be reached, with none heard since,
+	// from which on the daemon may have lost its links. A single upstream may have crashed.
 	minUnreached = 2
 )
 
@@ -36,6 +37,7 @@
 	nextProbe  time.Time
 	probeDelay time.Duration
 	probing    bool
+	unreached  bool      // the newest direct connection could not be opened
 	relaying   bool      // another daemon has reached the upstream since it failed
 	returnedAt time.Time // when it was last used again after a failure
 	soundTime  time.Duration
@@ -87,7 +89,7 @@
 // the direct path should be probed now. The caller must report the end of the probe.
 func (p *Paths) Relayed(now time.Time, address string) (relayed, probe bool) {
 	x := p.get(now, address)
-	if x.failedAt.IsZero() && !p.doubtful(x) && !p.Severed() {
+	if x.failedAt.IsZero() && !p.doubtful(x) {
 		return false, false
 	}
 	probe = !x.probing && !now.Before(x.nextProbe)
@@ -128,7 +130,7 @@
 func (p *Paths) Connected(now time.Time, address string) (returned bool) {
 	x := p.get(now, address)
 	p.hear(x, now)
-	x.probing = false
+	x.probing, x.unreached = false, false
 	if x.failedAt.IsZero() {
 		x.probeDelay, x.nextProbe = 0, now.Add(soundProbeDelay)
 		return false
@@ -148,10 +150,10 @@
 // path was believed to be sound.
 func (p *Paths) Failed(now time.Time, address string) (changed bool) {
 	x := p.get(now, address)
-	x.probing, x.soundSince = false, time.Time{}
+	x.probing, x.soundSince, x.unreached = false, time.Time{}, true
 	x.probeDelay = min(max(2*x.probeDelay, initialProbeDelay), maxProbeDelay)
 	x.nextProbe = now.Add(x.probeDelay)
-	if !p.Severed() && p.heard.Load() >= p.unreachedFrom.UnixNano() {
+	if p.heard.Load() >= p.unreachedFrom.UnixNano() {
 		clear(p.unreached)
 		p.unreachedFrom = now
 	}
@@ -160,9 +162,10 @@
 		return false
 	}
 	x.failedAt, x.relaying = now, false
-	x.soundTime = minSoundTime
 	if !x.returnedAt.IsZero() && now.Sub(x.returnedAt) < flapWindow {
 		x.soundTime = min(2*x.soundTime, maxSoundTime)
+	} else {
+		x.soundTime = minSoundTime
 	}
 	return true
 }
@@ -186,8 +189,19 @@
 	x.failedAt, x.soundSince = time.Time{}, time.Time{}
 }
 
-// Severed reports whether the daemon has lost its links to upstreams, as far as it knows: several
-// cannot be reached, and nothing was heard of any other directly since.
-func (p *Paths) Severed() bool {
-	return len(p.unreached) >= minUnreached && p.heard.Load() < p.unreachedFrom.UnixNano()
+// Unreached returns the addresses that could not be reached if the daemon may have lost its links:
+// several could not, and nothing was heard of any upstream directly since. Otherwise it returns
+// nil.
+func (p *Paths) Unreached() []string {
+	if len(p.unreached) < minUnreached || p.heard.Load() >= p.unreachedFrom.UnixNano() {
+		return nil
+	}
+	return slices.Collect(maps.Keys(p.unreached))
+}
+
+// FailedJustNow reports whether the newest direct connection to address could not be opened, and
+// the path need not be probed again yet.
+func (p *Paths) FailedJustNow(now time.Time, address string) bool {
+	x := p.get(now, address)
+	return x.unreached && now.Before(x.nextProbe)
 }
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -42,6 +42,7 @@
 type relay struct {
 	dial    sockopt.Dial
 	listed  func(address string) bool // whether an upstream has this address
+	skips   func(address string) bool // whether this daemon has just failed to reach it itself
 	severed func() bool
 
 	mu       sync.Mutex
@@ -116,7 +117,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil || !r.listed(address) {
 		return nil, relayAnswer{answerRefused, "no upstream with this address is known"}
 	}
-	if reason := r.refusal(); reason != "" {
+	if reason := r.refusal(address); reason != "" {
 		return nil, relayAnswer{answerRefused, reason}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
@@ -132,7 +133,10 @@
 }
 
 // refusal returns why no connection is passed on now, or "".
-func (r *relay) refusal() string {
+func (r *relay) refusal(address string) string {
+	if r.skips(address) {
+		return "this daemon has lost its own links"
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -140,8 +144,6 @@
 		return "this daemon stops"
 	case len(r.passed) >= maxRelayed:
 		return "this daemon passes on as many connections as it may"
-	case r.severed():
-		return "this daemon has lost its own links"
 	}
 	return ""
 }
