Run the own interface's requests through another daemon where links are lost

Connections to upstreams had neither a user timeout nor short keep-alive there, so that silent ones were kept for two minutes.

Its connections are now those of package reach, as on the platform, and a crash is judged with another daemon.

TestEntryWithoutLinksRunsItsJobsThroughAnotherDaemon cannot be built without the change; with forward.New() and the old check it fails at the first job.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/ratecap"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/rollout"
 	"github.com/apricotstream/apricotstream/internal/settings"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -53,6 +54,7 @@
 	limits      *limit.Limiter
 	usage       *usage.Counter
 	gateway     *gateway.Gateway
+	links       *reach.Links
 	rates       *ratecap.Keeper
 	quarantine  *quarantine.Table
 	tracing     *telemetry.Tracing
@@ -103,7 +105,10 @@
 	d.connections = conntrack.New()
 	d.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: d.gossip, Client: d.client, Timeout: confirmTimeout})
 	d.quarantine.Register(d.server)
-	dispatcher := dispatch.New(d.cfg.Zone, d.directory, forward.New(), d.quarantine, d.tracing.Tracer)
+	d.links = reach.NewLinks(reach.Direct(""), d.log.WithPrefix("links"))
+	d.links.Deploy(reach.Deployment{Helpers: func() []reach.Helper { return reach.HelpersOf(d.gossip.Live(), d.cfg.PeerAddress) }, DialHelper: peer.DialFrom(d.cfg.PeerAddress), Upstreams: func() []reach.Upstream { return reach.UpstreamsOf(d.directory.Known()) }}, d.server)
+	dispatcher := dispatch.New(d.cfg.Zone, d.directory, forward.NewOver(d.links.DialAny), d.quarantine, d.tracing.Tracer)
+	dispatcher.JudgeCrashesBy(d.links.RefusesConnections)
 	dispatcher.TrackDepartures(d.departures())
 	d.rates = ratecap.NewKeeper(ratecap.Deployment{
 		Daemon: d.cfg.ID, Replicas: d.replicaAddresses, Leads: d.leads, LeaderAddress: d.leaderAddress, Daemons: func() int { return len(d.gossip.Live()) },
@@ -143,6 +148,9 @@
 	if d.replica != nil && d.replica.Available() { // else others replace its vote and do not call it
 		m.Replica = string(d.identity.ID)
 	}
+	if d.links != nil {
+		m.Relays, m.Severed = true, d.links.Severed()
+	}
 	if d.gateway != nil {
 		m.Draining = d.gateway.Drain().Draining()
 		m.InFlight = d.gateway.Drain().InFlight()
@@ -193,6 +201,7 @@
 	d.spawn(func() { d.gossip.Run(ctx) })
 	d.spawn(func() { d.quarantine.Run(ctx) })
 	d.spawn(func() { d.rates.Run(ctx) })
+	d.spawn(func() { d.links.Run(ctx) })
 	d.spawn(func() { d.gateway.Sessions().Run(ctx) })
 	d.spawn(func() { periodic.Every(ctx, expireInterval, d.directory.Expire) })
 	d.spawn(func() { periodic.Every(ctx, admissionInterval, d.admission.Tick) })
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -30,6 +30,7 @@
 func (d *Daemon) drain(httpServer *http.Server, callerListener net.Listener) {
 	d.log.Info("Daemon started draining.")
 	d.gateway.Drain().Start()
+	d.links.Drain()
 	d.gossip.AnnounceChanges()
 	d.handOverSteps()
 	time.Sleep(max(d.cfg.DrainTime, d.cfg.AddressTTL+drainPropagationTime))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,6 +97,7 @@
 	tracer     trace.Tracer
 	departures upstream.DepartureTracker
 	rates      ratecap.Tracker
+	refuses    func(address string) bool // whether an upstream refuses connections
 
 	mu           sync.Mutex
 	retryBudgets map[string]*RetryBudget // by service
@@ -106,10 +107,16 @@
 func New(zone string, dir chooser.Directory, f *forward.Forwarder, q *quarantine.Table, tracer trace.Tracer) *Dispatcher {
 	return &Dispatcher{
 		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, tracer: tracer,
+		refuses:      upstream.RefusesConnections,
 		retryBudgets: map[string]*RetryBudget{}, departures: upstream.IgnoreDepartures{}, rates: ratecap.IgnoreRates{},
 	}
 }
 
+// JudgeCrashesBy makes the dispatcher ask refuses whether the upstream at an address accepts no
+// connections, in place of trying it over this daemon's own link alone. It must be called before
+// Run.
+func (d *Dispatcher) JudgeCrashesBy(refuses func(address string) bool) { d.refuses = refuses }
+
 // KeepRates makes the dispatcher tell k of the rates that upstreams name, and send them no
 // more. It must be called before Run.
 func (d *Dispatcher) KeepRates(k *ratecap.Keeper) { d.rates, d.chooser.Rates = k, k }
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -81,14 +81,14 @@
 		return
 	}
 	for range crashProbeCount {
-		if upstream.RefusesConnections(u.Address) {
+		if d.refuses(u.Address) {
 			d.recordCrash(job, u)
 			return
 		}
 		time.Sleep(crashProbeInterval)
 	}
 	time.AfterFunc(upstream.RestartCheckDelay, func() {
-		if upstream.RefusesConnections(u.Address) || d.restarted(u) {
+		if d.refuses(u.Address) || d.restarted(u) {
 			d.recordCrash(job, u)
 		}
 	})
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -27,11 +27,13 @@
 	return c.Conn.Write(b)
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := sockopt.DropOnClose(d.DialContext)(ctx, network, address)
-	if err != nil {
-		return nil, err
+// guarded returns a Dial whose connections are those of dial, guarded.
+func guarded(dial sockopt.Dial) sockopt.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
 	}
-	return &conn{Conn: c}, nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,7 +15,9 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
 // Headers sent to upstreams, in addition to those that describe the content.
@@ -40,7 +42,6 @@
 
 // Limits of the connections to upstreams.
 const (
-	dialTimeout             = time.Second
 	idleTimeout             = 30 * time.Second
 	maxIdleConnsPerUpstream = 64 // idle connections pooled for each upstream
 	// maxHeaderBytes bounds the header of a response. net/http would allow 10 MB for each
@@ -74,8 +75,12 @@
 	unpooled http.RoundTripper
 }
 
-// New returns a Forwarder without connections.
-func New() *Forwarder {
+// New returns a Forwarder that connects to upstreams directly.
+func New() *Forwarder { return NewOver(reach.Direct("")) }
+
+// NewOver returns a Forwarder that connects to upstreams with dial.
+func NewOver(dial sockopt.Dial) *Forwarder {
+	dial = guarded(dial)
 	pooled := &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
