Answer each request that a stopping entry has read

What callers saw: in a planned stop, requests that came 5.1 to 5.8 s after it were read, passed on and cut at the end of the grace period with no answer, among them some that must not run twice (LOST).

Cause: connections are accepted until 1.5 s before the end of draining, whatever time a request has; its deadline knew nothing of that end.

A draining entry also stays for the connections that it passes on for others.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -302,6 +302,10 @@
 // contextError returns the error of a request whose deadline has passed or whose caller has
 // disconnected.
 func (e *execution) contextError(ctx context.Context) error {
+	var stopped *result.Error
+	if errors.As(context.Cause(ctx), &stopped) {
+		return stopped
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return result.New(result.UpstreamTimeout, "the caller disconnected")
 	}
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -148,6 +148,10 @@
 	}
 }
 
+// Busy reports whether this daemon passes connections on for others. When it drains, the idle ones
+// are closed, so that those in use are left.
+func (l *Links) Busy() bool { return l.relay.busy() }
+
 // Drain makes the daemon pass on no further connections. Run closes those that are idle.
 func (l *Links) Drain() {
 	l.mu.Lock()
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -164,6 +164,12 @@
 	delete(r.passed, c)
 }
 
+func (r *relay) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.passed) > 0
+}
+
 // drain accepts no further connections and closes those that are idle.
 func (r *relay) drain(now time.Time) {
 	r.mu.Lock()
