Refresh the list of upstreams before a stream goes on whose origin is not named

Cause: a take-up that does not name who began the stream goes on if all upstreams that this entry lists are of one version. An entry that was cut off from the other daemons, or stood still, does not list the new ones yet.

Change: the list is merged with those of up to five replicas, to which upstreams announce themselves, before the conclusion is drawn. Without a majority of answers within 250 ms the take-up is refused as not run.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,6 +51,10 @@
 	// A single one may have been cut off when an upstream left.
 	firstPulls  = 6
 	pullTimeout = time.Second
+	// refreshedFrom is the number of replicas whose announcements are merged before a conclusion
+	// is drawn from the list of upstreams, and refreshTimeout bounds it. A caller waits for it.
+	refreshedFrom  = 5
+	refreshTimeout = 250 * time.Millisecond
 	// createRetryDelay is the pause between attempts to create the data folder on a disk
 	// without space.
 	createRetryDelay = 500 * time.Millisecond
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -13,6 +13,7 @@
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/reach"
+	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/takeup"
 )
 
@@ -127,6 +128,38 @@
 	}
 }
 
+// refreshUpstreams merges the announcements that several replicas hold now. It returns an error
+// unless a majority of those that it asked has answered.
+func (n *Node) refreshUpstreams(ctx context.Context) error {
+	var replicas []string
+	for _, d := range member.Replicas(n.gossip.Live()) {
+		replicas = appendUnique(replicas, d.PeerAddress, n.cfg.PeerAddress)
+	}
+	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
+	replicas = replicas[:min(len(replicas), refreshedFrom)]
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	results := make(chan error, len(replicas))
+	for _, a := range replicas {
+		go func() { results <- n.directory.Pull(ctx, n.client, a) }()
+	}
+	asked, answered := len(replicas), 0
+	for range replicas {
+		if <-results == nil {
+			answered++
+		}
+	}
+	if n.replica != nil { // upstreams announce themselves here, too
+		asked++
+		answered++
+	}
+	if 2*answered <= asked {
+		n.log.Warn("Replicas do not tell which upstreams serve.", "asked", asked, "answered", answered)
+		return result.New(result.NoQuorum, "%d of %d replicas have answered", answered, asked)
+	}
+	return nil
+}
+
 // directorySources returns the peer addresses of the daemons that upstreams send their
 // announcements to, those in this node's zone first.
 func (n *Node) directorySources() []string {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,6 +56,7 @@
 	usage     UsageCounter
 	crashes   CrashTracker
 	origins   Origins
+	refresh   func(context.Context) error // see RefreshUpstreamsBy
 }
 
 // Origins keeps which upstreams began callers' streams, see takeup.Keeper.
@@ -85,13 +86,18 @@
 
 // New returns a proxy for a daemon in the given zone.
 func New(logger *log.Logger, zone string, c *chooser.Chooser, u Upstreams, usage UsageCounter, crashes CrashTracker) *Proxy {
-	return &Proxy{log: logger, zone: zone, chooser: c, upstreams: u, usage: usage, crashes: crashes, origins: noOrigins{}}
+	return &Proxy{log: logger, zone: zone, chooser: c, upstreams: u, usage: usage, crashes: crashes, origins: noOrigins{}, refresh: func(context.Context) error { return nil }}
 }
 
 // KeepOrigins makes the proxy tell o of the streams that begin, and ask it where a stream may
 // go on. It must be called before the first request.
 func (p *Proxy) KeepOrigins(o Origins) { p.origins = o }
 
+// RefreshUpstreamsBy makes the proxy call refresh before it concludes from the list of upstreams
+// which software versions serve. refresh returns nil once the list holds what a majority of the
+// daemons knows that upstreams announce themselves to. It must be called before the first request.
+func (p *Proxy) RefreshUpstreamsBy(refresh func(context.Context) error) { p.refresh = refresh }
+
 var (
 	requests = func(outcome string) *metrics.Counter {
 		return metrics.GetOrCreateCounter(`apricotstream_requests_total{outcome="` + outcome + `"}`)
--- a/internal/proxy/take_up.go
+++ b/internal/proxy/take_up.go
@@ -16,6 +16,10 @@
 	LastEventID int    // id of the last event that the caller has
 }
 
+// refreshRetryAfter is the delay that a caller is told when the list of upstreams could not be
+// refreshed.
+const refreshRetryAfter = 300 * time.Millisecond
+
 // noOrigins knows no stream.
 type noOrigins struct{}
 
@@ -30,7 +34,7 @@
 func (e *execution) findOrigin(ctx context.Context) error {
 	q := e.request
 	if q.TakeUp.Began == "" {
-		return e.onlyOrigin()
+		return e.onlyOrigin(ctx)
 	}
 	found, err := e.proxy.origins.Find(ctx, q.Account, q.TakeUp.Began)
 	if err != nil {
@@ -49,7 +53,13 @@
 
 // onlyOrigin handles a caller that does not name the request that began its stream. It may go
 // on if all upstreams of the service are of one software version.
-func (e *execution) onlyOrigin() error {
+//
+// An entry that was cut off or stood still may not list the upstreams of another version yet, so
+// the list is refreshed first.
+func (e *execution) onlyOrigin(ctx context.Context) error {
+	if err := e.proxy.refresh(ctx); err != nil {
+		return result.NewRetryAfter(result.OriginUnknown, refreshRetryAfter, "the caller does not name the request that began the stream, and it cannot be told which software versions serve: %v", err)
+	}
 	all := e.proxy.chooser.Upstreams(e.request.Service)
 	if len(all) == 0 {
 		return nil // rejected for want of upstreams
