--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -18,6 +18,9 @@
 	minSoundTime = 500 * time.Millisecond
 	maxSoundTime = 4 * time.Second
 	flapWindow   = 10 * time.Second
+	// doubtTime is how long paths of which nothing was heard are doubted after the link of the
+	// daemon has failed. Later they are tried like any other.
+	doubtTime = 10 * time.Second
 	// pathRetention is how long a path that is not used is remembered.
 	pathRetention = 2 * time.Minute
 	// soundProbeDelay is the time from a connection to the next probe of a path that has not
@@ -89,7 +92,7 @@
 // the direct path should be probed now. The caller must report the end of the probe.
 func (p *Paths) Relayed(now time.Time, address string) (relayed, probe bool) {
 	x := p.get(now, address)
-	if x.failedAt.IsZero() && !p.doubtful(x) {
+	if x.failedAt.IsZero() && !p.doubtful(now, x) {
 		return false, false
 	}
 	probe = !x.probing && !now.Before(x.nextProbe)
@@ -110,7 +113,9 @@
 
 // doubtful reports whether nothing was heard on the path since the link of this daemon came
 // into doubt.
-func (p *Paths) doubtful(x *path) bool { return !p.doubtSince.IsZero() && !x.heardSince(p.doubtSince) }
+func (p *Paths) doubtful(now time.Time, x *path) bool {
+	return !p.doubtSince.IsZero() && now.Sub(p.doubtSince) < doubtTime && !x.heardSince(p.doubtSince)
+}
 
 func (x *path) heardSince(t time.Time) bool { return x.heard.Load() >= t.UnixNano() }
 
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -79,6 +79,8 @@
 	g.Expect(relayed(340, "w")).To(BeFalse())
 	p.Connected(at(400), "v")
 	g.Expect(relayed(410, "v")).To(BeFalse())
+	g.Expect(relayed(420, "x")).To(BeTrue(), "never heard")
+	g.Expect(relayed(420+int(doubtTime.Milliseconds()), "x")).To(BeFalse(), "doubted no more")
 }
 
 // Guards against a daemon helping others while its own links are lost, and against one crashed
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	passed   map[*passedConn]bool
+	admitted int // openings that were not refused, and the connections passed on for them
 	draining bool
 }
 
@@ -89,6 +90,9 @@
 	}
 	upstream, answer := r.connect(address)
 	relayedForOthers(answer.outcome).Inc()
+	if answer.outcome != answerRefused {
+		defer r.release()
+	}
 	line := answer.outcome
 	if answer.reason != "" {
 		line += " " + answer.reason
@@ -101,10 +105,11 @@
 	}
 	c := &passedConn{daemon: daemon, upstream: upstream, activeAt: time.Now()}
 	defer c.close()
-	if !r.add(c) || daemon.SetDeadline(time.Time{}) != nil {
+	r.add(c)
+	defer r.remove(c)
+	if daemon.SetDeadline(time.Time{}) != nil {
 		return
 	}
-	defer r.remove(c)
 	noticeSilence(daemon)
 	c.pass(in)
 }
@@ -117,7 +122,7 @@
 	if _, err := netip.ParseAddrPort(address); err != nil || !r.listed(address) {
 		return nil, relayAnswer{answerRefused, "no upstream with this address is known"}
 	}
-	if reason := r.refusal(address); reason != "" {
+	if reason := r.admit(address); reason != "" {
 		return nil, relayAnswer{answerRefused, reason}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
@@ -127,13 +132,15 @@
 	case err == nil:
 		return c, relayAnswer{outcome: answerConnected}
 	case r.severed():
+		r.release()
 		return nil, relayAnswer{answerRefused, "this daemon has lost its own links"}
 	}
 	return nil, relayAnswer{answerUnreachable, dialOutcome(err)}
 }
 
-// refusal returns why no connection is passed on now, or "".
-func (r *relay) refusal(address string) string {
+// admit returns why no connection to address is passed on now, or "". Then release must be called
+// when the connection has ended.
+func (r *relay) admit(address string) string {
 	if r.skips(address) {
 		return "this daemon has lost its own links"
 	}
@@ -142,20 +149,23 @@
 	switch {
 	case r.draining:
 		return "this daemon stops"
-	case len(r.passed) >= maxRelayed:
+	case r.admitted >= maxRelayed:
 		return "this daemon passes on as many connections as it may"
 	}
+	r.admitted++
 	return ""
 }
 
-func (r *relay) add(c *passedConn) bool {
+func (r *relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admitted--
+}
+
+func (r *relay) add(c *passedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.passed) >= maxRelayed {
-		return false
-	}
 	r.passed[c] = true
-	return true
 }
 
 func (r *relay) remove(c *passedConn) {
