Do not judge the links to upstreams by calls to the provider

Found by reading the change: calls to the provider's interface used the same connections, so that an outage of it counted as an upstream that cannot be reached, and its answers as an upstream that is heard. With one zone, one crashed upstream and the provider away were taken for lost links. Its connections are its own now, and leave no trace in the paths. TestOtherAddressesSayNothingAboutLinks does not compile without; with Dial in place of DialPlain it fails.

--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -64,6 +64,7 @@
 // may be used by many goroutines.
 type Links struct {
 	log        *log.Logger
+	plain      sockopt.Dial // without a path
 	direct     sockopt.Dial
 	deployment Deployment
 	relay      *relay
@@ -81,7 +82,7 @@
 // NewLinks returns Links whose direct connections are opened with dial. Until Deploy is called, all
 // connections are direct.
 func NewLinks(dial sockopt.Dial, logger *log.Logger) *Links {
-	l := &Links{log: logger, paths: NewPaths(), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), avoided: map[string]time.Time{}}
+	l := &Links{log: logger, plain: dial, paths: NewPaths(), rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), avoided: map[string]time.Time{}}
 	l.direct = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
@@ -307,6 +308,12 @@
 	return c, nil
 }
 
+// DialPlain opens a connection to an address that is not that of an upstream. It says nothing about
+// the links to upstreams.
+func (l *Links) DialPlain(ctx context.Context, network, address string) (net.Conn, error) {
+	return l.plain(ctx, network, address)
+}
+
 // Dial opens a direct connection, but gives up early if another daemon can be asked instead. The
 // attempt goes on in the background, to learn about the path. A daemon that has lost its links tries
 // rarely: probes tell it when they are back. DirectOnly in ctx prevents both.
--- a/internal/reach/relay_test.go
+++ b/internal/reach/relay_test.go
@@ -264,3 +264,23 @@
 	c.Close()
 	g.Expect(d.Severed()).To(BeFalse())
 }
+
+// Guards against an outage of the provider's interface, which is no upstream, being taken for lost
+// links, and against its answers hiding them.
+func TestOtherAddressesSayNothingAboutLinks(t *testing.T) {
+	g := NewWithT(t)
+	other := httptest.NewServer(http.NotFoundHandler())
+	defer other.Close()
+	d := startDaemon(t, Direct(""), helpedBy(&testDaemon{address: "127.0.0.1:3"}), "127.0.0.1:1", "127.0.0.1:2")
+	d.deployment.Upstreams = func() []Upstream { return []Upstream{{"127.0.0.1:1", "a"}, {"127.0.0.1:2", "a"}} }
+	_, err := d.DialPlain(t.Context(), "tcp", "127.0.0.1:9")
+	g.Expect(err).To(HaveOccurred())
+	d.probe("127.0.0.1:1")
+	g.Expect(d.Severed()).To(BeFalse())
+	d.probe("127.0.0.1:2")
+	g.Expect(d.Severed()).To(BeTrue())
+	c, err := d.DialPlain(t.Context(), "tcp", addressOf(other))
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Close()
+	g.Expect(d.Severed()).To(BeTrue())
+}
