--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/peer"
@@ -96,22 +95,6 @@
 	return l
 }
 
-// directConn is a direct connection to an upstream.
-type directConn struct {
-	net.Conn
-	paths *Paths
-	path  *path
-}
-
-// Read implements net.Conn.
-func (c *directConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.paths.hear(c.path, time.Now())
-	}
-	return n, err
-}
-
 // Deploy makes the links use other daemons, and pass connections on for those that call s. It must
 // be called before the first connection.
 func (l *Links) Deploy(d Deployment, s *peer.Server) {
@@ -204,17 +187,6 @@
 	return l.deployment.Helpers != nil && len(l.deployment.Helpers()) > 0
 }
 
-// helpers returns the helpers to ask now, best first.
-func (l *Links) helpers() []Helper {
-	if l.deployment.Helpers == nil {
-		return nil
-	}
-	all, now := l.deployment.Helpers(), time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return chooseHelpers(l.rnd, all, func(address string) bool { return now.Before(l.avoided[address]) })
-}
-
 // Relayed reports whether connections to address should go through another daemon for now.
 func (l *Links) Relayed(address string) bool {
 	l.mu.Lock()
@@ -233,60 +205,6 @@
 	return l.paths.HeardSince(time.Now(), address, t)
 }
 
-// Unanswered says that a request sent directly to address at the given time has got no answer yet.
-// If nothing was heard on the path since, it is probed, and lost is called if the probe fails and
-// another daemon reaches the upstream.
-func (l *Links) Unanswered(address string, since time.Time, lost func()) {
-	l.mu.Lock()
-	probe := l.paths.BeginProbe(time.Now(), address, since)
-	l.mu.Unlock()
-	if !probe {
-		return
-	}
-	l.startProbe(address, func() {
-		if c, err := l.DialRelayed(context.Background(), "tcp", address); err == nil {
-			c.Close()
-			lost()
-		}
-	})
-}
-
-// startProbe probes a path in the background, unless too many probes are in flight. It calls failed
-// if the probe fails.
-func (l *Links) startProbe(address string, failed func()) {
-	l.mu.Lock()
-	ok := l.probes < maxProbes
-	if ok {
-		l.probes++
-	} else {
-		l.paths.get(time.Now(), address).probing = false
-	}
-	l.mu.Unlock()
-	if !ok {
-		return
-	}
-	go func() {
-		sound := l.probe(address)
-		l.mu.Lock()
-		l.probes--
-		l.mu.Unlock()
-		if !sound {
-			failed()
-		}
-	}()
-}
-
-// probe opens a direct connection, closes it and reports whether that succeeded.
-func (l *Links) probe(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	c, err := l.dialOnce(ctx, "tcp", address)
-	if err == nil {
-		c.Close()
-	}
-	return err == nil
-}
-
 // dialOnce opens a direct connection and records the outcome.
 func (l *Links) dialOnce(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := l.direct(ctx, network, address)
@@ -349,133 +267,6 @@
 	return nil, errSlow
 }
 
-// DialRelayed opens a connection through another daemon. Error: that of the last helper, or
-// errNoHelper.
-func (l *Links) DialRelayed(ctx context.Context, _, address string) (net.Conn, error) {
-	began := time.Now()
-	c, helper, err := l.dialHelpers(ctx, address)
-	if err != nil {
-		relayedConnections("failed").Inc()
-		if errors.Is(err, errUnreachable) {
-			l.mu.Lock()
-			l.paths.Down(time.Now(), address)
-			l.mu.Unlock()
-		}
-		return nil, err
-	}
-	relayedConnections("connected").Inc()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.paths.Relaying(time.Now(), address, began) {
-		l.log.Warn("Another daemon reaches an upstream that this one does not: its link has failed.", "address", address, "helper", helper.Address, "helper_zone", helper.Zone)
-	}
-	return c, nil
-}
-
-var relayedConnections = func(outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(`apricotstream_relayed_connections_total{outcome="` + outcome + `"}`)
-}
-
-// dialHelpers asks helpers for a connection, the next one when one has failed or is slow.
-func (l *Links) dialHelpers(ctx context.Context, address string) (net.Conn, Helper, error) {
-	all := l.helpers()
-	if len(all) == 0 {
-		return nil, Helper{}, errNoHelper
-	}
-	deadline := time.Now().Add(helpersTimeout)
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	type outcome struct {
-		conn   *relayedConn
-		helper Helper
-		err    error
-	}
-	results := make(chan outcome, len(all))
-	asked, pending := 0, 0
-	ask := func() {
-		h := all[asked]
-		asked++
-		pending++
-		go func() {
-			c, err := l.dialHelper(ctx, h, address, deadline)
-			results <- outcome{c, h, err}
-		}()
-	}
-	defer func() {
-		cancel()
-		go closeOthers(pending, func() net.Conn {
-			if o := <-results; o.conn != nil {
-				return o.conn
-			}
-			return nil
-		})
-	}()
-	ask()
-	slow := time.NewTicker(helperPatience)
-	defer slow.Stop()
-	failure := errNoHelper
-	for pending > 0 {
-		select {
-		case o := <-results:
-			pending--
-			if o.err == nil {
-				return o.conn, o.helper, nil
-			}
-			l.avoid(o.helper, o.err)
-			if !errors.Is(failure, errUnreachable) {
-				failure = o.err
-			}
-		case <-slow.C:
-		}
-		if asked < len(all) {
-			ask()
-		}
-	}
-	return nil, Helper{}, failure
-}
-
-// closeOthers closes the connections that n further calls of next return.
-func closeOthers(n int, next func() net.Conn) {
-	for range n {
-		if c := next(); c != nil {
-			c.Close()
-		}
-	}
-}
-
-// avoid keeps a helper that failed from being asked for a while. One that could not connect to the
-// upstream either has done what it could.
-func (l *Links) avoid(h Helper, err error) {
-	if errors.Is(err, errUnreachable) {
-		return
-	}
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for address, until := range l.avoided {
-		if now.After(until) {
-			delete(l.avoided, address)
-		}
-	}
-	l.avoided[h.Address] = now.Add(helperAvoidance)
-	l.log.Debug("A helper passes no connection on.", "helper", h.Address, "err", err.Error())
-}
-
-// dialHelper asks one helper for a connection.
-func (l *Links) dialHelper(ctx context.Context, h Helper, address string, deadline time.Time) (*relayedConn, error) {
-	c, err := sockopt.DropOnClose(func(ctx context.Context, _, address string) (net.Conn, error) {
-		return l.deployment.DialHelper(ctx, address)
-	})(ctx, "tcp", h.Address)
-	if err != nil {
-		return nil, err
-	}
-	r, err := openRelayed(c, address, deadline)
-	if err != nil {
-		c.Close()
-		return nil, err
-	}
-	return r, nil
-}
-
 // DialAny opens a connection directly or through another daemon, whichever works.
 func (l *Links) DialAny(ctx context.Context, network, address string) (net.Conn, error) {
 	first, second := l.Dial, l.DialRelayed
@@ -507,14 +298,3 @@
 	}
 	return errors.Is(err, errUnreachable)
 }
-
-// directOnlyKey is the key of the context value of DirectOnly.
-type directOnlyKey struct{}
-
-// DirectOnly returns a context for requests that must not go through another daemon, because they
-// must not arrive after the sender has given them up.
-func DirectOnly(ctx context.Context) context.Context {
-	return context.WithValue(ctx, directOnlyKey{}, true)
-}
-
-func isDirectOnly(ctx context.Context) bool { return ctx.Value(directOnlyKey{}) != nil }
