--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,25 @@
 
 var lastID atomic.Int64
 
+// resolved is an answer of the directory.
+type resolved struct {
+	Addresses []string `json:"addresses"`
+	TTLS      float64  `json:"ttlS"`
+}
+
+// resolve asks a front where to connect, as a client in its zone does.
+func (f *fleet) resolve(d *daemon) (resolved, error) {
+	var out resolved
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/resolve?name=%s&region=qc-est&zone=%s", d.ip, portDir, callerHost, d.zone))
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&out)
+	f.rec.logf("client: %s answers resolve with %v for %g s", d.id, out.Addresses, out.TTLS)
+	return out, err
+}
+
 // newID returns the id of a client attempt.
 func newID() string { return fmt.Sprintf("%08x%08x", time.Now().Unix(), lastID.Add(1)) }
 
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,5 +220,3 @@
 		time.Sleep(1200 * time.Millisecond)
 	}
 }
-
-func host(address string) string { h, _, _ := strings.Cut(address, ":"); return h }
