Show that removing a route hides accepted batch jobs

Cause: a call about a batch job counts as one only while its host has a rollout route. After a manifest without that route it is answered 404, although the batch job and its results are held.

Change: a script (review/2), which reads a complete batch job after such a manifest.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/case ] || exit 2
-REPOSITORY=../.. exec ../bin/case drain .
+REPOSITORY=../.. exec ../bin/case route .
