Show that a stream which crashes its servers is never held back

Cause: a lost connection is reported to the quarantine only before the head of an answer has come. A stream that crashes its server after its first event is forgotten.

--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -36,6 +36,8 @@
 	stopped atomic.Bool
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
+
+	number, incarnation int // see crash
 }
 
 // request is a request at a server, after its id has been checked.
@@ -66,7 +68,15 @@
 		if err != nil {
 			return
 		}
-		go s.handle(c)
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go func() {
+			s.handle(c)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		}()
 	}
 }
 
