--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -37,7 +37,9 @@
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
 
-	number, incarnation int // see crash
+	number, incarnation int         // see crash
+	software            string      // version in status reports
+	cut                 atomic.Bool // from the core and from control
 }
 
 // request is a request at a server, after its id has been checked.
@@ -50,7 +52,7 @@
 }
 
 func (f *fleet) server(n int, id, service, model string, slots int, serve func(*server, *request)) (*server, error) {
-	s := &server{rec: f.rec, fleet: f, id: id, service: service, zone: zones[n%3], address: fmt.Sprintf("%s:%d", f.addr(30+n), portServer), slots: slots, born: time.Now().UnixMilli(), model: model, serve: serve, conns: map[net.Conn]bool{}}
+	s := &server{rec: f.rec, fleet: f, id: id, service: service, zone: zones[n%3], address: fmt.Sprintf("%s:%d", f.addr(30+n), portServer), slots: slots, born: time.Now().UnixMilli(), model: model, software: "v1", serve: serve, conns: map[net.Conn]bool{}}
 	s.version.Store(1)
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
@@ -205,12 +207,16 @@
 func (s *server) beat() {
 	client := http.Client{Timeout: time.Second}
 	for i := 0; !s.stopped.Load(); i++ {
+		if s.cut.Load() {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		state := "ready"
 		if s.leaving.Load() {
 			state = "draining"
 		}
 		s.seq.Add(1)
-		b, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": state, "coldMs": 0, "stage": "both", "models": s.models(), "seq": s.seq.Load(), "born": s.born})
+		b, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": s.software, "slots": s.slots, "state": state, "coldMs": 0, "stage": "both", "models": s.models(), "seq": s.seq.Load(), "born": s.born})
 		ok := false
 		for k := 0; k < 3 && !ok; k++ {
 			d := s.fleet.stores[(i+k)%3]
