Count a crash under a request whenever it comes

Cause: the time since the first event was taken as proof. A break later than a second cleared the request, and a stream that the entry ended itself (time up, caller gone) was never judged, though its upstream may be at work for half a second more. Ruled out: the check for a crash itself (700 ms held).

Change: streams report every break; what the entry ends itself is checked 500 ms later, unless the upstream was heard. Late crashes weigh less: three of any kind hold a request back, and upstreams of a zone that fail together count once, so that sound streams are not held back. An upstream that starts again at its address under another id counts as crashed. Each crash that counts has a line and a metric.

Checks replaced: two rows of the proxy's table expected a stream that broke after 5 s, or at its deadline, to be known as sound; the rule has no such time. They now expect a reported crash and a check.

Mixed builds: a field that older daemons ignore; what they repeat takes nothing away (union).

--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -3,15 +3,31 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
+// earlyCrashTime is the time from its first bytes in which a stream that crashes its upstream mostly
+// does so. A later crash is weaker evidence, see quarantine.LateCrash.
+const earlyCrashTime = time.Second
+
+var (
+	earlyCrashes = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="false"}`)
+	lateCrashes  = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="true"}`)
+)
+
 // crashTracker implements proxy.CrashTracker with the quarantine that all daemons share.
 type crashTracker struct {
 	n         *Node
 	survivors *quarantine.Survivors
+	abandoned *upstream.PendingChecks
+}
+
+func newCrashTracker(n *Node) crashTracker {
+	return crashTracker{n, &quarantine.Survivors{}, upstream.NewPendingChecks()}
 }
 
 // Blocked implements proxy.CrashTracker. A request that this daemon has seen run without a crash is
@@ -31,7 +47,7 @@
 // cause.
 func (t crashTracker) Survived(fingerprint string) {
 	t.survivors.Add(time.Now(), fingerprint)
-	if len(t.n.quarantine.Record(fingerprint).Upstreams) > 0 {
+	if t.n.quarantine.Record(fingerprint).Crashed() {
 		t.release(fingerprint)
 	}
 }
@@ -44,28 +60,87 @@
 
 // ConnectionLost implements proxy.CrashTracker. It counts a crash against the request if
 // the upstream refuses connections of several daemons, now or after upstream.RestartCheckDelay, or has
-// announced a newer incarnation by then. A lost connection to an upstream that still runs
+// been started again by then. A lost connection to an upstream that still runs
 // doesn't count, nor does one to an upstream that was withdrawn, which ends as planned, or a request
 // that has run without a crash.
-func (t crashTracker) ConnectionLost(_ *proxy.Request, fingerprint string, a proxy.Attempt) {
-	if t.survivors.Has(time.Now(), fingerprint) || t.withdrawn(a) {
+func (t crashTracker) ConnectionLost(q *proxy.Request, fingerprint string, a proxy.Attempt) {
+	if t.excused(fingerprint, a) {
 		return
 	}
+	late := a.RanFor >= earlyCrashTime
 	if t.n.dependencies.Links.RefusesConnections(a.To.Address) {
-		t.n.quarantine.RecordCrash(fingerprint, a.To.ID, a.To.Incarnation)
+		t.count(q, fingerprint, a, late)
 		return
 	}
 	time.AfterFunc(upstream.RestartCheckDelay, func() {
-		current, ok := t.n.directory.Get(a.To.ID)
-		if t.withdrawn(a) {
+		if !t.excused(fingerprint, a) && t.crashed(a) {
+			t.count(q, fingerprint, a, late)
+		}
+	})
+}
+
+// Abandoned implements proxy.CrashTracker. It counts a crash against the request, as a late one, if
+// the upstream has crashed upstream.AbandonedCheckDelay later. An upstream that is heard meanwhile is not
+// checked.
+func (t crashTracker) Abandoned(q *proxy.Request, fingerprint string, a proxy.Attempt) {
+	if t.excused(fingerprint, a) {
+		return
+	}
+	first := t.abandoned.Add(a.To.Address, func() {
+		if !t.excused(fingerprint, a) {
+			t.count(q, fingerprint, a, true)
+		}
+	})
+	if !first {
+		return // checked with the attempt that was abandoned first
+	}
+	heardSince := time.Now().Add(upstream.AbandonedCheckDelay / 2)
+	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
+		count := t.abandoned.Take(a.To.Address)
+		if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) || !t.crashed(a) {
 			return
 		}
-		if t.n.dependencies.Links.RefusesConnections(a.To.Address) || ok && current.Incarnation > a.To.Incarnation {
-			t.n.quarantine.RecordCrash(fingerprint, a.To.ID, a.To.Incarnation)
+		for _, c := range count {
+			c()
 		}
 	})
 }
 
+// excused reports whether a crash of the upstream of an attempt would say nothing of the request.
+func (t crashTracker) excused(fingerprint string, a proxy.Attempt) bool {
+	return t.survivors.Has(time.Now(), fingerprint) || t.withdrawn(a)
+}
+
+// count records that the upstream of an attempt has crashed under the request.
+func (t crashTracker) count(q *proxy.Request, fingerprint string, a proxy.Attempt, late bool) {
+	var r quarantine.Record
+	if late {
+		lateCrashes.Inc()
+		r = t.n.quarantine.RecordLateCrash(fingerprint, a.To.ID, a.To.Incarnation, a.To.Zone)
+	} else {
+		earlyCrashes.Inc()
+		r = t.n.quarantine.RecordCrash(fingerprint, a.To.ID, a.To.Incarnation)
+	}
+	t.n.log.Warn("Upstream has crashed under a request.", "request", q.ID, "fingerprint", fingerprint, "upstream", a.To.ID, "incarnation", a.To.Incarnation,
+		"ran_ms", a.RanFor.Milliseconds(), "ms", time.Since(a.Began).Milliseconds(), "late", late, "crashes", len(r.Upstreams), "late_crashes", len(r.Late), "blocked", r.Blocked())
+}
+
+// crashed reports whether the upstream of an attempt refuses connections or was started again.
+func (t crashTracker) crashed(a proxy.Attempt) bool {
+	return t.restarted(a) || t.n.dependencies.Links.RefusesConnections(a.To.Address)
+}
+
+// restarted reports whether a newer incarnation of the upstream of an attempt is known, under its
+// id or at its address.
+func (t crashTracker) restarted(a proxy.Attempt) bool {
+	for _, u := range t.n.directory.Known() {
+		if (u.ID == a.To.ID || u.Address == a.To.Address) && u.Incarnation > a.To.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // withdrawn reports whether the upstream of an attempt has announced that it leaves, or says so in
 // its answers.
 func (t crashTracker) withdrawn(a proxy.Attempt) bool {
--- a/internal/node/crash_tracker_test.go
+++ b/internal/node/crash_tracker_test.go
@@ -50,7 +50,7 @@
 			log: log.New(io.Discard), quarantine: quarantine.NewTable(time.Now, nil), directory: upstream.NewDirectory(alone{}),
 			dependencies: Dependencies{Links: reach.NewLinks(refuse, log.New(io.Discard))},
 		}
-		tracker := crashTracker{n, &quarantine.Survivors{}}
+		tracker := newCrashTracker(n)
 		if c.before != nil {
 			c.before(tracker)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 	}, logger.WithPrefix("takeup"))
 	n.origins.Register(n.server)
 	deps.Links.Deploy(reach.Deployment{Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: func() []reach.Upstream { return reach.UpstreamsOf(n.directory.Known()) }}, n.server)
-	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, crashTracker{n, &quarantine.Survivors{}})
+	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, newCrashTracker(n))
 	n.proxy.KeepOrigins(n.origins)
 	n.proxy.RefreshUpstreamsBy(n.refreshUpstreams)
 	if n.replica != nil {
--- a/internal/proxy/crash_stream_test.go
+++ b/internal/proxy/crash_stream_test.go
@@ -50,25 +50,24 @@
 
 var errReset = errors.New("connection reset by peer")
 
-// Guards against a stream that crashes its upstream after the first event and is sent on without
-// end, and against the opposite: sound streams that are taken for the cause of a failure.
-func TestStreamCountsAsCrashingOnlyIfItBreaksAsItBegins(t *testing.T) {
+// Guards against a stream whose crash is not reported, whenever it comes, and against the opposite:
+// sound streams that are taken for the cause of a failure.
+func TestStreamThatBreaksAtAnyMomentIsReported(t *testing.T) {
 	for _, c := range []struct {
-		name                   string
-		lasting, leavesAfter   time.Duration
-		end                    error
-		background             bool
-		crashes, knownAsSound  int
-		waitsLongerThanItsTime bool
+		name                             string
+		lasting, leavesAfter             time.Duration
+		end                              error
+		background                       bool
+		crashes, knownAsSound, abandoned int
 	}{
 		{name: "breaks after its first event", end: errReset, crashes: 1},
 		{name: "ends within an event", end: result.New(result.AnswerCut, "x"), crashes: 1},
 		{name: "breaks soon after its first event", lasting: 300 * time.Millisecond, end: errReset, crashes: 1},
-		{name: "breaks after it has run for long", lasting: 5 * time.Second, end: errReset, knownAsSound: 1},
+		{name: "breaks after it has run for long", lasting: 5 * time.Second, end: errReset, crashes: 1},
 		{name: "is whole", lasting: 300 * time.Millisecond, end: io.EOF, knownAsSound: 1},
 		{name: "sends what cannot follow", end: result.New(result.AnswerCrossed, "x")},
-		{name: "its caller leaves", lasting: time.Hour, leavesAfter: 200 * time.Millisecond, end: errReset},
-		{name: "its time is up", lasting: time.Hour, end: errReset, waitsLongerThanItsTime: true, knownAsSound: 1},
+		{name: "its caller leaves", lasting: time.Hour, leavesAfter: 200 * time.Millisecond, end: errReset, abandoned: 1},
+		{name: "its time is up", lasting: time.Hour, end: errReset, abandoned: 1},
 		{name: "is background work", end: errReset, background: true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -91,6 +90,7 @@
 			synctest.Wait()
 			g.Expect(tracker.lost).To(Equal(c.crashes), c.name)
 			g.Expect(tracker.survived).To(Equal(c.knownAsSound), c.name)
+			g.Expect(int(tracker.abandoned.Load())).To(Equal(c.abandoned), c.name)
 		})
 	}
 }
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -20,6 +20,7 @@
 	Began  time.Time
 	Answer *Answer // nil if Err is set
 	Err    error
+	RanFor time.Duration // of a stream that has broken off: since its first bytes
 }
 
 // status returns the HTTP status of the response, or 0 without one.
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithDeadline(ctx, e.request.Deadline)
 	keepContext := false
 	defer func() {
-		discardResponses(e.results, &e.pending)
+		e.discardResults()
 		if !keepContext {
 			cancel()
 		}
@@ -234,6 +235,7 @@
 	}
 	e.recordFailure(a)
 	if ctx.Err() != nil {
+		e.abandon(a)
 		return nil, e.contextError(ctx), true
 	}
 	if connectionLost(a.Err) || result.CodeOf(a.Err) == result.UpstreamUnreached {
@@ -253,6 +255,30 @@
 	return nil, nil, false
 }
 
+// abandon reports an attempt that ended after its request had, unless it cannot have run.
+func (e *execution) abandon(a Attempt) {
+	if a.Err != nil && mayHaveRun(a.Err) && !e.request.Background {
+		e.proxy.crashes.Abandoned(e.request, e.fingerprint, a)
+	}
+}
+
+// discardResults starts a goroutine that waits for the pending attempts and discards their
+// responses.
+func (e *execution) discardResults() {
+	go func() {
+		e.pending.Wait()
+		for {
+			select {
+			case a := <-e.results:
+				a.Answer.Discard()
+				e.abandon(a)
+			default:
+				return
+			}
+		}
+	}()
+}
+
 // mayRetry reports whether the request may be sent to another upstream.
 func (e *execution) mayRetry() bool {
 	if e.notRun >= maxRejections {
--- a/internal/proxy/owed_test.go
+++ b/internal/proxy/owed_test.go
@@ -27,6 +27,8 @@
 	q.table.RecordCrash(fingerprint, a.To.ID, a.To.Incarnation)
 }
 
+func (quarantineTracker) Abandoned(*Request, string, Attempt) {}
+
 func (quarantineTracker) Survived(string) {}
 
 // Guards against work handed in for later, such as the reward request of a batch item, that
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -82,8 +81,10 @@
 	// ConnectionLost records that the upstream of an attempt may have closed the
 	// connection before it had sent its whole response.
 	ConnectionLost(q *Request, fingerprint string, a Attempt)
-	// Survived records that an upstream has run the request with this fingerprint, or has
-	// run it for longer than a request takes that crashes what begins to run it.
+	// Abandoned records that this daemon has ended an attempt that the upstream may still have
+	// worked on, because the caller left or the time of the request was up.
+	Abandoned(q *Request, fingerprint string, a Attempt)
+	// Survived records that an upstream has run the request with this fingerprint to its end.
 	Survived(fingerprint string)
 }
 
@@ -174,19 +175,3 @@
 // isFinal reports whether a response ends the request even if another attempt is allowed. A
 // response with a status of 500 or above isn't final.
 func isFinal(a *Answer) bool { return a.Status < http.StatusInternalServerError }
-
-// discardResponses starts a goroutine that waits for the pending attempts and discards their
-// responses.
-func discardResponses(results <-chan Attempt, pending *sync.WaitGroup) {
-	go func() {
-		pending.Wait()
-		for {
-			select {
-			case attempt := <-results:
-				attempt.Answer.Discard()
-			default:
-				return
-			}
-		}
-	}()
-}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,10 +59,14 @@
 
 func (f *fakeUsage) Began(string, time.Time) { f.n++ }
 
-type fakeCrashTracker struct{ lost, survived int }
+type fakeCrashTracker struct {
+	lost, survived int
+	abandoned      atomic.Int32
+}
 
 func (*fakeCrashTracker) Blocked(string) bool                        { return false }
 func (f *fakeCrashTracker) ConnectionLost(*Request, string, Attempt) { f.lost++ }
+func (f *fakeCrashTracker) Abandoned(*Request, string, Attempt)      { f.abandoned.Add(1) }
 func (f *fakeCrashTracker) Survived(string)                          { f.survived++ }
 
 func serve(upstreams *fakeUpstreams, route routing.Route) (*Answer, *fakeUsage, error) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -9,10 +9,6 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// beginningOfStream is the time from its first bytes in which a stream that crashes its upstream
-// does so. One that breaks later has run: its upstream failed for another reason.
-const beginningOfStream = time.Second
-
 // cancelOnClose cancels the request's context when the stream is closed.
 type cancelOnClose struct {
 	io.ReadCloser
@@ -29,11 +25,11 @@
 // upstream.
 type watchedStream struct {
 	io.ReadCloser
-	ctx       context.Context // of the request
-	firstAt   time.Time       // of the first bytes; zero before
-	ended     bool
-	brokeOff  func(err error)
-	wasServed func()
+	ctx     context.Context // of the request
+	e       *execution
+	attempt Attempt
+	firstAt time.Time // of the first bytes; zero before
+	ended   bool
 }
 
 // watch returns the stream of an attempt. Background work is owed however it ends.
@@ -41,16 +37,7 @@
 	if e.request.Background {
 		return stream
 	}
-	return &watchedStream{
-		ReadCloser: stream, ctx: ctx,
-		brokeOff: func(err error) {
-			lost := Attempt{To: a.To, Began: a.Began, Err: err}
-			// The caller need not wait for the checks. If it takes the stream up before, the daemons
-			// learn of both crashes.
-			go e.proxy.crashes.ConnectionLost(e.request, e.fingerprint, lost)
-		},
-		wasServed: func() { e.proxy.crashes.Survived(e.fingerprint) },
-	}
+	return &watchedStream{ReadCloser: stream, ctx: ctx, e: e, attempt: Attempt{To: a.To, Began: a.Began}}
 }
 
 // Read implements io.Reader.
@@ -59,20 +46,40 @@
 	if n > 0 && s.firstAt.IsZero() {
 		s.firstAt = time.Now()
 	}
-	if err != nil && !s.ended {
-		s.ended = true
-		s.judge(err)
+	if err != nil {
+		s.end(err)
 	}
 	return n, err
 }
 
-// judge reports how the stream has ended. A caller that leaves says nothing of the request.
-func (s *watchedStream) judge(err error) {
+// Close implements io.Closer. A stream that has not ended before is abandoned.
+func (s *watchedStream) Close() error {
+	s.end(context.Canceled)
+	return s.ReadCloser.Close()
+}
+
+// end reports how the stream has ended. How long it had run is no proof for the request: it may
+// crash its upstream at any moment, also as its time is up or its caller leaves.
+func (s *watchedStream) end(err error) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	lost := s.attempt
+	lost.Err = err
+	if !s.firstAt.IsZero() {
+		lost.RanFor = time.Since(s.firstAt)
+	}
+	crashes := s.e.proxy.crashes
 	switch {
-	case err == io.EOF, !s.firstAt.IsZero() && time.Since(s.firstAt) >= beginningOfStream:
-		s.wasServed()
-	case s.ctx.Err() == nil && brokenOff(err):
-		s.brokeOff(err)
+	case err == io.EOF:
+		crashes.Survived(s.e.fingerprint)
+	case s.ctx.Err() != nil || err == context.Canceled:
+		crashes.Abandoned(s.e.request, s.e.fingerprint, lost)
+	case brokenOff(err):
+		// The caller need not wait for the checks. If it takes the stream up before, the daemons
+		// learn of both crashes.
+		go crashes.ConnectionLost(s.e.request, s.e.fingerprint, lost)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,12 +1,15 @@
 // Package quarantine records which requests crashed upstreams. After the first crash a
 // request is suspect and must run alone on an upstream. After quarantineThreshold crashes
-// it is quarantined and must not run. The records are not persisted. Daemons share them by
+// it is quarantined and must not run. Crashes after which it had run for long weigh less,
+// see LateCrash. The records are not persisted. Daemons share them by
 // notices, and they expire.
 package quarantine
 
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +24,14 @@
 // a call.
 const MethodShare = "quarantine.share"
 
-// shareInterval is the time between notices that repeat all live records, for daemons
-// that missed an earlier notice.
-const shareInterval = time.Second
+const (
+	// shareInterval is the time between notices that repeat records, for daemons that missed
+	// an earlier notice.
+	shareInterval = time.Second
+	// lateShareTime is how long a record with only late crashes is repeated by the daemon that
+	// recorded the newest one. A failing availability zone leaves one for each of its streams.
+	lateShareTime = 5 * time.Second
+)
 
 // Share contains records and changes of reservations.
 type Share struct {
@@ -55,12 +63,13 @@
 
 	mu      sync.Mutex
 	machine *StateMachine
+	late    map[string]time.Time // when this daemon recorded its newest late crash, by fingerprint
 }
 
 // NewTable returns an empty Table that reads the time from clock. notifier may be nil;
 // then nothing is sent to other daemons.
 func NewTable(clock func() time.Time, notifier Notifier) *Table {
-	return &Table{clock: clock, notifier: notifier, machine: NewStateMachine()}
+	return &Table{clock: clock, notifier: notifier, machine: NewStateMachine(), late: map[string]time.Time{}}
 }
 
 // Register adds the handlers of MethodShare to s.
@@ -69,15 +78,29 @@
 	peer.Handle(s, MethodShare, func(_ context.Context, q Share) (Ack, error) { return t.apply(q), nil })
 }
 
-// Run sends all live records every shareInterval until ctx ends.
+// Run sends records again every shareInterval until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	periodic.Every(ctx, shareInterval, func() {
-		if l := t.List(); len(l) > 0 {
+		if l := t.repeated(); len(l) > 0 {
 			t.broadcast(Share{Records: l})
 		}
 	})
 }
 
+// repeated returns the records to send again: all live ones, but those with only late crashes
+// that do not block for lateShareTime, and only if this daemon recorded one of them.
+func (t *Table) repeated() []Record {
+	all := t.List()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	maps.DeleteFunc(t.late, func(_ string, at time.Time) bool { return now.Sub(at) > lateShareTime })
+	return slices.DeleteFunc(all, func(r Record) bool {
+		_, own := t.late[r.Fingerprint]
+		return len(r.Upstreams) == 0 && len(r.Late) > 0 && !r.Blocked() && !own
+	})
+}
+
 // Record returns the record of the request fp, see StateMachine.Record.
 func (t *Table) Record(fp string) Record {
 	if !t.nonEmpty.Load() {
@@ -91,7 +114,7 @@
 // RecordCrash records that an upstream crashed while it ran the request fp. It returns
 // when the other daemons have replied or the notifier has timed out, because the client
 // may send the request again at once through any daemon.
-func (t *Table) RecordCrash(fp, upstream string, incarnation int64) {
+func (t *Table) RecordCrash(fp, upstream string, incarnation int64) Record {
 	t.mu.Lock()
 	t.nonEmpty.Store(true)
 	r := t.machine.RecordCrash(t.clock(), fp, fmt.Sprintf("%s#%d", upstream, incarnation))
@@ -99,6 +122,20 @@
 	if t.notifier != nil {
 		t.notifier.Confirm(MethodShare, Share{Records: []Record{r}})
 	}
+	return r
+}
+
+// RecordLateCrash records that an upstream of an availability zone crashed after it had run the
+// request fp for long. It does not wait for the other daemons.
+func (t *Table) RecordLateCrash(fp, upstream string, incarnation int64, zone string) Record {
+	t.mu.Lock()
+	t.nonEmpty.Store(true)
+	now := t.clock()
+	t.late[fp] = now
+	r := t.machine.RecordLateCrash(now, fp, LateCrash{fmt.Sprintf("%s#%d", upstream, incarnation), zone, now})
+	t.mu.Unlock()
+	t.broadcast(Share{Records: []Record{r}})
+	return r
 }
 
 // Release clears fp because an operator releases it or because it ran alone without a
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -10,16 +10,25 @@
 	Fingerprint string    `json:"fingerprint"`
 	Upstreams   []string  `json:"upstreams"` // incarnations that crashed while they ran it; empty once it is cleared
 	Since       time.Time `json:"since"`     // wall clock time of the newest crash or clearing
+	// Late are the crashes after which the request had run for long. Daemons of older builds ignore
+	// them.
+	Late []LateCrash `json:"late,omitempty"`
 	// Epoch increases when the request is cleared or released. Crashes of an older epoch
 	// no longer count.
 	Epoch uint64 `json:"epoch"`
 }
 
+// Crashed reports whether any crash counts against the request.
+func (r Record) Crashed() bool { return len(r.Upstreams)+len(r.Late) > 0 }
+
 // Suspect reports whether the request must run alone.
-func (r Record) Suspect() bool { return len(r.Upstreams) > 0 && !r.Blocked() }
+func (r Record) Suspect() bool { return r.Crashed() && !r.Blocked() }
 
 // Blocked reports whether the request is quarantined and must not run.
-func (r Record) Blocked() bool { return len(r.Upstreams) >= quarantineThreshold }
+func (r Record) Blocked() bool {
+	early := len(r.Upstreams)
+	return early >= quarantineThreshold || early+countLate(r.Late, r.Upstreams) >= lateQuarantineThreshold
+}
 
 // ttl returns how long after Since the record is kept.
 func (r Record) ttl() time.Duration {
@@ -46,6 +55,7 @@
 		}
 	}
 	slices.Sort(out.Upstreams)
+	out.Late = mergeLate(r.Late, o.Late)
 	if o.Since.After(out.Since) {
 		out.Since = o.Since
 	}
@@ -53,5 +63,5 @@
 }
 
 func (r Record) equal(o Record) bool {
-	return r.Epoch == o.Epoch && r.Since.Equal(o.Since) && slices.Equal(r.Upstreams, o.Upstreams)
+	return r.Epoch == o.Epoch && r.Since.Equal(o.Since) && slices.Equal(r.Upstreams, o.Upstreams) && slices.EqualFunc(r.Late, o.Late, LateCrash.equal)
 }
--- a/internal/quarantine/state_machine.go
+++ b/internal/quarantine/state_machine.go
@@ -11,6 +11,9 @@
 	// quarantineThreshold is the number of crashes after which a request is quarantined.
 	// Each incarnation of an upstream counts once.
 	quarantineThreshold = 2
+	// lateQuarantineThreshold is the number of crashes of any kind after which a request is
+	// quarantined. A request that has run for long before a crash is less likely its cause.
+	lateQuarantineThreshold = 3
 	// suspicionTTL is how long a request stays suspect after its last crash.
 	suspicionTTL = 10 * time.Minute
 	// quarantineTTL is how long a request stays quarantined after its last crash. If it
@@ -37,7 +40,7 @@
 	return &StateMachine{records: map[string]Record{}, reserved: reservations{byUpstream: map[string]reservationState{}}}
 }
 
-// Record returns the record of a request. The record has no crashed upstreams if the
+// Record returns the record of a request. The record has no crashes if the
 // request is unknown or its record has expired.
 func (m *StateMachine) Record(now time.Time, fp string) Record {
 	r, ok := m.records[fp]
@@ -56,12 +59,21 @@
 	return n
 }
 
+// RecordLateCrash records that an incarnation of an upstream crashed after it had run the request
+// fp for long. It returns the record to send to the other daemons.
+func (m *StateMachine) RecordLateCrash(now time.Time, fp string, c LateCrash) Record {
+	r := m.Record(now, fp)
+	n := r.merge(Record{Epoch: r.Epoch, Late: []LateCrash{c}, Since: now})
+	m.store(n)
+	return n
+}
+
 // Clear clears fp because it ran alone without a crash, or because an operator releases
 // it. It returns the record to send to the other daemons, or false if there is nothing to
 // clear.
 func (m *StateMachine) Clear(now time.Time, fp string) (Record, bool) {
 	r := m.Record(now, fp)
-	if len(r.Upstreams) == 0 {
+	if !r.Crashed() {
 		return r, false
 	}
 	n := Record{Fingerprint: fp, Epoch: r.Epoch + 1, Since: now}
--- a/internal/quarantine/state_machine_test.go
+++ b/internal/quarantine/state_machine_test.go
@@ -25,6 +25,9 @@
 			now = now.Add(time.Second)
 			m := ms[op%3]
 			switch {
+			case op < 3:
+				c := LateCrash{Upstream: fmt.Sprint("u", op), Zone: fmt.Sprint("z", i%2), At: now}
+				notices = append(notices, m.RecordLateCrash(now, "fp", c))
 			case op < 6:
 				notices = append(notices, m.RecordCrash(now, "fp", fmt.Sprint("u", op)))
 			case op < 9:
