Check an upstream after a request that the dispatcher ended itself

The own interface did not look for a crash once the request's context had ended, so a request that crashes its upstream just after its time is up was never suspected. Evidence: by reading, then the test.

Before: TestCrashJustAfterTheEndOfARequestCounts timed out without a suspicion. After: it passes; a sound upstream leaves none.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,6 +94,7 @@
 	chooser    *chooser.Chooser
 	forwarder  *forward.Forwarder
 	quarantine *quarantine.Table
+	abandoned  *upstream.PendingChecks
 	tracer     trace.Tracer
 	departures upstream.DepartureTracker
 	rates      ratecap.Tracker
@@ -106,7 +107,7 @@
 // New returns a Dispatcher for an entry in zone that picks among the upstreams of dir.
 func New(zone string, dir chooser.Directory, f *forward.Forwarder, q *quarantine.Table, tracer trace.Tracer) *Dispatcher {
 	return &Dispatcher{
-		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, tracer: tracer,
+		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, abandoned: upstream.NewPendingChecks(), tracer: tracer,
 		refuses:      upstream.RefusesConnections,
 		retryBudgets: map[string]*RetryBudget{}, departures: upstream.IgnoreDepartures{}, rates: ratecap.IgnoreRates{},
 	}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -76,8 +76,12 @@
 // against job, or calls OnCrash of an owed job. A response that was cut off does not prove a crash by itself: the upstream
 // must also refuse connections or be listed with a newer incarnation.
 func (d *Dispatcher) detectCrash(ctx context.Context, job Job, u upstream.Announcement, err error) {
+	if ctx.Err() != nil {
+		d.checkAbandoned(job, u, err)
+		return
+	}
 	code := result.CodeOf(err)
-	if ctx.Err() != nil || code != result.UpstreamFailed && code != result.AnswerCut {
+	if code != result.UpstreamFailed && code != result.AnswerCut {
 		return
 	}
 	for range crashProbeCount {
@@ -94,6 +98,23 @@
 	})
 }
 
+// checkAbandoned checks for a crash after this daemon has ended an attempt that u may still have
+// worked on, because the caller left or the time of the request was up.
+func (d *Dispatcher) checkAbandoned(job Job, u upstream.Announcement, err error) {
+	if err == nil || job.Owed || !mayHaveRun(err) || !d.abandoned.Add(u.Address, func() { d.recordCrash(job, u) }) {
+		return
+	}
+	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
+		record := d.abandoned.Take(u.Address)
+		if !d.refuses(u.Address) && !d.restarted(u) {
+			return
+		}
+		for _, r := range record {
+			r()
+		}
+	})
+}
+
 // recordCrash records that u crashed while it ran job.
 func (d *Dispatcher) recordCrash(job Job, u upstream.Announcement) {
 	switch {
