Find batch jobs after a configuration without accounts

Callers saw: after a manifest without tenants, an accepted batch job was 404 with every key and without one (LOST). The same cause as a removed route: accepted work was looked up through what is configured now.

No command changed; a replica of an older build ignores the new field and answers as before.

Before: TestAcceptedBatchJobIsKeptWhateverTheConfigurationBecomes failed at 'no accounts: results' (404).

--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -24,13 +24,15 @@
 
 // BatchReadRequest asks for results of a batch job, or for the body of one item.
 type BatchReadRequest struct {
-	Cluster string        `json:"cluster,omitempty"` // set by a replica of an earlier version that relays the request
-	Relayed bool          `json:"relayed,omitempty"` // the same
-	ID      string        `json:"id"`
-	Account string        `json:"account"`
-	After   int           `json:"after,omitempty"` // position of the first result to read, counted from 0
-	Wait    time.Duration `json:"wait,omitempty"`  // nanoseconds to wait for the first result
-	Item    string        `json:"item,omitempty"`  // if set, read the body of this item instead
+	Cluster string `json:"cluster,omitempty"` // set by a replica of an earlier version that relays the request
+	Relayed bool   `json:"relayed,omitempty"` // the same
+	ID      string `json:"id"`
+	Account string `json:"account"`
+	// AnyOwner reads the job whatever its account. Replicas of older builds ignore it.
+	AnyOwner bool          `json:"any_owner,omitempty"`
+	After    int           `json:"after,omitempty"` // position of the first result to read, counted from 0
+	Wait     time.Duration `json:"wait,omitempty"`  // nanoseconds to wait for the first result
+	Item     string        `json:"item,omitempty"`  // if set, read the body of this item instead
 }
 
 // BatchReadReply is the reply to a BatchReadRequest.
@@ -39,7 +41,8 @@
 	Next    int                 `json:"next"`
 	Results []state.BatchResult `json:"results,omitempty"`
 	Body    []byte              `json:"body,omitempty"`
-	Done    bool                `json:"done,omitempty"` // the batch job is no longer open; results after Next may remain
+	Account string              `json:"account,omitempty"` // of the job
+	Done    bool                `json:"done,omitempty"`    // the batch job is no longer open; results after Next may remain
 }
 
 // OpenBatch is a batch job whose items may still run.
@@ -87,10 +90,10 @@
 
 func readBatch(l *state.Ledger, q BatchReadRequest) (BatchReadReply, error) {
 	b := l.Batches[q.ID]
-	if b == nil || b.Account != q.Account {
+	if b == nil || b.Account != q.Account && !q.AnyOwner {
 		return BatchReadReply{}, result.New(result.NotFound, "no batch job %s", q.ID)
 	}
-	reply := BatchReadReply{Total: len(b.Items), Done: !b.Open()}
+	reply := BatchReadReply{Total: len(b.Items), Account: b.Account, Done: !b.Open()}
 	if q.Item != "" {
 		item, ok := b.Item(q.Item)
 		if !ok || b.Ended && b.HasResult(q.Item) {
