Give carried reward requests the time that their route allows

Callers saw (by reading): on a deployment with carriers, a reward request that takes longer than 4 s was cut at each try, whatever its route allowed, so that its item never completed before its lifetime ended.

Cause: one constant bounded the call to the carrier. It also tells a frozen carrier, so it stays as the least time.

Change: the scorer says how long the route lets the request run; the call has that much from the last moment at which the carrier may begin it.

Before: TestCarriedRewardRequestHasTheTimeOfItsRoute failed after 4 s. After: it passes.

--- a/internal/batch/carriers.go
+++ b/internal/batch/carriers.go
@@ -365,9 +365,10 @@
 	if address == "" {
 		return c.scorer.Score(ctx, q, limits)
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxCarriedScore)
+	left := min(time.Until(limits.Deadline), max(minCarriedScore, permitDuration+c.scorer.Timeout(q)))
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	reply, err := peer.Call[ScoreReply](ctx, c.client, address, MethodScore, ScoreRequest{Reward: q, Left: min(time.Until(limits.Deadline), maxCarriedScore)})
+	reply, err := peer.Call[ScoreReply](ctx, c.client, address, MethodScore, ScoreRequest{Reward: q, Left: left})
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrConnectionLost) || errors.Is(err, context.DeadlineExceeded) {
 		c.place.Unresponsive(address)
 		return "", result.New(result.UpstreamFailed, "the carrier of the reward request does not answer: %v", err)
@@ -375,9 +376,13 @@
 	return reply.Score, err
 }
 
-// maxCarriedScore bounds a reward request through a carrier. The request may be repeated
-// through another one.
-const maxCarriedScore = 4 * time.Second
+// minCarriedScore is the least time of a reward request through a carrier. One whose route allows
+// more has that much from its last moment to begin on, see Carrier. The request may be repeated
+// through another carrier.
+const minCarriedScore = 4 * time.Second
 
 // MaxFailures implements Scorer.
 func (c *Carriers) MaxFailures(q *state.Reward) int { return c.scorer.MaxFailures(q) }
+
+// Timeout implements Scorer.
+func (c *Carriers) Timeout(q *state.Reward) time.Duration { return c.scorer.Timeout(q) }
--- a/internal/batch/carriers_test.go
+++ b/internal/batch/carriers_test.go
@@ -175,6 +175,35 @@
 
 // A carrier that was restarted while it had no runs refuses the next one, which has a permit for
 // the process before. The one after that must be run again.
+// slowScorer takes some time for each reward request, as its route allows.
+type slowScorer struct {
+	stubFailingScorer
+	takes, timeout time.Duration
+}
+
+func (s slowScorer) Score(ctx context.Context, _ *state.Reward, _ ScoreLimits) (string, error) {
+	select {
+	case <-time.After(s.takes):
+		return "signed", nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+func (s slowScorer) Timeout(*state.Reward) time.Duration { return s.timeout }
+
+// Guards against a reward request that never ends on a large deployment, because its carrier has
+// less time for it than its route.
+func TestCarriedRewardRequestHasTheTimeOfItsRoute(t *testing.T) {
+	g := NewWithT(t)
+	x := newCarried(t, &scriptedEngines{})
+	slow := slowScorer{takes: minCarriedScore + 200*time.Millisecond, timeout: 2 * minCarriedScore}
+	x.carrier.scorer, x.leader.scorer = slow, slow
+	signature, err := x.leader.Score(t.Context(), &state.Reward{ID: "r"}, ScoreLimits{Deadline: time.Now().Add(time.Minute)})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(signature).To(Equal("signed"))
+}
+
 func TestRestartedCarrierIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	x := newCarried(t, &scriptedEngines{events: 3})
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -83,4 +83,6 @@
 	// MaxFailures returns the number of such failures after which the route of the request
 	// allows the item to be aborted.
 	MaxFailures(r *state.Reward) int
+	// Timeout returns how long the route of the request lets it run.
+	Timeout(r *state.Reward) time.Duration
 }
--- a/internal/batch/session_test.go
+++ b/internal/batch/session_test.go
@@ -28,6 +28,8 @@
 
 func (f stubFailingScorer) MaxFailures(*state.Reward) int { return f.limit }
 
+func (stubFailingScorer) Timeout(*state.Reward) time.Duration { return time.Second }
+
 // An item whose reward request fails on every upstream is aborted after exactly as many
 // failures as the route of the reward request allows. A lower limit of the batch job's own
 // route must not apply, since the item would then be aborted before the last upstream has
@@ -234,6 +236,8 @@
 
 func (*waitingScorer) MaxFailures(*state.Reward) int { return 1 }
 
+func (*waitingScorer) Timeout(*state.Reward) time.Duration { return time.Second }
+
 // Guards against reward requests that outlive their batch job: those of an ended job end at once,
 // also between two attempts, and those of another job go on.
 func TestRewardRequestsEndWithTheirBatchJob(t *testing.T) {
