End connections whose peer stalls within a frame

Cause: a frame of a peer that had begun had a bound in bytes but none in time, so a frozen daemon kept the memory of half a frame at its peers (an open point of design/outside-bytes.md).

Before: TestStalledFrameEndsItsConnection did not end (deadlock in virtual time). After: it passes.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -55,15 +55,17 @@
 	conn     net.Conn
 	onNotice func(method string, params json.RawMessage) // if nil, the library handles notices
 
-	in    *bufio.Reader
-	frame bytes.Buffer
+	in     *bufio.Reader
+	frames *frameReader // what in reads from
+	frame  bytes.Buffer
 
 	mu  sync.Mutex
 	out *bufio.Writer
 }
 
 func newStream(c net.Conn, onNotice func(string, json.RawMessage)) *stream {
-	return &stream{conn: c, onNotice: onNotice, in: bufio.NewReader(c), out: bufio.NewWriter(c)}
+	frames := &frameReader{conn: c}
+	return &stream{conn: c, onNotice: onNotice, in: bufio.NewReader(frames), frames: frames, out: bufio.NewWriter(c)}
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -144,6 +146,11 @@
 
 // readFrame returns the contents of the next frame, which are valid until the next call.
 func (s *stream) readFrame() ([]byte, error) {
+	if _, err := s.in.Peek(1); err != nil {
+		return nil, err
+	}
+	s.frames.inFrame = true
+	defer func() { s.frames.inFrame = false }()
 	length, header := int64(-1), 0
 	for {
 		line, err := s.in.ReadSlice('\n')
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,8 +23,9 @@
 	in io.Reader
 }
 
-func (c stubConn) Read(b []byte) (int, error) { return c.in.Read(b) }
-func (c stubConn) Close() error               { return nil }
+func (c stubConn) Read(b []byte) (int, error)    { return c.in.Read(b) }
+func (c stubConn) Close() error                  { return nil }
+func (stubConn) SetReadDeadline(time.Time) error { return nil }
 
 func frames(objects ...string) string {
 	var out strings.Builder
@@ -136,6 +138,34 @@
 	}
 }
 
+// Guards against a frozen peer that keeps the memory of half a frame for ever. A frame that arrives
+// slowly is read whole, and a connection without frames is kept.
+func TestStalledFrameEndsItsConnection(t *testing.T) {
+	for _, start := range []string{"Content-", "Content-Length: 100\r\n\r\n{"} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			here, there := net.Pipe()
+			defer here.Close()
+			defer there.Close()
+			go func() {
+				time.Sleep(time.Hour)
+				const frame = "Content-Length: 4\r\n\r\ntrue"
+				for i := range len(frame) {
+					_, _ = there.Write([]byte{frame[i]})
+					time.Sleep(frameStallTimeout / 2)
+				}
+				time.Sleep(time.Hour)
+				_, _ = there.Write([]byte(start))
+			}()
+			s := newStream(here, nil)
+			var v json.RawMessage
+			g.Expect(s.ReadObject(&v)).To(Succeed())
+			g.Expect(string(v)).To(Equal("true"))
+			g.Expect(s.ReadObject(&v)).To(MatchError(os.ErrDeadlineExceeded))
+		})
+	}
+}
+
 // countingReader counts the bytes that are read.
 type countingReader struct {
 	r io.Reader
