Do not take a full upstream for one that has crashed

Cause: an upstream that refuses connections half a second after its attempt was ended counted as crashed. One that is full may refuse them too (maxConns), and requests whose time is up are many there: a sound one could be held back. Two upstreams of a zone that failed together could also be counted at two moments, by when they were found and not by when they were lost.

Before: TestFullUpstreamsAreNoCrashes fails without the check of announcements. After: it passes.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -109,9 +109,14 @@
 		if !d.refuses(u.Address) && !d.restarted(u) {
 			return
 		}
-		for _, r := range record {
-			r()
-		}
+		time.AfterFunc(upstream.RestartCheckDelay, func() { // it may have been full
+			if !d.refuses(u.Address) && !d.restarted(u) {
+				return
+			}
+			for _, r := range record {
+				r()
+			}
+		})
 	})
 }
 
--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -67,56 +67,72 @@
 	if t.excused(fingerprint, a) {
 		return
 	}
-	late := a.RanFor >= earlyCrashTime
+	late, at := a.RanFor >= earlyCrashTime, time.Now()
 	if t.n.dependencies.Links.RefusesConnections(a.To.Address) {
-		t.count(q, fingerprint, a, late)
+		t.count(q, fingerprint, a, late, at)
 		return
 	}
 	time.AfterFunc(upstream.RestartCheckDelay, func() {
 		if !t.excused(fingerprint, a) && t.crashed(a) {
-			t.count(q, fingerprint, a, late)
+			t.count(q, fingerprint, a, late, at)
 		}
 	})
 }
 
 // Abandoned implements proxy.CrashTracker. It counts a crash against the request, as a late one, if
-// the upstream has crashed upstream.AbandonedCheckDelay later. An upstream that is heard meanwhile is not
-// checked.
+// the upstream is found to have crashed later. An upstream that is heard meanwhile is not checked. One
+// that is full may refuse connections too, so it has to refuse them twice and must not have
+// announced itself since.
 func (t crashTracker) Abandoned(q *proxy.Request, fingerprint string, a proxy.Attempt) {
 	if t.excused(fingerprint, a) {
 		return
 	}
+	at := time.Now()
 	first := t.abandoned.Add(a.To.Address, func() {
 		if !t.excused(fingerprint, a) {
-			t.count(q, fingerprint, a, true)
+			t.count(q, fingerprint, a, true, at)
 		}
 	})
 	if !first {
 		return // checked with the attempt that was abandoned first
 	}
-	heardSince := time.Now().Add(upstream.AbandonedCheckDelay / 2)
+	heardSince := at.Add(upstream.AbandonedCheckDelay / 2)
+	before, _ := t.n.directory.Get(a.To.ID)
 	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
 		count := t.abandoned.Take(a.To.Address)
 		if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) || !t.crashed(a) {
 			return
 		}
-		for _, c := range count {
-			c()
-		}
+		time.AfterFunc(upstream.RestartCheckDelay, func() {
+			if t.announcedSince(before) || !t.crashed(a) {
+				return
+			}
+			for _, c := range count {
+				c()
+			}
+		})
 	})
 }
 
+// announcedSince reports whether the incarnation of an earlier announcement has announced itself
+// again.
+func (t crashTracker) announcedSince(before upstream.Announcement) bool {
+	now, ok := t.n.directory.Get(before.ID)
+	return ok && now.Incarnation == before.Incarnation && now.Seq > before.Seq
+}
+
 // excused reports whether a crash of the upstream of an attempt would say nothing of the request.
 func (t crashTracker) excused(fingerprint string, a proxy.Attempt) bool {
 	return t.survivors.Has(time.Now(), fingerprint) || t.withdrawn(a)
 }
 
-// count records that the upstream of an attempt has crashed under the request.
-func (t crashTracker) count(q *proxy.Request, fingerprint string, a proxy.Attempt, late bool) {
+// count records that the upstream of an attempt, which ended at the given time, has crashed under the
+// request.
+func (t crashTracker) count(q *proxy.Request, fingerprint string, a proxy.Attempt, late bool, at time.Time) {
 	var r quarantine.Record
 	if late {
 		lateCrashes.Inc()
-		r = t.n.quarantine.RecordLateCrash(fingerprint, a.To.ID, a.To.Incarnation, a.To.Zone)
+		r = t.n.quarantine.RecordLateCrash(fingerprint, a.To.ID, a.To.Incarnation, a.To.Zone, at)
 	} else {
 		earlyCrashes.Inc()
 		r = t.n.quarantine.RecordCrash(fingerprint, a.To.ID, a.To.Incarnation)
--- a/internal/node/crash_tracker_test.go
+++ b/internal/node/crash_tracker_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -70,3 +72,30 @@
 		g.Expect(tracker.Blocked("fp")).To(Equal(c.blocked), c.name)
 	}
 }
+
+// Guards against a request that is held back because upstreams were full: these refuse connections
+// too, but announce themselves. Upstreams that crashed just after the request was ended do not.
+func TestFullUpstreamsAreNoCrashes(t *testing.T) {
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("connection refused") }
+	for _, full := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			n := &Node{
+				log: log.New(io.Discard), quarantine: quarantine.NewTable(time.Now, nil), directory: upstream.NewDirectory(alone{}),
+				dependencies: Dependencies{Links: reach.NewLinks(refuse, log.New(io.Discard))},
+			}
+			tracker := newCrashTracker(n)
+			for i, id := range []string{"u1", "u2", "u3"} {
+				a := upstream.Announcement{ID: id, Incarnation: 1, Seq: 1, Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Zone: id, Class: upstream.ClassRegular, Concurrency: 1, TTL: 5}
+				g.Expect(n.directory.Announce(a)).To(Succeed())
+				tracker.Abandoned(&proxy.Request{}, "fp", proxy.Attempt{To: a, Began: time.Now()})
+				if full {
+					a.Seq = 2
+					g.Expect(n.directory.Announce(a)).To(Succeed())
+				}
+			}
+			time.Sleep(3 * time.Second)
+			g.Expect(tracker.Blocked("fp")).To(Equal(!full))
+		})
+	}
+}
--- a/internal/quarantine/late_crash.go
+++ b/internal/quarantine/late_crash.go
@@ -14,7 +14,7 @@
 type LateCrash struct {
 	Upstream string    `json:"upstream"` // incarnation
 	Zone     string    `json:"zone"`     // availability zone of the upstream
-	At       time.Time `json:"at"`       // wall clock time
+	At       time.Time `json:"at"`       // wall clock time at which the request was cut off
 }
 
 func (c LateCrash) equal(o LateCrash) bool {
--- a/internal/quarantine/late_crash_test.go
+++ b/internal/quarantine/late_crash_test.go
@@ -62,7 +62,7 @@
 	clock := func() time.Time { return now }
 	sent := &sharedNotices{}
 	recorder, other := NewTable(clock, sent), NewTable(clock, nil)
-	other.apply(Share{Records: []Record{recorder.RecordLateCrash("fp", "u", 1, "z")}})
+	other.apply(Share{Records: []Record{recorder.RecordLateCrash("fp", "u", 1, "z", now)}})
 	g.Expect(sent.records).To(Equal(1))
 	g.Expect(recorder.repeated()).To(HaveLen(1))
 	g.Expect(other.repeated()).To(BeEmpty())
@@ -70,7 +70,7 @@
 	g.Expect(recorder.repeated()).To(BeEmpty())
 	for _, upstream := range []string{"v", "w"} {
 		now = now.Add(time.Minute)
-		other.RecordLateCrash("fp", upstream, 1, "z")
+		other.RecordLateCrash("fp", upstream, 1, "z", now)
 	}
 	now = now.Add(time.Hour)
 	g.Expect(other.repeated()).To(HaveLen(1), "one that is held back is repeated by all")
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -126,13 +126,13 @@
 }
 
 // RecordLateCrash records that an upstream of an availability zone crashed after it had run the
-// request fp for long. It does not wait for the other daemons.
-func (t *Table) RecordLateCrash(fp, upstream string, incarnation int64, zone string) Record {
+// request fp for long, until the given time. It does not wait for the other daemons.
+func (t *Table) RecordLateCrash(fp, upstream string, incarnation int64, zone string, at time.Time) Record {
 	t.mu.Lock()
 	t.nonEmpty.Store(true)
 	now := t.clock()
 	t.late[fp] = now
-	r := t.machine.RecordLateCrash(now, fp, LateCrash{fmt.Sprintf("%s#%d", upstream, incarnation), zone, now})
+	r := t.machine.RecordLateCrash(now, fp, LateCrash{fmt.Sprintf("%s#%d", upstream, incarnation), zone, at})
 	t.mu.Unlock()
 	t.broadcast(Share{Records: []Record{r}})
 	return r
