Announce the level of log entries that a daemon can read

A replica stops at a command or field that it does not know, so a new one must not be written while a daemon of an older build is known. Daemons now announce a level in the gossip; older builds ignore the field and count as level 0. Nothing is written at level 1 yet.

Measured: tests of member and node pass; no message to older daemons changes but for the added field.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -150,6 +150,7 @@
 	if d.replica != nil && d.replica.Available() { // else others replace its vote and do not call it
 		m.Replica = string(d.identity.ID)
 	}
+	m.Level = member.Level
 	if d.links != nil {
 		m.Relays, m.Severed = true, d.links.Severed()
 	}
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -25,9 +25,26 @@
 	Draining      bool   `json:"draining,omitempty"` // accepts no new callers
 	Relays        bool   `json:"relays,omitempty"`   // passes connections to upstreams on for other daemons
 	Severed       bool   `json:"severed,omitempty"`  // has lost its links to upstreams
+	Level         int    `json:"level,omitempty"`    // see Level; 0 in older builds
 	InFlight      int    `json:"in_flight,omitempty"`
 }
 
+// Level is the level of commands and fields of the control log that this build can read. A replica
+// stops at an entry that it cannot read, so an entry of a level is written only once all known
+// daemons announce at least that level.
+//
+//	1: evacuations of availability zones, and the rate of a service's cold upstreams
+const Level = 1
+
+// CommonLevel returns the lowest level of daemons.
+func CommonLevel(daemons []Daemon) int {
+	level := Level
+	for _, d := range daemons {
+		level = min(level, d.Level)
+	}
+	return level
+}
+
 // epoch returns the number by which descriptions of different starts are ordered.
 func (d Daemon) epoch() int64 { return max(d.Incarnation, d.Epoch) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -260,10 +260,13 @@
 	return member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
 		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: n.announcedReplica(),
-		Fresh: n.follower.Fresh(), Draining: n.draining.Load(), Relays: true, Severed: n.dependencies.Links.Severed(),
+		Fresh: n.follower.Fresh(), Draining: n.draining.Load(), Relays: true, Severed: n.dependencies.Links.Severed(), Level: member.Level,
 	}
 }
 
+// Level returns the level of log entries that all known daemons can read, see member.Level.
+func (n *Node) Level() int { return member.CommonLevel(n.gossip.Live()) }
+
 // announcedReplica returns the ID of the replica, or "" while it takes no part in the
 // control group: then the others replace its vote and do not call it.
 func (n *Node) announcedReplica() string {
