Elect a leader at once after a restart of all voters

Cause: after a loss of power of all machines each replica waited for an election timeout, 1.0 to 1.3 s, because it may have promised a leader from before not to vote for another. But a lease is held in the memory of a running leader only, and none runs then.

Change: a replica that has just started asks the voters of the newest membership, and of the one before while the newest is not known to be committed, whether they have restarted and heard no leader since. Once all have said so, the one with the newest log asks for votes at once. It wins only if every voter answers that request too, in the same run of its process and still without a leader. A replica that opens its folder again in the same process does not count as restarted. The line about the role of a replica says whether it was elected early.

Replicas in the simulations are new processes now, so that the existing schedules cover early elections: the simulated group sets the new field, the cluster of the core does so for the new tests only, in which a lease ends with its process. No check changed.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -42,6 +42,9 @@
 	Entries  []Entry // log entries after the snapshot
 	Now      Time
 	Rand     *rand.Rand
+	// Restarted is set if no replica with this ID has run in this process before. Otherwise
+	// what an earlier Node did under its lease may still be in progress.
+	Restarted bool
 
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -18,6 +18,7 @@
 	n.leader = leader
 	n.progress = nil
 	n.votes, n.rejections = nil, nil
+	n.restart.confirmed = nil
 	n.resetElection()
 }
 
@@ -27,6 +28,7 @@
 	n.recordFailedElection()
 	n.role = PreCandidate
 	n.leader = ""
+	n.restart.confirmed = nil
 	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	n.resetElection()
 	if n.hasVoteQuorum() {
@@ -71,6 +73,8 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.id
+	n.restart.elected = n.restart.confirmed != nil
+	n.restart.own, n.restart.confirmed = false, nil
 	n.leaderSince = n.now
 	n.recentCommit, n.sampledCommit, n.nextCommitSample = n.commit, n.commit, n.now
 	n.votes, n.rejections = nil, nil
@@ -96,30 +100,44 @@
 // replica is not a voter in its own log: the entry that made it a voter may not have
 // arrived here, and the candidate may need the vote.
 func (n *Node) stepVoteRequest(m Message) {
-	reply := MsgVoteReply
-	if m.Kind == MsgPreVote {
-		reply = MsgPreVoteReply
-	}
-	if n.leaderLeaseMayBeActive() || n.role == Leader {
-		n.send(Message{Kind: reply, To: m.From, Term: n.term, Reject: true})
+	afterRestart := n.asksAfterRestart(m)
+	if n.leaderLeaseMayBeActive() && !afterRestart || n.role == Leader {
+		n.replyVote(m, n.term, true)
 		return
 	}
+	electionAt := n.electionAt
 	if m.Kind == MsgVote && m.Term > n.term {
 		n.becomeFollower(m.Term, "")
 	}
 	mayVote := n.vote == "" || n.vote == m.From || m.Kind == MsgPreVote
 	if m.Term < n.term || !mayVote || !n.log.upToDate(m.Index, m.LogTerm) {
-		n.send(Message{Kind: reply, To: m.From, Term: n.term, Reject: true})
+		n.replyVote(m, n.term, true)
 		return
 	}
 	if m.Kind == MsgVote {
 		n.vote = m.From
 		n.resetElection()
 	} else if !n.grantPreVote(m) {
-		n.send(Message{Kind: reply, To: m.From, Term: n.term, Reject: true})
+		n.replyVote(m, n.term, true)
+		return
+	}
+	if afterRestart {
+		// If the early election fails, the next one must not begin later than without it.
+		n.electionAt = max(electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+	}
+	n.replyVote(m, m.Term, false)
+}
+
+func (n *Node) replyVote(m Message, term uint64, reject bool) {
+	if m.Kind == MsgPreVote {
+		n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: term, Reject: reject})
 		return
 	}
-	n.send(Message{Kind: reply, To: m.From, Term: m.Term})
+	r := Message{Kind: MsgVoteReply, To: m.From, Reject: reject}
+	if m.Restarted {
+		r.SentAt, r.Incarnation, r.EchoIncarnation, r.Restarted = m.SentAt, n.incarnation, m.Incarnation, n.restart.own
+	}
+	n.send(r)
 }
 
 // grantPreVote decides whether to grant the pre-vote that m asks for. Two replicas that
@@ -159,12 +177,13 @@
 	if n.role != Candidate || m.Term != n.term {
 		return
 	}
+	n.confirmRestart(m)
 	if m.Reject {
 		n.rejections[m.From] = true
-		return
+	} else {
+		n.votes[m.From] = true
 	}
-	n.votes[m.From] = true
-	if n.hasVoteQuorum() {
+	if n.hasWon() {
 		n.becomeLeader()
 	}
 }
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -19,6 +19,11 @@
 	MsgAppendReply
 	// MsgSnapshot carries a complete snapshot.
 	MsgSnapshot
+	// MsgRestarted asks a voter whether it has restarted and heard no leader since. Older
+	// builds ignore it and its reply; its term is 0 so that they don't adopt it.
+	MsgRestarted
+	// MsgRestartedReply answers MsgRestarted.
+	MsgRestartedReply
 )
 
 // Message is a message between two replicas. Its JSON names are short because
@@ -52,6 +57,12 @@
 	EchoIncarnation uint32 `json:"er,omitempty"`
 	LeaseHeld       bool   `json:"y,omitempty"`
 
+	// Restarted is set in replies to MsgRestarted and MsgVote if the sender has heard no
+	// leader and has not led since its process started. In a MsgVote it says that all voters
+	// have answered so; Incarnation then identifies the run of the candidate's process, and
+	// EchoIncarnation that of the receiver's. The replies have these two the other way round.
+	Restarted bool `json:"z,omitempty"`
+
 	// Reject is set when a vote or an append is rejected. For an append, Hint is then
 	// the last index at which the follower's log may match.
 	Reject bool   `json:"x,omitempty"`
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -91,6 +91,7 @@
 	rejections   map[ID]bool // refused in the election in progress
 	election     ElectionResult
 	progress     map[ID]*progress
+	restart      restart
 
 	incarnation uint32 // random; identifies this run of the process
 	readPoint   ReadPoint
@@ -118,6 +119,7 @@
 		lastLeaderContact: cfg.Now,
 	}
 	n.incarnation = n.rnd.Uint32()
+	n.restart = restart{own: cfg.Restarted, startedAt: cfg.Now, askAt: cfg.Now, answers: map[ID]restartedAnswer{}}
 	n.log.snapshot = cfg.Snapshot
 	n.log.append(cfg.Entries...)
 	n.log.stable = n.log.lastIndex()
@@ -142,7 +144,9 @@
 	}
 	if n.now >= n.electionAt && n.canCampaign() {
 		n.campaign()
+		return
 	}
+	n.tickRestart()
 }
 
 // canCampaign reports whether this replica may start an election: it is a voter, or its
@@ -306,6 +310,9 @@
 	// leader only.
 	Active   []ID
 	Election ElectionResult
+	// ElectedEarly is set on a leader that was elected without waiting for the election
+	// timeout, because all voters had restarted.
+	ElectedEarly bool
 }
 
 // Status describes the replica now.
@@ -317,6 +324,7 @@
 	}
 	if n.role == Leader {
 		s.RecentCommit = n.recentCommit
+		s.ElectedEarly = n.restart.elected
 		s.Match = make(map[ID]uint64, len(n.progress))
 		for id, p := range n.progress {
 			s.Match[id] = p.match
@@ -364,7 +372,9 @@
 
 func (n *Node) send(m Message) {
 	m.From = n.id
-	if m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply {
+	switch m.Kind {
+	case MsgPreVote, MsgPreVoteReply, MsgRestarted, MsgRestartedReply:
+	default:
 		m.Term = n.term
 	}
 	n.outbox = append(n.outbox, m)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -15,6 +15,12 @@
 	case MsgPreVoteReply:
 		n.stepPreVoteReply(m)
 		return
+	case MsgRestarted:
+		n.stepRestarted(m)
+		return
+	case MsgRestartedReply:
+		n.stepRestartedReply(m)
+		return
 	}
 	if m.Term > n.term {
 		n.becomeFollower(m.Term, "")
@@ -42,6 +48,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.lastLeaderContact = n.now
+	n.restart.own = false
 	n.resetElection()
 	return true
 }
--- a/internal/consensus/sim_cluster_test.go
+++ b/internal/consensus/sim_cluster_test.go
@@ -36,6 +36,9 @@
 	firstAppliedAt    []float64 // real time at which each entry was first applied
 	identitiesAdded   int       // replicas added since the start
 	failure           string    // the first violated invariant; empty: none
+	// newProcesses is set if each start is that of a new process: it says that it has
+	// restarted, and what the process before it did under its lease has ended.
+	newProcesses bool
 }
 
 func newSimCluster(seed uint64, voters, learners int) *simCluster {
@@ -71,7 +74,11 @@
 	r.node = New(Config{
 		ID: r.id, Hard: r.disk.hard, Snapshot: meta, Entries: r.disk.entries, Now: r.clock(s.realTime), Rand: s.rnd,
 		HeartbeatInterval: simHeartbeat, ElectionTimeout: simElection, LeaseDuration: simLease, MaxAppendEntries: 2,
+		Restarted: s.newProcesses,
 	})
+	if s.newProcesses {
+		r.leaseEnd = 0
+	}
 	r.frozen, r.crashStage = false, 0
 	r.applied = meta.Index
 	r.appliedHash = s.appliedHashAt(meta.Index)
--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -122,7 +122,7 @@
 	}
 	r.writingSnapshot, r.nextSnapshotAt, r.compactTo = false, 0, consensus.SnapshotMeta{}
 	r.changes, r.changeBytes, r.bytesSinceSnapshot = nil, nil, 0
-	if err := r.load(f.disk, f.loaded); err != nil {
+	if err := r.load(f.disk, f.loaded, false); err != nil {
 		f.disk.Close()
 		return err
 	}
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -41,7 +41,7 @@
 	m.process = p
 	p.node = consensus.New(consensus.Config{
 		ID: p.id, Hard: p.disk.hard, Snapshot: p.disk.snapshot.Meta, Entries: p.disk.entries,
-		Now: p.s.now, Rand: rand.New(rand.NewPCG(p.s.rnd.Uint64(), 3)),
+		Now: p.s.now, Rand: rand.New(rand.NewPCG(p.s.rnd.Uint64(), 3)), Restarted: true,
 	})
 	p.load(p.disk.snapshot)
 	p.replica = &Replica{}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		r.state = state.New()
 		r.suspend(l.Identity.ID, consensus.SnapshotMeta{Members: consensus.Membership{}}, err)
-	} else if err := r.load(disk, l); err != nil {
+	} else if err := r.load(disk, l, true); err != nil {
 		disk.Close()
 		return nil, l.Identity, err
 	}
@@ -146,8 +146,9 @@
 	return r, l.Identity, nil
 }
 
-// load starts the consensus core and the state from what disk holds.
-func (r *Replica) load(disk dataFolder, l storage.LoadedState) error {
+// load starts the consensus core and the state from what disk holds. restarted is set if no
+// other consensus core has run in this process.
+func (r *Replica) load(disk dataFolder, l storage.LoadedState, restarted bool) error {
 	st, err := state.Decode(l.Snapshot.Data)
 	if err != nil {
 		return err
@@ -156,7 +157,7 @@
 	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now()).advanceTo(lastCommandTime(l.Entries), clock.Now())
 	r.node = consensus.New(consensus.Config{
 		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries, Now: r.now(),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Restarted: restarted,
 	})
 	r.log.Info("Data folder read.", "id", l.Identity.ID, "cluster", l.Identity.Cluster, "term", l.Hard.Term, "vote", l.Hard.Vote, "commit", l.Hard.Commit,
 		"snapshot", l.Snapshot.Meta.Index, "snapshot_bytes", len(l.Snapshot.Data), "entries", len(l.Entries), "ms", r.upMs())
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -20,7 +20,7 @@
 func (r *Replica) logRoleChange(old, now *consensus.Status) {
 	if old == nil || old.Role != now.Role || old.Term != now.Term || old.Leader != now.Leader {
 		r.log.Info("Role in the control group.", "id", now.ID, "role", roleNames[now.Role], "term", now.Term, "leader", now.Leader,
-			"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members), "up_ms", r.upMs())
+			"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members), "elected_early", now.ElectedEarly, "up_ms", r.upMs())
 	}
 	if old != nil && old.Election.Failed != now.Election.Failed {
 		e := now.Election
