Hold requests while an entry starts, and learn upstreams sooner

Cause: after all processes have stopped, every entry refuses requests for some seconds, with code 221 until it has a configuration and with 203 until it knows an upstream. Callers have two attempts and 800 or 2,000 ms, and lose what is refused twice. Part of the time is needless. The first pull of upstreams asks replicas one after the other and ends with the first answer, also an empty one; the next comes after a second and asks one random replica. Broadcasts of heartbeats miss entries that the replica does not know yet, and are repeated after 1.6 s. An entry without any peer tries the seeds every 500 ms.

Change: package readiness decides, without I/O or clock, whether an entry that started less than 10 s ago holds a request. It holds it if all have restarted (most seeds' machines have refused a connection, or fewer than half of the other entries have been up for longer) and if it will probably be ready before the caller's deadline. It refuses at once otherwise, with the time at which it expects to be ready, or 50 ms if other entries are. A held request goes on with the configuration, its proof, or the first upstream of its service. At most 1,024 are held; their bodies count against the memory for bodies. A process that knows no upstream of a service with a route pulls every 75 to 225 ms in its first 10 s, and tries the seeds every 100 ms until it has reached another daemon. Steady state has no additional message.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -21,6 +21,11 @@
 	// the seeds that are not known to be up. The attempts reunite two sets of daemons
 	// that have ejected each other.
 	seedRetryRounds = 10
+	// firstRetryInterval is the pause between attempts to contact the seeds while no other daemon
+	// is known, in the firstRetryPeriod after the start: when all daemons restart together, a
+	// daemon that waits for the next probe is missing from the first notices of the others.
+	firstRetryInterval = 100 * time.Millisecond
+	firstRetryPeriod   = 10 * time.Second
 )
 
 // Gossip keeps a Table up to date by exchanging messages with the other daemons.
@@ -44,13 +49,15 @@
 	// differed is set when the table of the daemon probed last differed. Tables differ
 	// briefly whenever a notice is under way.
 	differed bool
+	// refused holds for each seed that was called whether its machine has refused a connection.
+	refused map[string]bool
 }
 
 // NewGossip returns a Gossip. It finds the other daemons through the peer addresses that
 // seeds returns. self returns the current description of this daemon.
 func NewGossip(client *peer.Client, seeds func() []string, self func() Daemon) *Gossip {
 	g := &Gossip{
-		client: client, seeds: seeds, self: self, table: NewTable(self()), maxDirect: maxDirect,
+		client: client, seeds: seeds, self: self, table: NewTable(self()), maxDirect: maxDirect, refused: map[string]bool{},
 		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	g.outgoing = batcher{delay: relayDelay, send: g.sendToRelays}
@@ -81,6 +88,7 @@
 func (g *Gossip) Run(ctx context.Context) {
 	g.AnnounceChanges()
 	g.pullFromSeeds(ctx)
+	go g.findFirst(ctx)
 	go periodic.Every(ctx, selfCheckInterval, g.AnnounceChanges)
 	n := 0
 	periodic.Every(ctx, probeInterval, func() {
@@ -89,6 +97,16 @@
 	})
 }
 
+// findFirst contacts the seeds until another daemon is known, for firstRetryPeriod at most.
+func (g *Gossip) findFirst(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < firstRetryPeriod && len(g.Live()) == 1; {
+		if !periodic.Pause(ctx, firstRetryInterval) {
+			return
+		}
+		g.pullFromSeeds(ctx)
+	}
+}
+
 // probeRound starts one probe. It also contacts the seeds if seeds is set or no other
 // daemon is known.
 func (g *Gossip) probeRound(ctx context.Context, seeds bool) {
@@ -219,17 +237,17 @@
 	g.mu.Unlock()
 	g.renew(reply.Rejection)
 	if pull {
-		g.pull(ctx, address)
+		_ = g.pull(ctx, address) // the next probe tries again
 	}
 	return true
 }
 
 // pull fetches the table of the daemon at address and merges it. A daemon that is missing
-// there may have been ejected, and is probed next. Errors are ignored.
-func (g *Gossip) pull(ctx context.Context, address string) {
+// there may have been ejected, and is probed next.
+func (g *Gossip) pull(ctx context.Context, address string) error {
 	reply, err := peer.Call[TableReply](ctx, g.client, address, MethodTable, g.localPing())
 	if err != nil {
-		return
+		return err
 	}
 	listed := map[string]bool{}
 	for _, d := range reply.Daemons {
@@ -240,6 +258,7 @@
 	g.table.ProbeFirst(func(id string) bool { return !listed[id] })
 	g.mu.Unlock()
 	g.renew(reply.Rejection)
+	return nil
 }
 
 // probe pings target, first directly and then indirectly. If neither is answered, it
@@ -286,8 +305,28 @@
 	var wg sync.WaitGroup
 	for _, a := range g.seeds() {
 		if !known[a] {
-			wg.Go(func() { g.pull(ctx, a) })
+			wg.Go(func() { g.recordSeed(a, g.pull(ctx, a)) })
 		}
 	}
 	wg.Wait()
 }
+
+// recordSeed records the outcome of a call to a seed.
+func (g *Gossip) recordSeed(address string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refused[address] = g.refused[address] || peer.Refused(err)
+}
+
+// Seeds returns the number of seeds that were called since the start, and of those whose machine
+// has refused a connection since then. A replica that is busy after its start may be silent later.
+func (g *Gossip) Seeds() (tried, refused int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.refused {
+		if r {
+			refused++
+		}
+	}
+	return len(g.refused), refused
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/reach"
+	"github.com/apricotstream/apricotstream/internal/readiness"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -72,6 +73,8 @@
 	carriers     *batch.Carriers // the other daemons' carriers, for the leader; nil without a data folder
 	dependencies Dependencies
 
+	start start
+
 	demandMu   sync.Mutex
 	demand     map[string]float64 // tokens of recent batch jobs, by model
 	versionLag map[string]uint64  // versions behind the newest one that the last batch job allowed, by model
@@ -101,7 +104,9 @@
 		}
 	}
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
+	n.start.gate = readiness.NewGate(logger.WithPrefix("ready"))
 	n.directory = upstream.NewDirectory(n.gossip)
+	n.directory.OnFirst = func(string) { n.start.gate.Notify() }
 	n.directory.Register(n.server)
 	n.rates = ratecap.NewKeeper(ratecap.Deployment{
 		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
@@ -167,7 +172,9 @@
 	n.spawn(func() {
 		periodic.Every(ctx, processStatusInterval, func() { process.Log(n.statusFields(ctx)...) })
 	})
+	n.spawn(func() { n.watchStart(ctx) })
 	n.spawn(func() { n.pullFirst(ctx) })
+	n.spawn(func() { n.pullUntilComplete(ctx) })
 	n.spawn(func() { periodic.Every(ctx, directoryPullInterval, func() { n.pullDirectory(ctx) }) })
 	if n.cfg.CallerAddress != "" && n.cfg.UsageInterval > 0 {
 		n.spawn(func() { periodic.Every(ctx, countsInterval, n.sendCounts) })
@@ -283,6 +290,7 @@
 		if c := n.follower.Config().Routing; c != nil {
 			if old := n.table.Load(); old == nil || old.Config != c {
 				n.table.Store(routing.NewTable(c))
+				n.start.gate.Notify()
 				n.log.Info("Configuration active.", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
 			}
 		}
@@ -315,6 +323,7 @@
 // announces this to the other daemons. It can't be undone.
 func (n *Node) Drain() {
 	n.draining.Store(true)
+	n.start.gate.Notify()
 	n.dependencies.Links.Drain()
 	n.gossip.AnnounceChanges()
 	if n.carrier != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -106,20 +108,15 @@
 }
 
 // pullFirst pulls the upstreams from several replicas and repeats this until at least one
-// has answered: a restarted node must not use upstreams that are leaving.
+// has answered: a restarted node must not use upstreams that are leaving. It asks them at the same
+// time, because one that is not up yet may stay silent until the timeout.
 func (n *Node) pullFirst(ctx context.Context) {
 	for ctx.Err() == nil {
 		pulled := 0
-		for _, a := range n.directorySources() {
-			pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-			err := n.directory.Pull(pullCtx, n.client, a)
-			cancel()
-			if err == nil {
-				pulled++
-			}
-			if pulled >= firstPulls {
-				break
-			}
+		for sources := n.directorySources(); len(sources) > 0 && pulled < firstPulls; {
+			asked := sources[:min(len(sources), firstPulls-pulled)]
+			sources = sources[len(asked):]
+			pulled += n.pullFrom(ctx, asked)
 		}
 		if pulled > 0 {
 			return
@@ -128,6 +125,23 @@
 	}
 }
 
+// pullFrom pulls the upstreams from replicas and returns how many have answered.
+func (n *Node) pullFrom(ctx context.Context, replicas []string) int {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for _, a := range replicas {
+		wg.Go(func() {
+			if n.directory.Pull(ctx, n.client, a) == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(answered.Load())
+}
+
 // refreshUpstreams merges the announcements that several replicas hold now. It returns an error
 // unless a majority of those that it asked has answered.
 func (n *Node) refreshUpstreams(ctx context.Context) error {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,6 +70,7 @@
 	stream   *stream       // object stream of conn
 	activity *activityConn // network connection of stream
 	retryAt  time.Time     // no dial before this time
+	failure  error         // of the last dial; set with retryAt
 }
 
 // notice is a queued notice. params encodes its parameters as JSON on first use.
@@ -116,14 +117,14 @@
 		}
 	}
 	if time.Now().Before(e.retryAt) {
-		return nil, nil, fmt.Errorf("%w: %s", ErrUnreachable, e.address)
+		return nil, nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, e.address, e.failure)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := e.dial(ctx, e.address)
 	if err != nil {
-		e.retryAt = time.Now().Add(redialDelay)
-		return nil, nil, fmt.Errorf("%w: %v", ErrUnreachable, err)
+		e.retryAt, e.failure = time.Now().Add(redialDelay), err
+		return nil, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	e.activity = &activityConn{Conn: nc}
 	e.stream = newStream(e.activity, nil)
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"syscall"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -12,6 +13,10 @@
 // ErrUnreachable means that nothing was sent, so the other daemon has not run the call.
 var ErrUnreachable = errors.New("peer: daemon is unreachable")
 
+// Refused reports whether err means that the machine of the other daemon refused the connection: it
+// is reachable, and no process listens there.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // ErrConnectionLost means that the connection failed and the call may have been sent, so
 // the other daemon may have run it.
 var ErrConnectionLost = errors.New("peer: connection was lost before the reply")
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -13,6 +13,10 @@
 // MethodAnnounce is the notice that distributes announcements between daemons.
 const MethodAnnounce = "upstream.announce"
 
+// maxListedServices bounds the memory for the names of services, which upstreams announce. It is
+// several times the number of services of a deployment.
+const maxListedServices = 4096
+
 // Group reaches the other daemons.
 type Group interface {
 	// Broadcast sends a notice to all of them without waiting. It may be lost.
@@ -24,10 +28,15 @@
 // Directory holds the Registry of one daemon and exchanges announcements with the other
 // daemons. It may be used by many goroutines.
 type Directory struct {
+	// OnFirst is called after the first upstream of a service has been recorded. It must not
+	// block. It may be nil and must be set before the first announcement.
+	OnFirst func(service string)
+
 	group Group
 
 	mu       sync.Mutex
 	registry *Registry
+	listed   map[string]bool // services of which an upstream has been recorded that was not leaving
 	// lists is nil when the lists have to be made again from the registry.
 	lists    atomic.Pointer[lists]
 	departed atomic.Pointer[map[string]int64] // newest departed incarnation, by id
@@ -35,7 +44,7 @@
 
 // NewDirectory returns an empty Directory whose announcements go to the daemons of group.
 func NewDirectory(group Group) *Directory {
-	d := &Directory{group: group, registry: NewRegistry()}
+	d := &Directory{group: group, registry: NewRegistry(), listed: map[string]bool{}}
 	d.departed.Store(&map[string]int64{})
 	return d
 }
@@ -65,6 +74,16 @@
 // record records a. It returns what is believed now, and whether that must be sent to the
 // other daemons. notified means that they have received a already.
 func (d *Directory) record(a Announcement, notified bool) (recorded Announcement, notify bool) {
+	recorded, notify, first := d.recordLocked(a, notified)
+	if first && d.OnFirst != nil {
+		d.OnFirst(recorded.Service)
+	}
+	return recorded, notify
+}
+
+// recordLocked is record without the call of OnFirst. first means that a is the first upstream of
+// its service.
+func (d *Directory) recordLocked(a Announcement, notified bool) (recorded Announcement, notify, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -75,7 +94,18 @@
 		d.registry.MarkNotified(now, a.ID)
 	}
 	d.lists.Store(nil)
-	return a, changed && due
+	if first = changed && !a.Leaving && !d.listed[a.Service] && len(d.listed) < maxListedServices; first {
+		d.listed[a.Service] = true
+	}
+	return a, changed && due, first
+}
+
+// Listed reports whether an upstream of a service has been recorded since the start of this
+// process that was not leaving then.
+func (d *Directory) Listed(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed[service]
 }
 
 // recordDeparture records that a has departed, see Registry.RecordDeparture. The lists are
