Bound the requests of all daemons to a cold upstream

Cause: an upstream that has just started, or whose caches are empty, crashes when it gets many more requests a second than a cold one takes. When a zone returns, all its upstreams are cold at once, and 70 daemons that choose independently exceed the bound of each.

Change: a service may have a bound (`coldPerS`, routing.Service.ColdPerS), and a heartbeat or an answer says for how long its upstream stays cold. Meanwhile the upstream counts in ratecap as one that names the bound as its rate, with stricter terms: the bucket of the leader holds 4 tokens, a token may be used for 300 ms, callers go before background work, and without a leader nothing is sent. A daemon asks for a token without waiting for it, so the request goes to another upstream; the next one uses the token. Items of batch jobs take their turns from the same buckets and carry the time by which they must be sent, also through carriers. While a daemon is below level 1 the bound is dropped from the configuration. A heartbeat that repeats a cold period is not spread as a change.

Evidence: TestColdUpstreamsGetNoMoreThanTheirBound (70 daemons, 16 cold and 16 warm upstreams, frozen holders of tokens, lost replies, a change of the leader) keeps to 26 requests in any second, no request waits or is rejected; the same load without the bound exceeds it, which the test checks.

--- a/internal/batch/carrier.go
+++ b/internal/batch/carrier.go
@@ -130,6 +130,9 @@
 		ID: q.ID, Host: q.Host, Path: q.Path, Account: q.Account, Header: q.Header, Body: q.Body, LastEventID: q.LastEventID, Priority: q.Priority,
 		Deadline: time.Now().Add(q.Left), MaxEventBytes: func() int { return q.MaxEventBytes },
 	}
+	if q.StartUntil > 0 {
+		g.StartBy = time.Now().Add(q.StartUntil - clock.Now())
+	}
 	err := c.engines.Generate(ctx, q.Upstream, g, func(e Event) { r.append(e, q.MaxEvents, q.MaxBytes) })
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
--- a/internal/batch/carrier_messages.go
+++ b/internal/batch/carrier_messages.go
@@ -51,6 +51,9 @@
 	MaxEventBytes int                   `json:"max_event"`  // size above which an event is cut
 	MaxEvents     int                   `json:"max_events"` // bounds of the output of this attempt
 	MaxBytes      int                   `json:"max_bytes"`
+	// StartUntil is when the request must have been sent, in nanoseconds on the carrier's boot
+	// clock; 0: at any time.
+	StartUntil time.Duration `json:"start_until,omitempty"`
 }
 
 // RunReply ends a run. It contains the events that the carrier does not know to have
--- a/internal/batch/carriers.go
+++ b/internal/batch/carriers.go
@@ -290,8 +290,13 @@
 		v.heardAt = now
 	}
 	v.runs[r.id] = r
+	var startUntil time.Duration
+	if !g.StartBy.IsZero() {
+		startUntil = now + v.offset.offset + time.Until(g.StartBy)
+	}
 	return r, RunRequest{
-		Permit: v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body,
+		StartUntil: startUntil,
+		Permit:     v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body,
 		LastEventID: g.LastEventID, Priority: g.Priority, Left: time.Until(g.Deadline), MaxEventBytes: g.maxEventBytes(), MaxEvents: g.MaxEvents, MaxBytes: g.MaxBytes,
 	}
 }
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -19,7 +19,9 @@
 	Body        []byte
 	LastEventID int // id of the last event received by earlier attempts; 0 if none
 	Priority    int // priority at the engine, from 0 (highest) to 9
-	Deadline    time.Time
+	// StartBy is when the request must have been sent; zero: at any time.
+	StartBy  time.Time
+	Deadline time.Time
 	// ReadPause returns the pause before the next read of events. It is called before each
 	// read. Nil means no pause.
 	ReadPause func() time.Duration
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -45,7 +45,7 @@
 	// Slots returns the number of requests that an upstream runs concurrently.
 	Slots(a upstream.Announcement) int
 	// Turns returns how many items may begin at an upstream now. It returns false if the
-	// upstream names no rate, which would bound them.
+	// upstream names no rate and is not cold, which would bound them.
 	Turns(a upstream.Announcement) (n int, bounded bool)
 	// TakeTurn records that an item begins at an upstream.
 	TakeTurn(a upstream.Announcement)
@@ -56,6 +56,23 @@
 	Seen(id, model string, version uint64)
 }
 
+// startLimiter is implemented by a Pool whose turns run out: that of a cold upstream must be used
+// soon.
+type startLimiter interface {
+	// TakeTurnBy is TakeTurn, and returns until when the item must have been sent; zero: at any
+	// time. If there is no turn left, that time has passed.
+	TakeTurnBy(a upstream.Announcement) time.Time
+}
+
+// takeTurn records that an item begins at an upstream. It returns the time of startLimiter.
+func takeTurn(p Pool, a upstream.Announcement) time.Time {
+	if l, ok := p.(startLimiter); ok {
+		return l.TakeTurnBy(a)
+	}
+	p.TakeTurn(a)
+	return time.Time{}
+}
+
 // Runner runs batch jobs while its replica is the leader.
 type Runner struct {
 	replica Replica
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -44,7 +44,7 @@
 	Loading    bool              // loads weights and rejects new requests meanwhile
 	BackingOff bool              // recently rejected a request or could not be reached
 	Slowness   float64           // time per event divided by the median; 1 if unknown
-	NamesRate  bool              // names a rate, which bounds the items that may begin
+	NamesRate  bool              // names a rate or is cold, which bounds the items that may begin
 	Turns      int               // items that may begin now, if NamesRate is set
 }
 
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -185,8 +185,9 @@
 	}
 	s.lastScheduled = now
 	for _, x := range s.scheduler.Schedule(now, s.engineStates(now)) {
-		s.pool.TakeTurn(x.Engine)
+		startBy := takeTurn(s.pool, x.Engine)
 		a := newAttempt(ctx, s.term, x.item, x.Engine, &s.output)
+		a.request.StartBy = startBy
 		s.attempts[x.item] = a
 		s.output.attempts.Store(int64(len(s.attempts)))
 		itemAttempts.Inc()
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,25 @@
 	ReturnDelay(service string, list []upstream.Announcement) (time.Duration, bool)
 }
 
-// maxAcquires is the number of upstreams that one choice asks a token for.
-const maxAcquires = 4
+// coldRates is implemented by Rates that bound the requests to cold upstreams. Acquire does not
+// wait for a token of such an upstream.
+type coldRates interface {
+	ColdBound(now time.Time, a upstream.Announcement) bool
+	// ColdWait returns how long a cold upstream has no token for a purpose.
+	ColdWait(now time.Time, a upstream.Announcement, p ratecap.Purpose) time.Duration
+}
+
+const (
+	// maxAcquires is the number of upstreams that one choice asks a token for.
+	maxAcquires = 4
+	// maxColdAcquires is the number of cold upstreams without a token that one choice passes
+	// over. It bounds the work of a choice; most deployments have fewer upstreams in a zone.
+	maxColdAcquires = 64
+	// coldPollInterval is the time after which a request tries a service again whose upstreams
+	// are all cold. It is a fraction of the time for which a token may be used; at 2 ms, the
+	// polling of 70 daemons took more of the processor than all else.
+	coldPollInterval = 20 * time.Millisecond
+)
 
 // Choice is the upstream that a request is sent to.
 type Choice struct {
@@ -72,7 +90,8 @@
 // which it may ask the leader until ctx ends. It returns false if no upstream can take the
 // request.
 func (c *Chooser) Pick(ctx context.Context, q picker.Request) (Choice, bool) {
-	for range maxAcquires {
+	q.Exclude = slices.Clip(q.Exclude)
+	for waited, cold := 0, 0; waited < maxAcquires && cold < maxColdAcquires; {
 		u, ok := c.pick(q)
 		if !ok {
 			break
@@ -82,20 +101,35 @@
 			return Choice{u, sendBy}, true
 		}
 		c.uncount(u)
+		if c.coldBound(time.Now(), u) {
+			cold++
+			q.Exclude = append(q.Exclude, u.ID)
+		} else {
+			waited++
+		}
 	}
 	return Choice{}, false
 }
 
+// coldBound reports whether u gets requests by tokens only because it is cold.
+func (c *Chooser) coldBound(now time.Time, u upstream.Announcement) bool {
+	r, ok := c.Rates.(coldRates)
+	return ok && r.ColdBound(now, u)
+}
+
 // acquire takes a token for a request to u.
 func (c *Chooser) acquire(ctx context.Context, u upstream.Announcement, q picker.Request) (sendBy time.Time, ok bool) {
 	if c.Rates == nil {
 		return time.Time{}, true
 	}
-	purpose := ratecap.ForCaller
+	return c.Rates.Acquire(ctx, u, purposeOf(q), q.ID)
+}
+
+func purposeOf(q picker.Request) ratecap.Purpose {
 	if q.Background {
-		purpose = ratecap.ForBackground
+		return ratecap.ForBackground
 	}
-	return c.Rates.Acquire(ctx, u, purpose, q.ID)
+	return ratecap.ForCaller
 }
 
 // pick picks an upstream and counts the request as in flight there.
@@ -105,7 +139,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u, ok := c.pipeline.Choose(c.rnd, q, c.candidates(now, all))
+	u, ok := c.pipeline.Choose(c.rnd, q, c.candidates(now, purposeOf(q), all))
 	if ok {
 		c.inFlight[u.ID]++
 		c.health.BeginProbe(now, u)
@@ -137,7 +171,11 @@
 	}
 	now, earliest := time.Now(), time.Duration(math.MaxInt64)
 	for _, a := range all {
-		earliest = min(earliest, c.Rates.Wait(now, a))
+		wait := c.Rates.Wait(now, a)
+		if wait == 0 && c.coldBound(now, a) {
+			wait = coldPollInterval // its token may have come since the last choice
+		}
+		earliest = min(earliest, wait)
 	}
 	return earliest, earliest > 0
 }
@@ -153,12 +191,15 @@
 
 // candidates returns the upstreams with what this daemon has observed of them. The caller
 // holds c.mu.
-func (c *Chooser) candidates(now time.Time, all []upstream.Announcement) []picker.Candidate {
+func (c *Chooser) candidates(now time.Time, p ratecap.Purpose, all []upstream.Announcement) []picker.Candidate {
 	ejected := c.health.Ejected(now, all)
 	slowness := c.latencies.slowness(now, all)
 	cs := make([]picker.Candidate, 0, len(all))
 	for i, a := range all {
 		atRate := c.Rates != nil && c.Rates.Wait(now, a) > 0
+		if cold, ok := c.Rates.(coldRates); ok && !atRate {
+			atRate = cold.ColdWait(now, a, p) > 0
+		}
 		cs = append(cs, picker.Candidate{Upstream: a, InFlight: c.inFlight[a.ID], Ejected: ejected[i], Slowness: slowness[i], AtRate: atRate})
 	}
 	return cs
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/duty"
@@ -27,6 +28,10 @@
 
 func (d engineDirectory) TakeTurn(a upstream.Announcement) { d.n.rates.TakeTurn(a) }
 
+func (d engineDirectory) TakeTurnBy(a upstream.Announcement) time.Time {
+	return d.n.rates.TakeTurn(a)
+}
+
 func (d engineDirectory) Versions(a upstream.Announcement) map[string]uint64 {
 	return d.n.versionTable.Versions(a)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 	n.directory.Register(n.server)
 	n.rates = ratecap.NewKeeper(ratecap.Deployment{
 		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
-		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended,
+		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended, ColdRate: n.coldRate,
 	}, logger.WithPrefix("rates"))
 	n.rates.Register(n.server)
 	n.quarantine = quarantine.NewTable(time.Now, quarantine.GroupNotifier{Group: n.gossip, Client: n.client, Timeout: confirmTimeout})
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -77,11 +77,36 @@
 // or a newer one is committed. source is the text of the document.
 func (n *Node) PutRouting(ctx context.Context, c *routing.Configuration, source string) error {
 	began := time.Now()
+	if level := n.Level(); level < 1 {
+		n.dropColdBounds(c, level)
+	}
 	out, err := n.proposeChange(ctx, state.Command{RoutingPut: &state.RoutingPut{Configuration: c, Source: source}})
 	n.log.Info("Configuration update finished.", "version", c.Version, "active", out.Version, "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
 }
 
+// dropColdBounds removes the bounds of cold upstreams, which a replica of an older build
+// cannot read: it would stop at the unknown field.
+func (n *Node) dropColdBounds(c *routing.Configuration, level int) {
+	for i := range c.Services {
+		if s := &c.Services[i]; s.ColdPerS != 0 {
+			n.log.Warn("Bound of cold upstreams dropped: not all daemons can read it.", "version", c.Version, "service", s.Name, "cold_per_s", s.ColdPerS, "level", level)
+			s.ColdPerS = 0
+		}
+	}
+}
+
+// coldRate returns the number of requests a second that a cold upstream of a service takes,
+// or 0 if it has no bound.
+func (n *Node) coldRate(service string) float64 {
+	t := n.Table()
+	if t == nil {
+		return 0
+	}
+	s, _ := t.Config.Service(service)
+	return s.ColdPerS
+}
+
 // Routing returns the newest committed routing document. Before the first one it returns
 // NoConfiguration.
 func (n *Node) Routing(ctx context.Context) (state.RoutingSource, error) {
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -199,7 +199,7 @@
 	e.newest = Unanswered{u.Address, time.Now()}
 	e.inFlight++
 	q := *e.request
-	q.Unanswered = e.unanswered
+	q.Unanswered, q.SendBy = e.unanswered, choice.SendBy
 	e.pending.Go(func() {
 		a := Attempt{To: u, Began: time.Now()}
 		if choice.Expired(a.Began) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -25,6 +25,9 @@
 	Deadline time.Time // from the caller's or the route's timeout
 	// StartBy is when the last attempt must have begun; zero for the deadline.
 	StartBy time.Time
+	// SendBy is when this attempt must have been sent, because its token runs out; zero: at any
+	// time. After it the attempt is UpstreamBusy.
+	SendBy  time.Time
 	Routing uint64 // version of the routing configuration that was used
 	// TakeUp is set if the request goes on with a stream that broke off.
 	TakeUp *TakeUp
--- a/internal/ratecap/issue.go
+++ b/internal/ratecap/issue.go
@@ -36,6 +36,9 @@
 		r.Caps = append(r.Caps, c.toSend(now, q.Upstream))
 	}
 	c, bounded := k.recorder.table.Get(now, q.Upstream, q.Incarnation)
+	if q.ColdRate > 0 && q.ColdRate <= MaxRate {
+		c, bounded, r.Cold = c.whileCold(now, q.ColdRate, q.Incarnation, bounded), true, true
+	}
 	if !bounded {
 		r.Granted = true
 		return r, nil
@@ -85,25 +88,44 @@
 // Turns returns the number of background requests that this daemon, as the leader, may send
 // to an upstream now. It returns false if there is no bound.
 func (k *Keeper) Turns(a upstream.Announcement) (n int, bounded bool) {
-	if k.known.Load() == 0 {
+	now := time.Now()
+	if k.unbounded(now, a) {
 		return 0, false
 	}
-	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c, bounded := k.recorder.table.Get(now, a.ID, a.Incarnation)
+	c, bounded := k.bound(now, a)
 	if !bounded || !k.leads() {
 		return 0, bounded
 	}
 	return k.issuer.Available(now, a.ID, c, ForBackground), true
 }
 
-// TakeTurn takes the token of a background request that Turns has counted.
-func (k *Keeper) TakeTurn(a upstream.Announcement) {
+// TakeTurn takes the token of a background request that Turns has counted. It returns until when
+// the request must be sent; zero: at any time. The token for a cold upstream may have gone to
+// another daemon since: that time has passed then.
+func (k *Keeper) TakeTurn(a upstream.Announcement) (sendBy time.Time) {
 	now := time.Now()
+	if k.unbounded(now, a) {
+		return time.Time{}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c, ok := k.recorder.table.Get(now, a.ID, a.Incarnation); ok && k.leads() {
-		k.issuer.Acquire(now, a.ID, c, ForBackground)
+	c, ok := k.bound(now, a)
+	if !ok {
+		return time.Time{}
+	}
+	granted := false
+	if k.leads() {
+		granted, _ = k.issuer.Acquire(now, a.ID, c, ForBackground)
+	}
+	switch {
+	case !c.cold:
+		return time.Time{}
+	case granted:
+		coldGranted.Inc()
+		return now.Add(ColdTokenTTL)
 	}
+	coldDenied.Inc()
+	return now
 }
--- a/internal/ratecap/keeper.go
+++ b/internal/ratecap/keeper.go
@@ -46,6 +46,9 @@
 	Ask           func(ctx context.Context, address string, q AcquireRequest) (AcquireReply, error)
 	// Gone reports whether an incarnation of an upstream has certainly ended.
 	Gone func(id string, incarnation int64) bool
+	// ColdRate returns the number of requests a second that a cold upstream of a service takes,
+	// or 0 if there is no bound. Nil: no service has one.
+	ColdRate func(service string) float64
 }
 
 // Keeper keeps the requests of one daemon within the rates that upstreams name. On the leader
@@ -54,19 +57,22 @@
 	deployment Deployment
 	log        *log.Logger
 	known      atomic.Int64 // number of caps in the table
+	knownCold  atomic.Int64 // number of cold upstreams that are bounded
 
 	mu       sync.Mutex
 	recorder *recorder
 	holds    map[string]time.Time // until when no token of an upstream is asked for
 	returns  map[string]time.Time // when the last caller that was sent away returns, by service
 	shares   *evenShares
+	cold     map[string]*coldUpstream // by upstream
 
-	leader   string    // peer address of the replica that last granted tokens; empty if none does
-	fetched  bool      // all caps were read from a leader
-	asked    int       // replicas asked in searches for a leader
-	retryAt  time.Time // when a leader is looked for again
-	pending  []Observation
-	reported map[string]time.Time // when an unchanged rate was last reported, by upstream
+	leader     string    // peer address of the replica that last granted tokens; empty if none does
+	leaderless time.Time // when a request for a cold upstream last found no leader
+	fetched    bool      // all caps were read from a leader
+	asked      int       // replicas asked in searches for a leader
+	retryAt    time.Time // when a leader is looked for again
+	pending    []Observation
+	reported   map[string]time.Time // when an unchanged rate was last reported, by upstream
 
 	issuer  *Issuer // of the current term
 	term    uint64
@@ -79,7 +85,7 @@
 func NewKeeper(d Deployment, logger *log.Logger) *Keeper {
 	return &Keeper{
 		deployment: d, log: logger, recorder: newRecorder(logger), holds: map[string]time.Time{}, returns: map[string]time.Time{},
-		shares: newEvenShares(d.Daemon), reported: map[string]time.Time{},
+		shares: newEvenShares(d.Daemon), reported: map[string]time.Time{}, cold: map[string]*coldUpstream{},
 	}
 }
 
@@ -91,12 +97,15 @@
 
 // Sent implements Tracker.
 func (k *Keeper) Sent(to upstream.Announcement, p Purpose) {
-	if k.known.Load() == 0 {
+	now := time.Now()
+	if k.unbounded(now, to) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.recorder.countSent(time.Now(), to, p)
+	if c, ok := k.bound(now, to); ok {
+		k.recorder.countSent(to, c, p)
+	}
 }
 
 // Answered implements Tracker.
@@ -130,9 +139,9 @@
 func (k *Keeper) countCaps() { k.known.Store(int64(len(k.recorder.table.caps))) }
 
 // Wait returns how long an upstream gets no requests of this daemon because of the rate that
-// it names; 0 if one may be tried now.
+// it names or because it is cold; 0 if one may be tried now.
 func (k *Keeper) Wait(now time.Time, a upstream.Announcement) time.Duration {
-	if k.known.Load() == 0 {
+	if k.unbounded(now, a) {
 		return 0
 	}
 	k.mu.Lock()
@@ -142,11 +151,12 @@
 
 // wait is Wait for a caller that holds k.mu.
 func (k *Keeper) wait(now time.Time, a upstream.Announcement) time.Duration {
-	until, ok := k.holds[a.ID]
-	if !ok || !now.Before(until) {
-		return 0
+	c, bounded := k.bound(now, a)
+	if c.cold {
+		return k.cold[a.ID].wait(now, ForCaller)
 	}
-	if _, ok := k.recorder.table.Get(now, a.ID, a.Incarnation); !ok {
+	until, ok := k.holds[a.ID]
+	if !ok || !now.Before(until) || !bounded {
 		return 0
 	}
 	return until.Sub(now)
@@ -155,15 +165,18 @@
 // Acquire takes a token for the request with the given id to an upstream. The request must
 // be sent before sendBy, unless that is zero. It returns false if there is no token.
 func (k *Keeper) Acquire(ctx context.Context, a upstream.Announcement, p Purpose, request string) (sendBy time.Time, ok bool) {
-	if k.known.Load() == 0 {
+	askedAt := time.Now()
+	if k.unbounded(askedAt, a) {
 		return time.Time{}, true
 	}
-	askedAt := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c, bounded := k.recorder.table.Get(askedAt, a.ID, a.Incarnation)
-	if !bounded {
+	c, bounded := k.bound(askedAt, a)
+	switch {
+	case !bounded:
 		return time.Time{}, true
+	case c.cold:
+		return k.acquireCold(askedAt, a, c, p, request)
 	}
 	if k.wait(askedAt, a) > 0 {
 		return time.Time{}, false
--- a/internal/ratecap/messages.go
+++ b/internal/ratecap/messages.go
@@ -23,6 +23,8 @@
 	Purpose     Purpose           `json:"for,omitempty"`
 	Seen        []SentObservation `json:"seen,omitempty"`
 	All         bool              `json:"all,omitempty"` // asks for all caps
+	// ColdRate is set if the upstream is cold: the requests a second that it takes.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 // AcquireReply is the leader's reply, or the address of the leader from another replica.
@@ -31,6 +33,8 @@
 	Granted bool      `json:"ok,omitempty"`
 	WaitMs  int64     `json:"wait_ms,omitempty"` // until there may be a token; 0 if granted
 	Caps    []SentCap `json:"caps,omitempty"`    // of the upstream, or all
+	// Cold is set if ColdRate was applied. A leader of an older build grants without it.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // SentObservation is an Observation between two daemons, whose clocks differ.
--- a/internal/ratecap/recorder.go
+++ b/internal/ratecap/recorder.go
@@ -33,6 +33,8 @@
 // sentCounts counts the requests to one upstream.
 type sentCounts struct {
 	to        upstream.Announcement
+	rate      float64
+	cold      bool
 	byPurpose [purposes]int
 }
 
@@ -72,29 +74,34 @@
 	return o, changed, true
 }
 
-// countSent counts a request to an upstream that names a rate.
-func (r *recorder) countSent(now time.Time, to upstream.Announcement, p Purpose) {
-	if _, ok := r.table.Get(now, to.ID, to.Incarnation); !ok {
-		return
+// countSent counts a request to an upstream that names a rate or is cold.
+func (r *recorder) countSent(to upstream.Announcement, bound Cap, p Purpose) {
+	if bound.cold {
+		coldRequests.Inc()
+	} else {
+		sentToCapped.Inc()
 	}
-	sentToCapped.Inc()
 	c := r.sent[to.ID]
 	if c == nil {
 		c = &sentCounts{to: to}
 		r.sent[to.ID] = c
 	}
+	c.rate, c.cold = bound.Rate, bound.cold
 	c.byPurpose[p]++
 }
 
 // report logs once per reportInterval how many requests this daemon has sent to each
-// upstream that names a rate.
+// upstream that names a rate or is cold.
 func (r *recorder) report(now time.Time) {
 	if now.Sub(r.reportedAt) < reportInterval {
 		return
 	}
 	for id, c := range r.sent {
-		x, _ := r.table.Get(now, id, c.to.Incarnation)
-		r.log.Info("Requests sent to an upstream that names a rate.", "upstream", id, "service", c.to.Service, "rate", x.Rate, "over_ms", min(now.Sub(r.reportedAt), time.Minute).Milliseconds(),
+		message := "Requests sent to an upstream that names a rate."
+		if c.cold {
+			message = "Requests sent to a cold upstream."
+		}
+		r.log.Info(message, "upstream", id, "service", c.to.Service, "rate", c.rate, "over_ms", min(now.Sub(r.reportedAt), time.Minute).Milliseconds(),
 			"for_callers", c.byPurpose[ForCaller], "for_background", c.byPurpose[ForBackground], "for_control", c.byPurpose[ForControl])
 	}
 	clear(r.sent)
--- a/internal/ratecap/return_delay.go
+++ b/internal/ratecap/return_delay.go
@@ -11,10 +11,10 @@
 // callers are spread so that they do not return together. It returns false if one of the
 // upstreams may be tried now.
 func (k *Keeper) ReturnDelay(service string, list []upstream.Announcement) (time.Duration, bool) {
-	if k.known.Load() == 0 || len(list) == 0 {
-		return 0, false
-	}
 	now := time.Now()
+	if len(list) == 0 || k.unbounded(now, list[0]) {
+		return 0, false // one of them may be tried now
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	earliest, rate := time.Duration(0), 0.0
@@ -26,7 +26,7 @@
 		if i == 0 || wait < earliest {
 			earliest = wait
 		}
-		c, _ := k.recorder.table.Get(now, a.ID, a.Incarnation)
+		c, _ := k.bound(now, a)
 		rate += c.RateAt(now)
 	}
 	gap := time.Duration(min(float64(max(k.deployment.Daemons(), 1))/rate, maxReturnDelay.Seconds()) * float64(time.Second))
--- a/internal/ratecap/run.go
+++ b/internal/ratecap/run.go
@@ -22,6 +22,9 @@
 	maxPending = 64
 	// searchDelay is the time between two searches for a leader.
 	searchDelay = 300 * time.Millisecond
+	// leaderSearchTime is how long a leader is looked for after a request for a cold upstream
+	// has found none.
+	leaderSearchTime = 2 * time.Second
 	// maxAsked is the number of replicas that one search asks. A replica names the leader, and
 	// hundreds of daemons search at the same time.
 	maxAsked = 3
@@ -40,12 +43,14 @@
 	k.recorder.table.Expire(now, k.deployment.Gone)
 	k.countCaps()
 	k.forget(now)
+	k.expireCold(now)
 	if k.leads() {
 		k.fetched, k.leader, k.pending = true, "", nil
 		k.tell(now)
 		return
 	}
-	if now.Before(k.retryAt) || k.fetched && len(k.pending) == 0 && (k.leader != "" || len(k.recorder.table.caps) == 0) {
+	needsLeader := len(k.recorder.table.caps) > 0 || now.Sub(k.leaderless) < leaderSearchTime
+	if now.Before(k.retryAt) || k.fetched && len(k.pending) == 0 && (k.leader != "" || !needsLeader) {
 		return
 	}
 	k.reportToLeader(ctx, now)
@@ -76,7 +81,7 @@
 		}
 	}
 	if k.issuer != nil {
-		k.issuer.Retain(func(id string, _ int64) bool { return !gone(id) })
+		k.issuer.Retain(now, func(id string, _ int64) bool { return !gone(id) })
 	}
 }
 
--- a/internal/ratecap/table.go
+++ b/internal/ratecap/table.go
@@ -36,6 +36,7 @@
 	EndedAt     time.Time // since when it is no longer named; zero while it is
 	unnamed     int       // answers in a row without a rate, see unnamedAnswers
 	told        bool      // learned from another daemon, not read in an answer
+	cold        bool      // the bound of a cold upstream, see Cap.whileCold
 }
 
 // RateAt returns the rate that may be used at now.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -38,6 +38,9 @@
 	Name    string   `json:"name"`
 	Engine  *Engine  `json:"engine,omitempty"`  // nil for a plain HTTP service
 	Scaling *Scaling `json:"scaling,omitempty"` // nil if upstreams cannot be ordered
+	// ColdPerS is the number of requests a second that a cold upstream takes from all daemons
+	// together; 0 for no bound. It needs member.Level 1.
+	ColdPerS float64 `json:"cold_per_s,omitempty"`
 }
 
 // Engine describes the model engines of a service.
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -13,6 +13,9 @@
 		if s.Name == "" || services[s.Name] {
 			return invalid("service %q is unnamed or listed twice", s.Name)
 		}
+		if s.ColdPerS < 0 {
+			return invalid("service %s: the number of requests to a cold upstream is negative", s.Name)
+		}
 		services[s.Name] = true
 	}
 	type hostPrefix struct{ host, prefix string }
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -25,6 +25,7 @@
 	TTL           float64 `json:"ttl"`                      // seconds
 	Leaving       bool    `json:"leaving,omitempty"`        // withdrawn; gets no new requests
 	ReclaimAt     int64   `json:"reclaim_at,omitempty"`     // Unix milliseconds when it will be reclaimed; 0 if unknown
+	ColdUntil     int64   `json:"cold_until,omitempty"`     // Unix milliseconds when it stops being cold; 0 if it is not
 	ChecksFencing bool    `json:"checks_fencing,omitempty"` // rejects outdated fencing tokens
 	Models        string  `json:"models,omitempty"`         // weight versions by model, such as "a=1,b=3", if several are loaded
 	Software      string  `json:"software,omitempty"`       // version of the program
@@ -56,8 +57,19 @@
 	MaxSoftwareBytes = 256
 	// tombstoneTTL is how long the tombstone of a leaving incarnation is kept.
 	tombstoneTTL = 5 * time.Minute
+	// coldTolerance is how far the ends of one cold period may differ that two announcements
+	// name. Each says how long the period lasts from its arrival.
+	coldTolerance = 200 * time.Millisecond
+	// coldMargin is added to the end of a cold period, because the clocks of daemons differ.
+	coldMargin = 250 * time.Millisecond
 )
 
+// Cold reports whether the upstream takes only a part of its load, because it has just
+// started or its caches are empty.
+func (a Announcement) Cold(now time.Time) bool {
+	return a.ColdUntil != 0 && now.Before(time.UnixMilli(a.ColdUntil).Add(coldMargin))
+}
+
 // ttl returns the TTL of a, which is at least one second and at most MaxTTL.
 func (a Announcement) ttl() time.Duration {
 	d := time.Duration(a.TTL * float64(time.Second))
@@ -65,8 +77,11 @@
 }
 
 // equalExceptLoad reports whether a and b are equal except for the sequence number and
-// the load.
+// the load. Two announcements of one cold period differ by the time that they took to arrive.
 func (a Announcement) equalExceptLoad(b Announcement) bool {
 	b.Seq, b.Running, b.Waiting = a.Seq, a.Running, a.Waiting
+	if d := a.ColdUntil - b.ColdUntil; a.ColdUntil != 0 && b.ColdUntil != 0 && max(d, -d) <= coldTolerance.Milliseconds() {
+		b.ColdUntil = a.ColdUntil
+	}
 	return a == b
 }
--- a/internal/upstream/departure_recorder.go
+++ b/internal/upstream/departure_recorder.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 )
@@ -30,3 +32,6 @@
 
 // Left implements DepartureTracker.
 func (r DepartureRecorder) Left(a Announcement) bool { return r.Directory.Left(a) }
+
+// Cold implements ColdTracker.
+func (r DepartureRecorder) Cold(a Announcement, until time.Time) { r.Directory.recordCold(a, until) }
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -95,6 +95,19 @@
 	return before, changed
 }
 
+// recordCold records that this incarnation of a stays cold until the given time, for this daemon
+// only: the others learn it from the next announcement.
+func (d *Directory) recordCold(a Announcement, until time.Time) {
+	if known := time.UnixMilli(a.ColdUntil); until.Sub(known) <= coldTolerance {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.registry.RecordCold(a, until) {
+		d.lists.Store(nil)
+	}
+}
+
 // Left reports whether this incarnation of a has said in an answer that it leaves.
 func (d *Directory) Left(a Announcement) bool {
 	incarnation, ok := (*d.departed.Load())[a.ID]
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -108,6 +108,19 @@
 	return !ok || !old.a.equalExceptLoad(a) || now.Sub(old.notifiedAt) >= time.Duration(renotifyTTLFraction*float64(a.ttl()))
 }
 
+// RecordCold records that the incarnation of a has said in an answer until when it stays cold. It
+// reports whether that changed the record by more than the tolerance of announcements.
+func (r *Registry) RecordCold(a Announcement, until time.Time) bool {
+	k, ok := r.byID[a.ID]
+	if !ok || k.a.Incarnation != a.Incarnation || until.Sub(time.UnixMilli(k.a.ColdUntil)) <= coldTolerance {
+		return false
+	}
+	k.a.ColdUntil = until.UnixMilli()
+	k.notifiedAt = time.Time{} // the other daemons have not heard of it
+	r.byID[a.ID] = k
+	return true
+}
+
 // MarkNotified records that all daemons were notified of the upstream.
 func (r *Registry) MarkNotified(now time.Time, id string) {
 	if k, ok := r.byID[id]; ok {
--- a/internal/upstream/sighting.go
+++ b/internal/upstream/sighting.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "time"
+
 // Sighting is an answer in which an upstream says that it leaves.
 type Sighting struct {
 	Upstream Announcement // the upstream that was asked
@@ -15,6 +17,12 @@
 	Left(a Announcement) bool
 }
 
+// ColdTracker is told of the upstreams that say in an answer that they are cold.
+type ColdTracker interface {
+	// Cold records that the incarnation of an upstream stays cold until the given time.
+	Cold(a Announcement, until time.Time)
+}
+
 // IgnoreDepartures is a DepartureTracker that keeps nothing.
 type IgnoreDepartures struct{}
 
