Let a leader issue tokens of rates only when those of an earlier one have run out

A leader that is elected early after a restart of all voters may issue tokens while daemons that did not restart still use tokens of the leader before, for up to a second; the election timeout used to outlast them. A leader now issues none in the first 2.5 s of its process: the leader before ended within the first election timeout of this process at the latest. By reading; the case needs all replicas, and only these, to restart within a second, and is not shown by a test.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 	n.directory.OnFirst = func(string) { n.start.gate.Notify() }
 	n.directory.Register(n.server)
 	n.rates = ratecap.NewKeeper(ratecap.Deployment{
-		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
+		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.issuesTokens, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
 		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended, ColdRate: n.coldRate,
 	}, logger.WithPrefix("rates"))
 	n.rates.Register(n.server)
@@ -233,6 +233,17 @@
 	return l.Term, l.Valid()
 }
 
+// tokensAfterStart is how long after its start a leader begins to issue the tokens of rates. Tokens of
+// an earlier leader may be used for a second. One that led before an early election ended within the
+// first election timeout of this process.
+const tokensAfterStart = 2500 * time.Millisecond
+
+// issuesTokens returns the term in which this node issues the tokens of rates.
+func (n *Node) issuesTokens() (term uint64, ok bool) {
+	term, ok = n.leads()
+	return term, ok && time.Since(n.started) >= tokensAfterStart
+}
+
 // leaderAddress returns the peer address of the leader that the replica knows, or "".
 func (n *Node) leaderAddress() string {
 	if n.replica == nil {
