Choose upstreams by expected work where they state their slowness

Cause: requests of one route differ widely in the work they need, and upstreams in their speed. The choice counted requests and compared mean response times, so it took an upstream with one long request for a free one and avoided one that had been sent the long requests.

Change: package workload estimates the work of a request by service, route, account and size of the body, the work outstanding at each upstream and the lasting speed of each upstream, apart from the slowness that it states for the moment. A scorer of expected completion takes the place of the load scorer while most upstreams of a service state the fourth value of Server-Load; otherwise the choice is as before. What failed or was cancelled teaches nothing; a time-out is a lower bound.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/upstream"
+	"github.com/apricotstream/apricotstream/internal/workload"
 )
 
 // Directory lists the upstreams of a service.
@@ -35,6 +37,9 @@
 type Choice struct {
 	upstream.Announcement
 	SendBy time.Time // the request must not be sent after it; zero: at any time
+	// Work must be ended when the upstream no longer works on the request. It is nil if the
+	// upstream was not chosen by work.
+	Work *Work
 }
 
 // Expired reports whether the request must not be sent to the choice any more.
@@ -48,6 +53,9 @@
 	// Rates bounds the requests to upstreams that name a rate. Nil: nothing does. It must be
 	// set before the first call.
 	Rates Rates
+	// Workloads makes services whose upstreams state how slow they are choose by expected
+	// completion. Nil: none does. It must be set before the first call.
+	Workloads *Workloads
 
 	directory Directory
 	pipeline  picker.Pipeline
@@ -73,14 +81,16 @@
 // request.
 func (c *Chooser) Pick(ctx context.Context, q picker.Request) (Choice, bool) {
 	for range maxAcquires {
-		u, ok := c.pick(q)
+		u, work, ok := c.pick(q)
 		if !ok {
 			break
 		}
 		if sendBy, ok := c.acquire(ctx, u, q); ok {
 			metrics.GetOrCreateCounter(`apricotstream_dispatched_total{class="` + u.Class + `"}`).Inc()
-			return Choice{u, sendBy}, true
+			work.recordChoice()
+			return Choice{u, sendBy, work}, true
 		}
+		work.End(Unknown)
 		c.uncount(u)
 	}
 	return Choice{}, false
@@ -99,18 +109,34 @@
 }
 
 // pick picks an upstream and counts the request as in flight there.
-func (c *Chooser) pick(q picker.Request) (upstream.Announcement, bool) {
+func (c *Chooser) pick(q picker.Request) (upstream.Announcement, *Work, bool) {
 	all := c.directory.Service(q.Service)
 	q.Entry = c.Entry
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u, ok := c.pipeline.Choose(c.rnd, q, c.candidates(now, all))
+	u, work, ok := c.choose(now, q, c.candidates(now, all))
 	if ok {
 		c.inFlight[u.ID]++
 		c.health.BeginProbe(now, u)
 	}
-	return u, ok
+	return u, work, ok
+}
+
+// choose chooses one of the candidates. The work of the request is nil if it was not chosen by
+// work. The caller holds c.mu.
+func (c *Chooser) choose(now time.Time, q picker.Request, cs []picker.Candidate) (upstream.Announcement, *Work, bool) {
+	var expected workload.Estimate
+	byWork := false
+	if c.Workloads != nil {
+		expected, byWork = c.Workloads.weigh(now, &q, cs)
+	}
+	u, ok := c.pipeline.Choose(c.rnd, q, cs)
+	if !ok || !byWork {
+		return u, nil, ok
+	}
+	at := slices.IndexFunc(cs, func(x picker.Candidate) bool { return x.Upstream.ID == u.ID })
+	return u, c.Workloads.begin(now, &q, expected, cs[at]), true
 }
 
 // uncount ends the counting of a request that was not sent.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/apricotstream/apricotstream/internal/telemetry"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 	"github.com/apricotstream/apricotstream/internal/weights"
+	"github.com/apricotstream/apricotstream/internal/workload"
 )
 
 // Dependencies are the clients through which a node reaches upstreams, engines and the
@@ -63,6 +64,7 @@
 	directory    *upstream.Directory
 	versionTable *weights.VersionTable
 	rates        *ratecap.Keeper
+	workloads    *chooser.Workloads
 	origins      *takeup.Keeper
 	quarantine   *quarantine.Table
 	proxy        *proxy.Proxy
@@ -112,7 +114,8 @@
 	n.quarantine.Register(n.server)
 	n.counter = duty.NewCounter(n.incarnation(), max(cfg.UsageInterval, time.Second))
 	c := chooser.New(upstream.KnownDirectory{Directory: n.directory})
-	c.Entry, c.Rates = cfg.ID, n.rates
+	n.workloads = chooser.NewWorkloads(logger.WithPrefix("work"))
+	c.Entry, c.Rates, c.Workloads = cfg.ID, n.rates, n.workloads
 	n.origins = takeup.NewKeeper(takeup.Deployment{
 		Daemon: cfg.ID, Replicas: n.recordKeepers, Notify: n.client.Notify, Ask: takeup.AskOver(n.client), Current: n.directory.Get,
 	}, logger.WithPrefix("takeup"))
@@ -305,6 +308,9 @@
 // send and what the answers say of the rate that an upstream takes.
 func (n *Node) Rates() ratecap.Tracker { return n.rates }
 
+// Loads returns the tracker of the loads that upstreams state in their answers.
+func (n *Node) Loads() workload.Tracker { return n.workloads }
+
 // Departures returns the tracker to which the clients of upstreams and engines report that
 // an upstream leaves.
 func (n *Node) Departures() upstream.DepartureTracker {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -31,6 +31,10 @@
 	ID            string    // of the request, for logs
 	Background    bool      // work that was handed in for later; no caller's connection waits
 	LeaveRoom     bool      // can wait: it must not queue at an upstream whose slots this entry has filled
+	Route         string    // name of the route, for the work that it needs
+	Account       string    // client account; empty if there is none
+	BodyBytes     int       // size of the body
+	Work          float64   // expected work, see Workload; 0 if the workloads of the candidates are not known
 }
 
 // Candidate is an upstream with what this entry has observed of it.
@@ -40,6 +44,9 @@
 	Ejected  bool    // it or most of its zone could not be reached recently, see upstream.Health
 	Slowness float64 // its response time relative to its peers; 0 or 1 if unknown
 	AtRate   bool    // it gets nothing for now, because it is at the rate that it names
+	// Workload is set for all candidates of a choice or for none. Its upstreams then state how
+	// slow they are.
+	Workload *Workload
 }
 
 // Filter drops candidates that must not run a request.
@@ -70,6 +77,10 @@
 	Preferences []Preference
 	Scorers     []Weighted
 	Picker      Picker
+	// WorkScorers and WorkPicker take the places of Scorers and Picker when the workloads of the
+	// candidates are known.
+	WorkScorers []Weighted
+	WorkPicker  Picker
 }
 
 // Default returns the pipeline that an entry uses.
@@ -79,6 +90,8 @@
 		Preferences: []Preference{recentPreference{}, healthyPreference{}, slownessPreference{}, classPreference{}, affinityPreference{}, subsetPreference{}},
 		Scorers:     []Weighted{{loadScorer{}, 1}, {zoneScorer{}, 0.2}},
 		Picker:      TwoChoices{},
+		WorkScorers: []Weighted{{completionScorer{}, 1}, {zoneScorer{}, 0.2}},
+		WorkPicker:  Sample(4),
 	}
 }
 
@@ -95,11 +108,15 @@
 		return upstream.Announcement{}, false
 	}
 	kept = p.applyPreferences(q, kept)
+	scorers, picker := p.Scorers, p.Picker
+	if p.WorkPicker != nil && weighsWork(kept) {
+		scorers, picker = p.WorkScorers, p.WorkPicker
+	}
 	scores := make([]float64, len(kept))
 	for i, c := range kept {
-		scores[i] = p.score(q, c)
+		scores[i] = score(scorers, q, c)
 	}
-	return kept[p.Picker.Pick(rnd, scores)].Upstream, true
+	return kept[picker.Pick(rnd, scores)].Upstream, true
 }
 
 func (p Pipeline) passesFilters(q Request, c Candidate) bool {
@@ -111,9 +128,9 @@
 	return true
 }
 
-func (p Pipeline) score(q Request, c Candidate) float64 {
+func score(scorers []Weighted, q Request, c Candidate) float64 {
 	sum := 0.0
-	for _, s := range p.Scorers {
+	for _, s := range scorers {
 		sum += s.Weight * s.Scorer.Score(q, c)
 	}
 	return sum
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/chooser"
 	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/picker"
@@ -21,6 +22,8 @@
 	Answer *Answer // nil if Err is set
 	Err    error
 	RanFor time.Duration // of a stream that has broken off: since its first bytes
+	Took   time.Duration // until the result
+	Work   *chooser.Work // nil if the upstream was not chosen by work
 }
 
 // status returns the HTTP status of the response, or 0 without one.
@@ -50,6 +53,7 @@
 	newest      Unanswered  // the newest attempt
 	unanswered  *Unanswered // see Request
 	bestFailure *Attempt    // failure with the highest rank so far
+	answered    Attempt     // the attempt whose response ends the request
 }
 
 // newExecution returns the state of a new request. Only a repeatable request may run on
@@ -190,6 +194,7 @@
 		Service: e.request.Service, Zone: e.proxy.zone, Exclude: e.tried, Ends: e.request.Deadline,
 		Repeatable: e.maxAttempts > 1, ID: e.request.ID, Origin: e.origin, ConfirmsStart: e.request.ConfirmStart,
 		Background: e.request.Background, LeaveRoom: e.request.Background,
+		Route: e.routeName(), Account: e.request.Account, BodyBytes: len(e.request.Body),
 	})
 	if !ok {
 		return false
@@ -201,7 +206,7 @@
 	q := *e.request
 	q.Unanswered = e.unanswered
 	e.pending.Go(func() {
-		a := Attempt{To: u, Began: time.Now()}
+		a := Attempt{To: u, Began: time.Now(), Work: choice.Work}
 		if choice.Expired(a.Began) {
 			a.Err = result.New(result.UpstreamBusy, "the token for the rate of the upstream has run out")
 		} else {
@@ -211,6 +216,7 @@
 		if a.Err == nil {
 			e.proxy.chooser.RecordLatency(u, time.Since(a.Began))
 		}
+		e.endWork(ctx, &a)
 		if mayHaveRun(a.Err) && e.request.Account != "" && !e.request.Background {
 			e.proxy.usage.Began(e.request.Account, a.Began)
 		}
@@ -223,6 +229,7 @@
 // done means that the request ends with this result.
 func (e *execution) handleResult(ctx context.Context, a Attempt) (response *Answer, err error, done bool) {
 	if a.Err == nil && isFinal(a.Answer) {
+		e.answered = a
 		if a.Answer.Stream == nil && !e.request.Background {
 			e.proxy.crashes.Survived(e.fingerprint)
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -128,10 +128,7 @@
 
 // recordOutcome counts and logs the end of a request.
 func (p *Proxy) recordOutcome(q *Request, e *execution, response *Answer, err error, took time.Duration) {
-	route := ""
-	if q.Route != nil {
-		route = q.Route.Name
-	}
+	route := e.routeName()
 	if err != nil {
 		failure := result.From(err)
 		requests(failure.Code.Info().Name).Inc()
@@ -148,8 +145,11 @@
 	if response.Stream != nil && response.Status/100 == 2 {
 		p.recordStream(q, e, response)
 	}
-	p.log.Info("Request answered.", "request", q.ID, "route", route, "account", q.Account, "upstream", response.From.ID,
-		"status", response.Status, "runs", e.ran, "refused", e.notRun, "hedged", e.hedged, "routing", q.Routing, "ms", took.Milliseconds())
+	fields := []any{
+		"request", q.ID, "route", route, "account", q.Account, "upstream", response.From.ID,
+		"status", response.Status, "runs", e.ran, "refused", e.notRun, "hedged", e.hedged, "routing", q.Routing, "ms", took.Milliseconds(),
+	}
+	p.log.Info("Request answered.", append(fields, e.answered.workFields()...)...)
 }
 
 // recordStream records and logs that a stream begins or goes on at an upstream.
