--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -38,7 +38,7 @@
 	upstream.Announcement
 	SendBy time.Time // the request must not be sent after it; zero: at any time
 	// Work must be ended when the upstream no longer works on the request. It is nil if the
-	// upstream was not chosen by work.
+	// upstreams of the service do not state how slow they are.
 	Work *Work
 }
 
@@ -123,20 +123,20 @@
 	return u, work, ok
 }
 
-// choose chooses one of the candidates. The work of the request is nil if it was not chosen by
-// work. The caller holds c.mu.
+// choose chooses one of the candidates. The work is nil if none of them states how slow it is.
+// The caller holds c.mu.
 func (c *Chooser) choose(now time.Time, q picker.Request, cs []picker.Candidate) (upstream.Announcement, *Work, bool) {
 	var expected workload.Estimate
-	byWork := false
+	var all []picker.Workload
 	if c.Workloads != nil {
-		expected, byWork = c.Workloads.weigh(now, &q, cs)
+		expected, all = c.Workloads.weigh(now, &q, cs)
 	}
 	u, ok := c.pipeline.Choose(c.rnd, q, cs)
-	if !ok || !byWork {
+	if !ok || all == nil {
 		return u, nil, ok
 	}
 	at := slices.IndexFunc(cs, func(x picker.Candidate) bool { return x.Upstream.ID == u.ID })
-	return u, c.Workloads.begin(now, &q, expected, cs[at]), true
+	return u, c.Workloads.begin(now, &q, expected, cs[at], all[at]), true
 }
 
 // uncount ends the counting of a request that was not sent.
--- a/internal/chooser/work.go
+++ b/internal/chooser/work.go
@@ -74,9 +74,10 @@
 	return workload.Key{Service: q.Service, Route: q.Route, Account: q.Account, Size: workload.SizeClass(q.BodyBytes)}
 }
 
-// weigh sets the expected work of q and the workloads of the candidates, if most of them state
-// how slow they are. Otherwise it changes nothing.
-func (w *Workloads) weigh(now time.Time, q *picker.Request, cs []picker.Candidate) (workload.Estimate, bool) {
+// weigh returns the expected work of q and the workloads of the candidates, or nil if none of
+// them states how slow it is. If most of them do, it sets both in q and the candidates. If fewer
+// do, which is so for some seconds after a start, the work of requests is only learned.
+func (w *Workloads) weigh(now time.Time, q *picker.Request, cs []picker.Candidate) (workload.Estimate, []picker.Workload) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	stating := 0
@@ -85,17 +86,15 @@
 			stating++
 		}
 	}
-	if 2*stating <= len(cs) {
-		return workload.Estimate{}, false
+	if stating == 0 {
+		return workload.Estimate{}, nil
 	}
 	expected, typical := w.estimator.Expect(keyOf(q)), w.estimator.ExpectOfService(q.Service).Mean()
-	q.Work = expected.Mean()
 	all := make([]picker.Workload, len(cs))
 	others, weights, logSlowness := 0.0, 0.0, 0.0
 	for i := range cs {
 		x := &all[i]
 		*x = picker.Workload{Slots: cs[i].Upstream.Concurrency, Slowness: 1, Momentary: 1, Typical: typical}
-		cs[i].Workload = x
 		h := w.table.Get(cs[i].Upstream.ID, cs[i].Upstream.Incarnation)
 		if h == nil {
 			continue
@@ -129,12 +128,18 @@
 		}
 		all[i].Outstanding += (mean + weight*(known-mean)) * typical
 	}
-	return expected, true
+	if 2*stating > len(cs) {
+		q.Work = expected.Mean()
+		for i := range cs {
+			cs[i].Workload = &all[i]
+		}
+	}
+	return expected, all
 }
 
-// begin counts a request as outstanding at the chosen candidate.
-func (w *Workloads) begin(now time.Time, q *picker.Request, expected workload.Estimate, c picker.Candidate) *Work {
-	_, wait := c.Workload.Completion(q.Work)
+// begin counts a request as outstanding at the chosen candidate, whose workload is x.
+func (w *Workloads) begin(now time.Time, q *picker.Request, expected workload.Estimate, c picker.Candidate, x picker.Workload) *Work {
+	_, wait := x.Completion(expected.Mean())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	age := time.Duration(-1)
@@ -142,9 +147,9 @@
 		age = h.Load().Age(now)
 	}
 	task := w.table.Begin(c.Upstream.ID, c.Upstream.Incarnation, expected, workload.Task{
-		Key: keyOf(q), Began: now, Wait: wait, Slowness: c.Workload.Slowness * c.Workload.Momentary, Momentary: c.Workload.Momentary,
+		Key: keyOf(q), Began: now, Wait: wait, Slowness: x.Slowness * x.Momentary, Momentary: x.Momentary,
 	})
-	return &Work{workloads: w, task: task, loadAge: age}
+	return &Work{workloads: w, task: task, loadAge: age, chosenBy: c.Workload != nil}
 }
 
 // Outcome says what the end of a request shows of its work.
@@ -158,11 +163,13 @@
 )
 
 // Work is the work of a request at the upstream that was chosen for it. All methods may be
-// called on nil, which is the work of a request whose upstream was not chosen by work.
+// called on nil, which is the work of a request to a service whose upstreams do not state how
+// slow they are.
 type Work struct {
 	workloads *Workloads
 	task      *workload.Task
 	loadAge   time.Duration
+	chosenBy  bool // whether the upstream was chosen by work
 	once      sync.Once
 }
 
@@ -192,7 +199,7 @@
 
 // recordChoice counts a choice by work that is used.
 func (k *Work) recordChoice() {
-	if k == nil {
+	if k == nil || !k.chosenBy {
 		return
 	}
 	choicesByWork.Inc()
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -23,7 +23,7 @@
 	Err    error
 	RanFor time.Duration // of a stream that has broken off: since its first bytes
 	Took   time.Duration // until the result
-	Work   *chooser.Work // nil if the upstream was not chosen by work
+	Work   *chooser.Work // nil if the upstreams do not state how slow they are
 }
 
 // status returns the HTTP status of the response, or 0 without one.
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// loadDecay is the time in which the weight of reported running and waiting requests falls
-	// to 1/e, about the time in which half of the requests that were counted end.
-	loadDecay = 250 * time.Millisecond
+	// loadMaxAge is the age at which reported running and waiting requests are worth nothing.
+	// Most requests that were counted have ended by then.
+	loadMaxAge = 600 * time.Millisecond
 	// momentaryMaxAge is the age at which a reported slowness is worth nothing. Phases of
 	// slowness last 0.6 s, so of those seen at a random moment a share of 1 - age/0.6 s still
 	// lasts, see TestAgeAtWhichSlownessIsWorthNothing.
@@ -37,13 +37,13 @@
 }
 
 // Weight returns how much Others counts relative to what is known without the report: from 1
-// for a new report towards 0.
+// for a new report to 0 at loadMaxAge.
 func (l Load) Weight(now time.Time) float64 {
 	age := l.Age(now)
 	if age < 0 {
 		return 0
 	}
-	return math.Exp(-age.Seconds() / loadDecay.Seconds())
+	return max(0, 1-age.Seconds()/loadMaxAge.Seconds())
 }
 
 // momentary returns how much slower than usual the upstream is now. usual is the mean of the
