--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -224,15 +224,19 @@
 		running[a.engine.ID]++
 	}
 	speeds := s.speedTracker.At(now)
+	uneven := map[string]bool{} // by service
 	var out []Engine
 	for _, u := range s.pool.Known() {
+		if _, ok := uneven[u.Service]; !ok {
+			uneven[u.Service] = s.pool.Uneven(u.Service)
+		}
 		turns, namesRate := s.pool.Turns(u)
 		out = append(out, Engine{
 			NamesRate: namesRate, Turns: turns,
 			Upstream: u, Slots: s.pool.Slots(u), Running: running[u.ID], Versions: s.pool.Versions(u),
 			Loading: s.pool.Loading(u.ID), BackingOff: now.Before(s.backoffUntil[u.ID]), Slowness: speeds.Slowness(u.ID),
 		})
-		if e := &out[len(out)-1]; s.pool.Uneven(u.Service) {
+		if e := &out[len(out)-1]; uneven[u.Service] {
 			e.SecondsPerEvent = speeds.Pace(u.ID)
 		}
 	}
--- a/internal/chooser/work.go
+++ b/internal/chooser/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,15 @@
 	w.table.Report(now, r.Upstream.ID, r.Upstream.Incarnation, r)
 }
 
+// AnyStates reports whether an upstream of a list has stated how slow it is.
+func (w *Workloads) AnyStates(list []upstream.Announcement) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(list, func(a upstream.Announcement) bool {
+		return w.table.Get(a.ID, a.Incarnation).ReportsSlowness()
+	})
+}
+
 // Invalid implements workload.Tracker.
 func (w *Workloads) Invalid(u upstream.Announcement, request string, err error) {
 	loadsInvalid.Inc()
--- a/internal/chooser/work_test.go
+++ b/internal/chooser/work_test.go
@@ -16,6 +16,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/picker"
+	"github.com/apricotstream/apricotstream/internal/ratecap"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 	"github.com/apricotstream/apricotstream/internal/workload"
 )
@@ -147,7 +148,7 @@
 			c, r, a := entries[rnd.IntN(simEntries)], rnd.IntN(3), rnd.IntN(8)
 			work := meanWork * routes[r] * accounts[a] * math.Exp(sigma*rnd.NormFloat64()-sigma*sigma/2)
 			now := simStart.Add(t)
-			u, k, _ := c.choose(now, picker.Request{Service: "s", Route: fmt.Sprint(r), Account: fmt.Sprint(a), Repeatable: true, Zone: "z"}, c.candidates(now, list))
+			u, k, _ := c.choose(now, picker.Request{Service: "s", Route: fmt.Sprint(r), Account: fmt.Sprint(a), Repeatable: true, Zone: "z"}, c.candidates(now, ratecap.ForCaller, list))
 			c.inFlight[u.ID]++
 			i := slices.IndexFunc(list, func(x upstream.Announcement) bool { return x.ID == u.ID })
 			h := &hosts[i]
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -152,5 +152,8 @@
 	n.client.NotifyAll(addresses, methodCounts, counts)
 }
 
-// Uneven implements batch.Pool.
-func (d engineDirectory) Uneven(string) bool { return true }
+// Uneven implements batch.Pool. Upstreams that state how slow they are at the moment share their
+// machines with others.
+func (d engineDirectory) Uneven(service string) bool {
+	return d.n.workloads.AnyStates(d.n.Upstreams(service))
+}
