Evacuate availability zones by an operator's call

Cause: an operator could not keep traffic away from the upstreams of an availability zone. Withdrawing them one by one does not last: their heartbeats or restarts bring them back, and a restart of all machines forgets it.

Change: the replicated configuration holds the evacuated zones, set by the command EvacuationPut. It is written only while all known daemons announce level 1, and left out of the encoding while there is none. Package evacuation applies the list of the followed configuration to the directory of each daemon, whose Known, Live and Service then hide the upstreams of these zones; the registry keeps recording them, and Listed returns them marked, for observers. All choices use the hidden view: chooser, admission, relayed connections, weights duty. The batch scheduler gets the marked list, because it also compares software versions of running attempts, and drops marked engines. The platform client and the dispatcher check again just before sending, for what was queued, carried or polled. Batch items, reward requests and orders wait until the list is proven to be the newest since the start, because a replica may lead before its own follower has it. A take-up of a stream whose service lists no upstream at all is now rejected with 203 instead of 225.

Calls: POST and DELETE /evacuate/ZONE on the control listener, PUT and DELETE /v1/zones/ZONE/evacuation, GET /v1/evacuations, and "apricotstream zone evacuate|restore|list".

Evidence: TestNothingReachesAnEvacuatedZone (platform) evacuates the zone that the entry prefers, restarts all daemons with their folders, evacuates the other zone too, restores both, and calls a replica without quorum (503). With the filter taken out it fails: 92 requests have reached the zone (callers' with and without a key, items, reward requests, reports). With only the last check of the client and one consumer's filter taken out it fails as well: batch scheduler (12, items among them), weights duty (3 orders or reports), chooser (91, callers' and reward requests).

The golden files of the state are unchanged and read.

--- a/internal/batch/maintenance.go
+++ b/internal/batch/maintenance.go
@@ -53,7 +53,7 @@
 			reclaimedSoon[e.Upstream.ID] = true
 		case e.Slowness > moveSlownessRatio:
 			slow[e.Upstream.ID] = true
-		case !e.Loading && !e.BackingOff:
+		case !e.Loading && !e.BackingOff && !e.Upstream.Evacuated:
 			free := max(0, e.Slots-e.Running)
 			freeSlots[origin.Of(e.Upstream)] += free
 			freeSlots[origin.Origin{}] += free
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -36,7 +36,7 @@
 
 // Pool lists the upstreams and their weight versions.
 type Pool interface {
-	// Known returns all upstreams that are not draining.
+	// Known returns all upstreams that are not draining. Those of evacuated zones are marked.
 	Known() []upstream.Announcement
 	// Loading reports whether the upstream is loading weights by order of the leader.
 	Loading(id string) bool
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -184,7 +184,7 @@
 		return
 	}
 	s.lastScheduled = now
-	for _, x := range s.scheduler.Schedule(now, s.engineStates(now)) {
+	for _, x := range s.scheduler.Schedule(now, outsideEvacuatedZones(s.engineStates(now))) {
 		s.pool.TakeTurn(x.Engine)
 		a := newAttempt(ctx, s.term, x.item, x.Engine, &s.output)
 		s.attempts[x.item] = a
@@ -231,6 +231,11 @@
 	return out
 }
 
+// outsideEvacuatedZones returns the engines that may get items.
+func outsideEvacuatedZones(engines []Engine) []Engine {
+	return slices.DeleteFunc(engines, func(e Engine) bool { return e.Upstream.Evacuated })
+}
+
 // Delays after failures.
 const (
 	unreachedBackoff = time.Second            // of an engine that could not be reached or sent no sound event
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -116,6 +116,7 @@
 		{"service", "Manage service documents", serviceCommands(o)},
 		{"member", "Manage the control group", memberCommands(o)},
 		{"upstream", "Look at upstreams", upstreamCommands(o)},
+		{"zone", "Evacuate availability zones", zoneCommands(o)},
 		{"quarantine", "Look at requests that crash upstreams", quarantineCommands(o)},
 	}
 	for _, g := range groups {
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -49,8 +49,8 @@
 	config          atomic.Pointer[state.Config]
 	members         atomic.Pointer[consensus.Membership]
 	freshUntil      atomic.Pointer[time.Time]
-	cluster         string // ID from the first reply; used by Run only
-	hasProvenConfig bool   // a reply was proven to be the newest; used by Run only
+	cluster         string      // ID from the first reply; used by Run only
+	hasProvenConfig atomic.Bool // a reply was proven to be the newest
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when config is replaced
@@ -76,7 +76,10 @@
 // Fresh implements View.
 func (f *Follower) Fresh() bool { return time.Now().Before(*f.freshUntil.Load()) }
 
-// Changed implements View.
+// Proven reports whether Config was proven to be the newest one at some time since the start.
+func (f *Follower) Proven() bool { return f.hasProvenConfig.Load() }
+
+// Changed implements View. The channel is also closed when Proven becomes true.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,7 +124,9 @@
 		}
 		freshUntil := sentAt.Add(reply.Held - reply.Age + f.freshnessLease)
 		f.freshUntil.Store(&freshUntil)
-		f.hasProvenConfig = true
+		if f.hasProvenConfig.CompareAndSwap(false, true) {
+			f.notifyChanged()
+		}
 		return true
 	}
 	return false
@@ -130,7 +135,7 @@
 func (f *Follower) requestSync(ctx context.Context, s Source) (SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	return s.Sync(ctx, SyncRequest{After: f.Config().Version, MembershipHash: membershipHash(f.Members()), Unproven: !f.hasProvenConfig, NoHold: f.freshnessAtRisk()})
+	return s.Sync(ctx, SyncRequest{After: f.Config().Version, MembershipHash: membershipHash(f.Members()), Unproven: !f.hasProvenConfig.Load(), NoHold: f.freshnessAtRisk()})
 }
 
 // applyReply updates the configuration from reply. The version never decreases. It fails
@@ -165,12 +170,16 @@
 			next = n
 		}
 	}
-	if f.config.Swap(next) == next {
-		return nil
+	if f.config.Swap(next) != next {
+		f.notifyChanged()
 	}
+	return nil
+}
+
+// notifyChanged wakes up those who wait for a change.
+func (f *Follower) notifyChanged() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	close(f.changed)
 	f.changed = make(chan struct{})
-	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/apricotstream/apricotstream/internal/conntrack"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/dispatch"
+	"github.com/apricotstream/apricotstream/internal/evacuation"
 	"github.com/apricotstream/apricotstream/internal/forward"
 	"github.com/apricotstream/apricotstream/internal/gateway"
 	"github.com/apricotstream/apricotstream/internal/inbound"
@@ -52,6 +53,7 @@
 	proposer    *control.Proposer
 	gossip      *member.Gossip
 	directory   *upstream.Directory
+	evacuations *evacuation.Filter
 	admission   *admission.FairAdmitter
 	limits      *limit.Limiter
 	usage       *usage.Counter
@@ -95,6 +97,7 @@
 	d.gossip.Register(d.server)
 	d.directory = upstream.NewDirectory(d.gossip)
 	d.directory.Register(d.server)
+	d.evacuations = evacuation.NewFilter(d.follower, d.directory, d.log.WithPrefix("zones"))
 	if d.replica != nil {
 		d.replica.Register(d.server)
 	}
@@ -112,6 +115,7 @@
 	dispatcher := dispatch.New(d.cfg.Zone, d.directory, forward.NewOver(d.links.DialAny), d.quarantine, d.tracing.Tracer)
 	dispatcher.JudgeCrashesBy(d.links.RefusesConnections)
 	dispatcher.TrackDepartures(d.departures())
+	dispatcher.SkipEvacuated(d.directory.InEvacuatedZone)
 	d.rates = ratecap.NewKeeper(ratecap.Deployment{
 		Daemon: d.cfg.ID, Replicas: d.replicaAddresses, Leads: d.leads, LeaderAddress: d.leaderAddress, Daemons: func() int { return len(d.gossip.Live()) },
 		Broadcast: d.gossip.Broadcast, Ask: ratecap.AskOver(d.client), Gone: d.directory.Ended,
@@ -210,6 +214,7 @@
 // start starts the goroutines of all components, which run until ctx ends.
 func (d *Daemon) start(ctx context.Context) {
 	d.spawn(func() { d.follower.Run(ctx) })
+	d.spawn(func() { d.evacuations.Run(ctx) })
 	d.spawn(func() { d.gossip.Run(ctx) })
 	d.spawn(func() { d.quarantine.Run(ctx) })
 	d.spawn(func() { d.rates.Run(ctx) })
--- a/internal/daemon/duty_orders.go
+++ b/internal/daemon/duty_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,7 +55,9 @@
 
 // plan commits the decisions for every service. It returns r with the new orders added.
 func (duty *orderDuty) plan(ctx context.Context, r control.QueryReply) control.QueryReply {
-	live := duty.daemon.directory.Live()
+	// The upstreams of evacuated zones count: they are back when the evacuation ends, so none is
+	// ordered in their place.
+	live := slices.DeleteFunc(slices.Clone(duty.daemon.directory.Listed()), func(a upstream.Announcement) bool { return a.Silent })
 	for name, s := range duty.daemon.follower.Config().Services {
 		in := capacity.Input{Now: r.Time, Doc: s.Parsed, Live: live, Orders: r.Orders}
 		decision := capacity.Plan(in, duty.tracker)
--- a/internal/daemon/duty_weights.go
+++ b/internal/daemon/duty_weights.go
@@ -45,6 +45,9 @@
 // loadWeights orders upstreams to load the newest published weight versions, as many at a
 // time as loadLimits allows.
 func (r *dutyRunner) loadWeights() {
+	if !r.daemon.evacuations.Proven() {
+		return // a zone may be evacuated that this replica does not know of
+	}
 	for _, w := range r.daemon.follower.Config().Weights {
 		live := r.daemon.directory.Service(w.Service)
 		r.loadPlanners.withPlanner(w.Service, func(p *weights.Planner) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,6 +99,7 @@
 	departures upstream.DepartureTracker
 	rates      ratecap.Tracker
 	refuses    func(address string) bool // whether an upstream refuses connections
+	evacuated  func(upstream.Announcement) bool
 
 	mu           sync.Mutex
 	retryBudgets map[string]*RetryBudget // by service
@@ -109,6 +110,7 @@
 	return &Dispatcher{
 		zone: zone, chooser: chooser.New(dir), forwarder: f, quarantine: q, abandoned: upstream.NewPendingChecks(), tracer: tracer,
 		refuses:      upstream.RefusesConnections,
+		evacuated:    func(upstream.Announcement) bool { return false },
 		retryBudgets: map[string]*RetryBudget{}, departures: upstream.IgnoreDepartures{}, rates: ratecap.IgnoreRates{},
 	}
 }
@@ -126,6 +128,12 @@
 // to those that have left. It must be called before Run.
 func (d *Dispatcher) TrackDepartures(t upstream.DepartureTracker) { d.departures = t }
 
+// SkipEvacuated makes the dispatcher send nothing to an upstream for which evacuated returns true,
+// also if the upstream was chosen before. It must be called before Run.
+func (d *Dispatcher) SkipEvacuated(evacuated func(upstream.Announcement) bool) {
+	d.evacuated = evacuated
+}
+
 // Run runs job on an upstream and passes the response to consume. It makes at most
 // maxAttempts attempts. The result class of the error says whether the job may have run in
 // any of them. The error carries a retry delay if the caller may send the request again.
@@ -298,12 +306,16 @@
 	return err
 }
 
-// checkBeforeSend returns an error of the class "not run" if u has left since it was chosen or
-// the token for it has run out, and otherwise the error of the job's own check.
+// checkBeforeSend returns an error of the class "not run" if u has left or its zone was evacuated
+// since it was chosen or the token for it has run out, and otherwise the error of the job's own
+// check.
 func (d *Dispatcher) checkBeforeSend(job Job, u chooser.Choice) error {
 	if d.departures.Left(u.Announcement) {
 		return result.New(result.UpstreamUnreached, "the upstream has said that it leaves")
 	}
+	if d.evacuated(u.Announcement) {
+		return result.New(result.UpstreamUnreached, "the zone of the upstream is evacuated")
+	}
 	if u.Expired(time.Now()) {
 		return result.New(result.UpstreamUnreached, "the token for the rate of the upstream has run out")
 	}
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -43,7 +43,7 @@
 	a.GET("/services/:service", g.getService)
 	a.PUT("/services/:service", g.putService)
 	a.GET("/services/:service/history", g.serviceHistory)
-	a.GET("/upstreams", func(c echo.Context) error { return c.JSON(http.StatusOK, g.Directory.Live()) })
+	a.GET("/upstreams", func(c echo.Context) error { return c.JSON(http.StatusOK, g.liveUpstreams()) })
 	a.GET("/orders", g.listOrders)
 	a.GET("/windows", g.listWindows)
 	a.GET("/members", g.readMembers)
@@ -75,7 +75,7 @@
 	defer cancel()
 	s := StatusBody{
 		Daemon: g.Daemon, Zone: g.Zone, Fresh: g.View.Fresh(), ConfigVersion: g.View.Config().Version,
-		Daemons: g.Members.Live(), Upstreams: len(g.Directory.Live()), InFlight: g.drain.InFlight(),
+		Daemons: g.Members.Live(), Upstreams: len(g.liveUpstreams()), InFlight: g.drain.InFlight(),
 	}
 	if m, err := g.Control.Members(ctx, control.MembersRequest{}); err == nil {
 		s.Group = &m
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	e.GET("/v1/steps/:id/samples", g.readSamples)
 	e.POST("/v1/services/:service/weights", g.publishWeights)
 	e.POST("/upstream/v1/announce", g.announce)
+	g.evacuationRoutes(e)
 	g.adminRoutes(e.Group("/admin/v1", g.requireOperator))
 	return e
 }
--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -149,7 +149,7 @@
 // restarted reports whether a newer incarnation of the upstream of an attempt is known, under its
 // id or at its address.
 func (t crashTracker) restarted(a proxy.Attempt) bool {
-	for _, u := range t.n.directory.Known() {
+	for _, u := range t.n.directory.Listed() {
 		if (u.ID == a.To.ID || u.Address == a.To.Address) && u.Incarnation > a.To.Incarnation {
 			return true
 		}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -18,8 +18,16 @@
 // engineDirectory implements batch.Pool.
 type engineDirectory struct{ n *Node }
 
-func (d engineDirectory) Known() []upstream.Announcement { return d.n.directory.Known() }
-func (d engineDirectory) Loading(id string) bool         { return d.n.versionTable.Loading(id) }
+// Known returns no upstream while this node does not know which zones are evacuated: a replica may
+// lead before its own follower has the newest configuration.
+func (d engineDirectory) Known() []upstream.Announcement {
+	if !d.n.evacuations.Proven() {
+		return nil
+	}
+	return d.n.directory.Listed()
+}
+
+func (d engineDirectory) Loading(id string) bool { return d.n.versionTable.Loading(id) }
 
 func (d engineDirectory) Turns(a upstream.Announcement) (n int, bounded bool) {
 	return d.n.rates.Turns(a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/duty"
+	"github.com/apricotstream/apricotstream/internal/evacuation"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
@@ -61,6 +62,7 @@
 	gossip       *member.Gossip
 
 	directory    *upstream.Directory
+	evacuations  *evacuation.Filter
 	versionTable *weights.VersionTable
 	rates        *ratecap.Keeper
 	origins      *takeup.Keeper
@@ -103,6 +105,7 @@
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
 	n.directory = upstream.NewDirectory(n.gossip)
 	n.directory.Register(n.server)
+	n.evacuations = evacuation.NewFilter(n.follower, n.directory, logger.WithPrefix("zones"))
 	n.rates = ratecap.NewKeeper(ratecap.Deployment{
 		Daemon: cfg.ID, Replicas: n.replicaAddresses, Leads: n.leads, LeaderAddress: n.leaderAddress, Daemons: func() int { return len(n.gossip.Live()) },
 		Broadcast: n.gossip.Broadcast, Ask: ratecap.AskOver(n.client), Gone: n.directory.Ended,
@@ -193,7 +196,7 @@
 	n.spawn(func() { n.carriers.Run(ctx) })
 	runner := batch.NewRunner(n.replica, engineDirectory{n}, n.carriers, n.carriers, n.log.WithPrefix("batch"))
 	n.spawn(func() { runner.Run(ctx) })
-	weightsDuty := duty.NewWeights(n.term(), publishedModels{n}, n.directory.Known, n.versionTable, n.dependencies.Orders, n.log.WithPrefix("weights"))
+	weightsDuty := duty.NewWeights(n.weightsTerm(), publishedModels{n}, n.directory.Known, n.versionTable, n.dependencies.Orders, n.log.WithPrefix("weights"))
 	n.spawn(func() { weightsDuty.Run(ctx) })
 	if n.usage != nil {
 		n.spawn(func() { n.usage.Run(ctx) })
@@ -217,6 +220,17 @@
 	return duty.NewTerm(n.replica.Leadership, n.cfg.ID, n.cfg.TakeoverDelay)
 }
 
+// weightsTerm is term once this node knows which zones are evacuated: a replica may lead before its
+// own follower has the newest configuration.
+func (n *Node) weightsTerm() *duty.Term {
+	return duty.NewTerm(func() control.Leadership {
+		if !n.evacuations.Proven() {
+			return control.Leadership{}
+		}
+		return n.replica.Leadership()
+	}, n.cfg.ID, n.cfg.TakeoverDelay)
+}
+
 // leads returns the term of the leader lease that this node holds.
 func (n *Node) leads() (term uint64, ok bool) {
 	if n.replica == nil {
@@ -244,7 +258,7 @@
 
 // statusFields returns the sizes that grow with the deployment and its work.
 func (n *Node) statusFields(ctx context.Context) []any {
-	fields := []any{"daemons", len(n.gossip.Live()), "upstreams", len(n.directory.Known()), "peer_connections", n.client.Connections()}
+	fields := []any{"daemons", len(n.gossip.Live()), "upstreams", len(n.directory.Listed()), "peer_connections", n.client.Connections()}
 	if n.replica == nil {
 		return fields
 	}
@@ -276,11 +290,12 @@
 	return string(n.identity.Load().ID)
 }
 
-// updateTable compiles each new routing configuration into the active table until ctx ends.
+// updateTable applies the evacuations of each new configuration and compiles its routes into the
+// active table, in this order, until ctx ends.
 func (n *Node) updateTable(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := n.follower.Changed()
-		if c := n.follower.Config().Routing; c != nil {
+		if c := n.evacuations.Apply().Routing; c != nil {
 			if old := n.table.Load(); old == nil || old.Config != c {
 				n.table.Store(routing.NewTable(c))
 				n.log.Info("Configuration active.", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
@@ -296,8 +311,12 @@
 // Table returns the active routing table, or nil before the first configuration.
 func (n *Node) Table() *routing.Table { return n.table.Load() }
 
-// Serve sends a caller's request to an upstream and returns the response.
+// Serve sends a caller's request to an upstream and returns the response. Background work, which can
+// wait, does not begin before this node knows which zones are evacuated.
 func (n *Node) Serve(ctx context.Context, q *proxy.Request) (*proxy.Answer, error) {
+	if q.Background && !n.evacuations.Proven() {
+		return nil, result.NewRetryAfter(result.NotFresh, time.Second, "this daemon does not know yet which zones are evacuated")
+	}
 	return n.proxy.Serve(ctx, q)
 }
 
@@ -311,6 +330,10 @@
 	return upstream.DepartureRecorder{Directory: n.directory, Log: n.log}
 }
 
+// InEvacuatedZone reports whether nothing may be sent to an upstream because its availability zone
+// is evacuated.
+func (n *Node) InEvacuatedZone(a upstream.Announcement) bool { return n.directory.InEvacuatedZone(a) }
+
 // Drain marks the node as draining, which removes it from the list of entries, and
 // announces this to the other daemons. It can't be undone.
 func (n *Node) Drain() {
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/evacuation"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -82,6 +83,19 @@
 	return err
 }
 
+// Evacuate sets whether an availability zone is evacuated. It returns nil once that is committed,
+// also if it was so before. Errors: those of evacuation.Command and of the control log.
+func (n *Node) Evacuate(ctx context.Context, zone string, evacuated bool) error {
+	began, level := time.Now(), n.Level()
+	c, err := evacuation.Command(level, zone, evacuated)
+	var out state.Outcome
+	if err == nil {
+		out, err = n.proposeChange(ctx, c)
+	}
+	n.log.Info("Evacuation request finished.", "zone", zone, "evacuated", evacuated, "configuration", out.Version, "level", level, "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
+	return err
+}
+
 // Routing returns the newest committed routing document. Before the first one it returns
 // NoConfiguration.
 func (n *Node) Routing(ctx context.Context) (state.RoutingSource, error) {
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -36,7 +36,7 @@
 		}
 	}
 	current := map[string]upstream.Announcement{}
-	for _, a := range l.n.directory.Known() {
+	for _, a := range l.n.directory.Listed() {
 		current[a.ID] = a
 		previous, ok := l.known[a.ID]
 		switch {
--- a/internal/proxy/take_up.go
+++ b/internal/proxy/take_up.go
@@ -45,7 +45,7 @@
 	}
 	q.Service, e.origin, q.ConfirmStart = found.Service, found, true
 	all := e.proxy.chooser.Upstreams(q.Service)
-	if !slices.ContainsFunc(all, e.origin.AllowsConfirmed) {
+	if len(all) > 0 && !slices.ContainsFunc(all, e.origin.AllowsConfirmed) { // without any, it is rejected for want of upstreams
 		return result.NewRetryAfter(result.VersionGone, unlistedRetryAfter, "no upstream of %s with software version %q, which began the stream", q.Service, found.Software)
 	}
 	return nil
--- a/internal/state/apply_config.go
+++ b/internal/state/apply_config.go
@@ -12,7 +12,7 @@
 func (c Command) IsConfig() bool {
 	return c.AccountCreate != nil || c.AccountRemove != nil || c.KeyCreate != nil ||
 		c.KeyWithdraw != nil || c.ServicePut != nil || c.WeightsPut != nil ||
-		c.RoutingPut != nil || c.VersionPut != nil
+		c.RoutingPut != nil || c.VersionPut != nil || c.EvacuationPut != nil
 }
 
 // Apply returns the configuration after cmd. If cmd is rejected or changes nothing, it
@@ -38,6 +38,8 @@
 		next, o = c.routingPut(cmd.RoutingPut)
 	case cmd.VersionPut != nil:
 		next, o = c.versionPut(cmd.VersionPut)
+	case cmd.EvacuationPut != nil:
+		next, o = c.evacuationPut(cmd.EvacuationPut)
 	default:
 		o = reject(result.Internal, "not a change of the configuration")
 	}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -28,6 +28,7 @@
 	WeightsPut    *WeightsPut    `json:"weights_put,omitempty"`
 	RoutingPut    *RoutingPut    `json:"routing_put,omitempty"`
 	VersionPut    *VersionPut    `json:"version_put,omitempty"`
+	EvacuationPut *EvacuationPut `json:"evacuation_put,omitempty"`
 
 	BatchAccept *BatchAccept `json:"batch_accept,omitempty"`
 	BatchRecord *BatchRecord `json:"batch_record,omitempty"`
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -50,6 +50,9 @@
 	Routing *routing.Configuration `json:"routing,omitempty"`
 	// ModelVersions holds the newest published weight version by model.
 	ModelVersions map[string]uint64 `json:"model_versions,omitempty"`
+	// Evacuated holds the evacuated availability zones. Without one it is left out of the
+	// encoding, which builds below member.Level 1 can then read.
+	Evacuated map[string]bool `json:"evacuated,omitempty"`
 }
 
 // NewConfig returns an empty configuration.
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -29,6 +29,7 @@
 	Models        string  `json:"models,omitempty"`         // weight versions by model, such as "a=1,b=3", if several are loaded
 	Software      string  `json:"software,omitempty"`       // version of the program
 	Silent        bool    `json:"-"`                        // its newest announcement has expired
+	Evacuated     bool    `json:"-"`                        // its availability zone is evacuated; set in lists only
 }
 
 // SoftwareUnknown is the software version of an upstream whose announcements contradict each
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,14 +30,16 @@
 	mu       sync.Mutex
 	registry *Registry
 	// lists is nil when the lists have to be made again from the registry.
-	lists    atomic.Pointer[lists]
-	departed atomic.Pointer[map[string]int64] // newest departed incarnation, by id
+	lists     atomic.Pointer[lists]
+	evacuated atomic.Pointer[map[string]bool]  // availability zones that get nothing
+	departed  atomic.Pointer[map[string]int64] // newest departed incarnation, by id
 }
 
 // NewDirectory returns an empty Directory whose announcements go to the daemons of group.
 func NewDirectory(group Group) *Directory {
 	d := &Directory{group: group, registry: NewRegistry()}
 	d.departed.Store(&map[string]int64{})
+	d.evacuated.Store(&map[string]bool{})
 	return d
 }
 
@@ -110,8 +113,9 @@
 
 // lists are immutable lists of upstreams.
 type lists struct {
-	known []Announcement
-	live  []Announcement
+	listed []Announcement // those of evacuated zones included
+	known  []Announcement
+	live   []Announcement
 }
 
 // current returns the lists. They are made at the first use after a change, because a
@@ -127,7 +131,13 @@
 
 // refresh makes the lists. The caller holds d.mu.
 func (d *Directory) refresh() *lists {
-	l := &lists{known: d.registry.Known(time.Now())}
+	l := &lists{listed: d.registry.Known(time.Now())}
+	for i := range l.listed {
+		a := &l.listed[i]
+		if a.Evacuated = d.InEvacuatedZone(*a); !a.Evacuated {
+			l.known = append(l.known, *a)
+		}
+	}
 	for _, a := range l.known {
 		if !a.Silent {
 			l.live = append(l.live, a)
@@ -137,8 +147,32 @@
 	return l
 }
 
-// Live returns the upstreams that are live, not leaving and not departed. The slice must
+// Evacuate hides the upstreams of these availability zones from Known, Live and Service, and
+// shows those of all others. Their announcements are recorded as before, so that they can be
+// used at once when the evacuation ends. It reports whether the zones have changed. The map
+// must not be changed afterwards.
+func (d *Directory) Evacuate(zones map[string]bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if maps.Equal(*d.evacuated.Load(), zones) {
+		return false
+	}
+	d.evacuated.Store(&zones)
+	d.refresh()
+	return true
+}
+
+// InEvacuatedZone reports whether nothing may be sent to a because its availability zone is
+// evacuated.
+func (d *Directory) InEvacuatedZone(a Announcement) bool { return (*d.evacuated.Load())[a.Zone] }
+
+// Listed returns the upstreams that Known returns and those of evacuated zones, which are
+// marked. It is for observing upstreams; nothing may be sent to the marked ones. The slice must
 // not be changed.
+func (d *Directory) Listed() []Announcement { return d.current().listed }
+
+// Live returns the upstreams of zones that are not evacuated that are live, not leaving and not
+// departed. The slice must not be changed.
 func (d *Directory) Live() []Announcement { return d.current().live }
 
 // Service returns the live upstreams of one service.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -122,8 +122,8 @@
 	return d.registry.Get(id)
 }
 
-// Known returns the upstreams that are not leaving. Silent ones are included and marked.
-// The slice must not be changed.
+// Known returns the upstreams that are not leaving and not in an evacuated zone. Silent ones are
+// included and marked. The slice must not be changed.
 func (d *Directory) Known() []Announcement { return d.current().known }
 
 // KnownDirectory is a Directory whose Service method lists the known upstreams, including
