--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -186,7 +186,7 @@
 		return
 	}
 	s.lastScheduled = now
-	engines := s.engineStates(now)
+	engines := outsideEvacuatedZones(s.engineStates(now))
 	s.relocate(now, engines)
 	for _, x := range s.scheduler.Schedule(now, engines) {
 		startBy := takeTurn(s.pool, x.Engine)
@@ -243,6 +243,11 @@
 	return out
 }
 
+// outsideEvacuatedZones returns the engines that may get items.
+func outsideEvacuatedZones(engines []Engine) []Engine {
+	return slices.DeleteFunc(engines, func(e Engine) bool { return e.Upstream.Evacuated })
+}
+
 // Delays after failures.
 const (
 	unreachedBackoff = time.Second            // of an engine that could not be reached or sent no sound event
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -19,8 +19,16 @@
 // engineDirectory implements batch.Pool.
 type engineDirectory struct{ n *Node }
 
-func (d engineDirectory) Known() []upstream.Announcement { return d.n.directory.Known() }
-func (d engineDirectory) Loading(id string) bool         { return d.n.versionTable.Loading(id) }
+// Known returns no upstream while this node does not know which zones are evacuated: a replica may
+// lead before its own follower has the newest configuration.
+func (d engineDirectory) Known() []upstream.Announcement {
+	if !d.n.evacuations.Proven() {
+		return nil
+	}
+	return d.n.directory.Listed()
+}
+
+func (d engineDirectory) Loading(id string) bool { return d.n.versionTable.Loading(id) }
 
 func (d engineDirectory) Turns(a upstream.Announcement) (n int, bounded bool) {
 	return d.n.rates.Turns(a)
@@ -157,3 +165,31 @@
 func (d engineDirectory) Uneven(service string) bool {
 	return d.n.workloads.AnyStates(d.n.Upstreams(service))
 }
+
+// leads returns the term of the leader lease that this node holds.
+func (n *Node) leads() (term uint64, ok bool) {
+	if n.replica == nil {
+		return 0, false
+	}
+	l := n.replica.Leadership()
+	return l.Term, l.Valid()
+}
+
+// tokensAfterStart is how long after its start a leader begins to issue the tokens of rates. Tokens of
+// an earlier leader may be used for a second. One that led before an early election ended within the
+// first election timeout of this process.
+const tokensAfterStart = 2500 * time.Millisecond
+
+// issuesTokens returns the term in which this node issues the tokens of rates.
+func (n *Node) issuesTokens() (term uint64, ok bool) {
+	term, ok = n.leads()
+	return term, ok && time.Since(n.started) >= tokensAfterStart
+}
+
+// leaderAddress returns the peer address of the leader that the replica knows, or "".
+func (n *Node) leaderAddress() string {
+	if n.replica == nil {
+		return ""
+	}
+	return n.replica.LeaderAddress()
+}
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -71,7 +71,7 @@
 	case readiness.FreshConfiguration:
 		s.Met, s.Lost = n.Fresh(), n.start.wasFresh.Load()
 	case readiness.Upstream:
-		s.Met = n.directory.Listed(q.Service)
+		s.Met = n.directory.SeenService(q.Service)
 	}
 	if !s.Met {
 		s.AnyUpstream = len(n.directory.Known()) > 0
@@ -164,7 +164,7 @@
 	}
 	for i := range t.Config.Routes {
 		for _, s := range t.Config.Routes[i].Splits {
-			if s.Weight > 0 && !n.directory.Listed(s.Service) {
+			if s.Weight > 0 && !n.directory.SeenService(s.Service) {
 				return false
 			}
 		}
