Look at the seeds more often until another daemon is known

Cause: an entry summarized what it knows of the other daemons every 20 ms, also before the first summary says that no replica runs. Requests of that time are refused.

Change: it does so every 5 ms until it has reached another daemon.

Race tests of node and readiness.

--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -98,7 +98,7 @@
 			fresh, changed = f, true
 			n.start.wasFresh.Store(true)
 		}
-		if i%deploymentPolls == 0 {
+		if i%deploymentPolls == 0 || reachedAt.IsZero() { // no request is held before the first evidence
 			tried, refused := n.gossip.Seeds() // before the daemons, or one that has just answered counts as neither
 			live := n.gossip.Live()
 			if reachedAt.IsZero() && (len(live) > 1 || n.Table() != nil) { // a configuration comes from a replica
--- a/internal/readiness/decision_test.go
+++ b/internal/readiness/decision_test.go
@@ -149,16 +149,12 @@
 // Guards against entries that load the replicas without end, or all at the same moment.
 func TestNextPull(t *testing.T) {
 	g := NewWithT(t)
-	for _, c := range []struct {
-		up, least, most time.Duration
-	}{{0, 75 * time.Millisecond, 225 * time.Millisecond}, {6 * time.Second, 300 * time.Millisecond, 900 * time.Millisecond}} {
-		for draw, want := range map[float64]time.Duration{0: c.least, 1: c.most} {
-			wait, ok := NextPull(c.up, false, draw)
-			g.Expect(ok).To(BeTrue())
-			g.Expect(wait).To(BeNumerically("~", want, time.Millisecond))
-		}
-		_, ok := NextPull(c.up, true, 0)
-		g.Expect(ok).To(BeFalse())
+	for up, mean := range map[time.Duration]time.Duration{0: startPullInterval, 6 * time.Second: 600 * time.Millisecond} {
+		least, again := NextPull(up, false, 0)
+		most, _ := NextPull(up, false, 1)
+		g.Expect([]time.Duration{least, most}).To(Equal([]time.Duration{mean / 2, mean * 3 / 2}))
+		_, complete := NextPull(up, true, 0)
+		g.Expect([]bool{again, complete}).To(Equal([]bool{true, false}))
 	}
 	_, ok := NextPull(StartPeriod, false, 0)
 	g.Expect(ok).To(BeFalse())
