--- a/internal/readiness/decision_test.go
+++ b/internal/readiness/decision_test.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// Guards against entries that load the replicas without end, or all at the same moment.
+func TestNextPull(t *testing.T) {
+	g := NewWithT(t)
+	for up, mean := range map[time.Duration]time.Duration{0: startPullInterval, 6 * time.Second: 600 * time.Millisecond} {
+		least, again := NextPull(up, false, 0)
+		most, _ := NextPull(up, false, 1)
+		g.Expect([]time.Duration{least, most}).To(Equal([]time.Duration{mean / 2, mean * 3 / 2}))
+		_, complete := NextPull(up, true, 0)
+		g.Expect([]bool{again, complete}).To(Equal([]bool{true, false}))
+	}
+	_, ok := NextPull(StartPeriod, false, 0)
+	g.Expect(ok).To(BeFalse())
+}
+
 // Guards against a request that is served late because its wait does not end with the event, that
 // outlives its caller or its deadline, and against more held requests than the bound.
 func TestGate(t *testing.T) {
