Keep candidates in place while no step of a choice drops any

Cause: each filter and preference copied all candidates into a growing slice, also when it kept all of them, which is so for nearly every request.

Change: a step that keeps all candidates returns the slice that it got; one that drops some allocates once.

Tests of workload, picker, proxy, chooser, node and dispatch pass with the race detector, and the tests of loads in platform.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -98,12 +98,7 @@
 // Choose returns the chosen upstream. It returns false if every candidate was dropped by
 // a filter.
 func (p Pipeline) Choose(rnd *rand.Rand, q Request, cs []Candidate) (upstream.Announcement, bool) {
-	var kept []Candidate
-	for _, c := range cs {
-		if p.passesFilters(q, c) {
-			kept = append(kept, c)
-		}
-	}
+	kept := filterCandidates(cs, func(c Candidate) bool { return p.passesFilters(q, c) })
 	if len(kept) == 0 {
 		return upstream.Announcement{}, false
 	}
