Let the upstreams of a test come back from a crash as new incarnations

A crash of an incarnation counts once, and the test's upstreams kept theirs, so when the second choice fell on the first upstream again, one time in nine, its crash was not counted. Upstreams that crash start again under a new incarnation. The check is the same.

--- a/internal/proxy/crash_stream_test.go
+++ b/internal/proxy/crash_stream_test.go
@@ -100,7 +100,7 @@
 func TestStreamThatCrashesItsUpstreamsIsHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := &bodyUpstreams{fakeUpstreams: fakeUpstreams{n: 9}}
+		f := &bodyUpstreams{fakeUpstreams: fakeUpstreams{n: 9}, crashes: map[string]int64{}}
 		tracker := quarantineTracker{quarantine.NewTable(time.Now, nil)}
 		p := New(log.New(io.Discard), "z", chooser.New(f), f, &fakeUsage{}, tracker)
 		var err error
@@ -128,10 +128,20 @@
 	})
 }
 
-// bodyUpstreams break off the streams of requests with the body "poison" after the first event.
+// bodyUpstreams break off the streams of requests with the body "poison" after the first event, and
+// come back as new incarnations.
 type bodyUpstreams struct {
 	fakeUpstreams
 	poisoned int
+	crashes  map[string]int64 // by upstream
+}
+
+func (f *bodyUpstreams) Service(name string) []upstream.Announcement {
+	list := f.fakeUpstreams.Service(name)
+	for i := range list {
+		list[i].Incarnation = 1 + f.crashes[list[i].ID]
+	}
+	return list
 }
 
 func (f *bodyUpstreams) Send(ctx context.Context, to upstream.Announcement, q *Request) (*Answer, error) {
@@ -139,6 +149,7 @@
 	if bytes.Equal(q.Body, []byte("poison")) {
 		s.lasting, s.end = 0, errReset
 		f.poisoned++
+		f.crashes[to.ID]++
 	}
 	return &Answer{Status: 200, Stream: s, From: to}, nil
 }
