Send every announcement of upstreams to the others for five seconds after a start

Cause: replicas are up sooner and hear an upstream before they know any other daemon, so its notice reaches nobody.

Change: for five seconds after its start a daemon sends every announcement on.

--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -14,6 +14,11 @@
 // MethodAnnounce is the notice that distributes announcements between daemons.
 const MethodAnnounce = "upstream.announce"
 
+// startPeriod is how long after its start a daemon sends every announcement to the others. When all
+// have restarted, it does not know them yet at the first one, and the next one that is due without
+// this comes two or three announcements later; until then the entries know a part of the upstreams.
+const startPeriod = 5 * time.Second
+
 // maxListedServices bounds the memory for the names of services, which upstreams announce. It is
 // several times the number of services of a deployment.
 const maxListedServices = 4096
@@ -35,9 +40,10 @@
 
 	group Group
 
-	mu       sync.Mutex
-	registry *Registry
-	services int // in listed
+	mu        sync.Mutex
+	registry  *Registry
+	startedAt time.Time
+	services  int // in listed
 	// listed has the services of which an upstream has been recorded that was not leaving. Requests
 	// read it without the lock.
 	listed sync.Map
@@ -49,7 +55,7 @@
 
 // NewDirectory returns an empty Directory whose announcements go to the daemons of group.
 func NewDirectory(group Group) *Directory {
-	d := &Directory{group: group, registry: NewRegistry()}
+	d := &Directory{group: group, registry: NewRegistry(), startedAt: time.Now()}
 	d.departed.Store(&map[string]int64{})
 	d.evacuated.Store(&map[string]bool{})
 	return d
@@ -94,7 +100,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	a = d.registry.WithSoftware(a)
-	due := d.registry.ShouldNotify(now, a)
+	due := d.registry.ShouldNotify(now, a) || now.Sub(d.startedAt) < startPeriod
 	changed := d.registry.Record(now, a)
 	if changed && (due || notified) {
 		d.registry.MarkNotified(now, a.ID)
