Begin no reward request that reached its carrier late

Cause: the leader had been cut off at 25.0 s. What it had sent to carriers in the other half was sent again with growing pauses and arrived at 37.6 s, which is 25.0 s and the sum of 0.2 to 6.4 s. Runs have a permit on the carrier's clock; a reward request counted its 1.2 s from the arrival. The sender is inferred from these times.

Change: the request carries the end of its time on the carrier's boot clock. The test fails without that (1.2 s left instead of none).

--- a/internal/batch/carrier.go
+++ b/internal/batch/carrier.go
@@ -66,9 +66,14 @@
 		ctx, cancel := context.WithTimeout(ctx, q.Left)
 		defer cancel()
 		now := time.Now()
+		startBy := now.Add(permitDuration)
+		if q.StartUntil > 0 {
+			startBy = now.Add(min(permitDuration, q.StartUntil-clock.Now()))
+		}
 		// The call goes on when the leader gives it up: a leader that is killed, or whose batch job
-		// has ended, must not be outlived for longer than by runs.
-		score, err := c.scorer.Score(ctx, q.Reward, ScoreLimits{Deadline: now.Add(q.Left), StartBy: now.Add(permitDuration)})
+		// has ended, must not be outlived for longer than by runs. The call may also arrive late: what
+		// a partition has held up is sent again long after it has healed.
+		score, err := c.scorer.Score(ctx, q.Reward, ScoreLimits{Deadline: now.Add(q.Left), StartBy: startBy})
 		return ScoreReply{Score: score}, err
 	})
 }
--- a/internal/batch/carrier_messages.go
+++ b/internal/batch/carrier_messages.go
@@ -97,6 +97,9 @@
 type ScoreRequest struct {
 	Reward *state.Reward `json:"reward"`
 	Left   time.Duration `json:"left"` // nanoseconds until the deadline
+	// StartUntil is when the last attempt must have begun, in nanoseconds on the carrier's boot
+	// clock; 0 from older builds.
+	StartUntil time.Duration `json:"start_until,omitempty"`
 }
 
 // ScoreReply is the answer to a reward request.
--- a/internal/batch/carriers_test.go
+++ b/internal/batch/carriers_test.go
@@ -204,6 +204,36 @@
 	g.Expect(signature).To(Equal("signed"))
 }
 
+// limitsScorer records the limits of reward requests.
+type limitsScorer struct {
+	stubFailingScorer
+	limits chan ScoreLimits
+}
+
+func (s limitsScorer) Score(_ context.Context, _ *state.Reward, l ScoreLimits) (string, error) {
+	s.limits <- l
+	return "signed", nil
+}
+
+// Guards against a reward request that a partition has held up on its way to the carrier, and that
+// runs when its batch job has long ended.
+func TestRewardRequestThatReachesItsCarrierLateDoesNotBegin(t *testing.T) {
+	g := NewWithT(t)
+	x := newCarried(t, &scriptedEngines{})
+	scorer := limitsScorer{limits: make(chan ScoreLimits, 1)}
+	x.carrier.scorer = scorer
+	score := func() ScoreLimits {
+		_, err := x.leader.Score(t.Context(), &state.Reward{ID: "r"}, ScoreLimits{Deadline: time.Now().Add(time.Minute)})
+		g.Expect(err).NotTo(HaveOccurred())
+		return <-scorer.limits
+	}
+	g.Expect(time.Until(score().StartBy)).To(BeNumerically(">", 0))
+	x.leader.mu.Lock()
+	x.leader.carriers[x.place.CarrierOf(upstream.Announcement{})].offset.offset -= 12 * time.Second // as if sent that long ago
+	x.leader.mu.Unlock()
+	g.Expect(time.Until(score().StartBy)).To(BeNumerically("<", 0))
+}
+
 func TestRestartedCarrierIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	x := newCarried(t, &scriptedEngines{events: 3})
