Go on pulling upstreams after a start when one of each service is known

Cause: the pulls ended as soon as one upstream of each service with a route was known.

Change: for five seconds from the start the pulls go on, twice a second.

--- a/internal/readiness/decision.go
+++ b/internal/readiness/decision.go
@@ -207,17 +207,26 @@
 	// of a service yet. 70 entries then make 470 calls a second, divided among the replicas. A
 	// call took 0.7 ms of processor time for both sides with 60 upstreams.
 	startPullInterval = 150 * time.Millisecond
+	// completePullInterval is the mean time between the pulls while an upstream of each service is
+	// known, for completePullPeriod from the start: several heartbeats, which go to other replicas.
+	completePullInterval = 500 * time.Millisecond
+	completePullPeriod   = 5 * time.Second
 	// pullSlowdown makes the interval grow to a tenth of the time since the start: a service may
 	// have no upstream at all.
 	pullSlowdown = 10
 )
 
-// NextPull returns after what time a process pulls the list of upstreams again. It returns false
-// when the periodic pulls suffice, because an upstream of each service is known or the start is
-// long ago. draw is random in [0, 1): daemons that start at once must not pull at once.
+// NextPull returns after what time a process pulls the list of upstreams again. complete means that an
+// upstream of each service with a route is known. That is not the end: it may be one of many, or
+// the configuration an old one with fewer services. It returns false when the periodic pulls suffice. draw
+// is random in [0, 1): daemons that start at once must not pull at once.
 func NextPull(uptime time.Duration, complete bool, draw float64) (time.Duration, bool) {
-	if complete || uptime >= StartPeriod {
+	interval := max(startPullInterval, uptime/pullSlowdown)
+	if complete {
+		interval = max(interval, completePullInterval)
+	}
+	if uptime >= StartPeriod || complete && uptime >= completePullPeriod {
 		return 0, false
 	}
-	return time.Duration((0.5 + draw) * float64(max(startPullInterval, uptime/pullSlowdown))), true
+	return time.Duration((0.5 + draw) * float64(interval)), true
 }
