Contact each seed after a start until it is known

Cause: a daemon tried its seeds in short succession only until it knew any other daemon. Replicas read their folders faster now, and those that are no seeds were up 0.1 to 0.3 s before the three seeds. They found each other through the membership in their folders, the seeds found each other, and the two groups met at the next regular attempt, after 5 s.

Change: a daemon contacts all seeds that it does not know, for ten seconds at most. The test fails without it: the late seed is not found in 2 s.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -21,9 +21,9 @@
 	// the seeds that are not known to be up. The attempts reunite two sets of daemons
 	// that have ejected each other.
 	seedRetryRounds = 10
-	// firstRetryInterval is the pause between attempts to contact the seeds while no other daemon
-	// is known, in the firstRetryPeriod after the start: when all daemons restart together, a
-	// daemon that waits for the next probe is missing from the first notices of the others.
+	// firstRetryInterval is the pause between attempts to contact the seeds that are not known, in
+	// the firstRetryPeriod after the start: when all daemons restart together, a daemon that waits
+	// for the next probe is missing from the first notices of the others.
 	firstRetryInterval = 100 * time.Millisecond
 	firstRetryPeriod   = 10 * time.Second
 )
@@ -97,9 +97,11 @@
 	})
 }
 
-// findFirst contacts the seeds until another daemon is known, for firstRetryPeriod at most.
+// findFirst contacts the seeds until all of them are known, for firstRetryPeriod at most. With one
+// other daemon alone, those that restart together and start at different moments would form groups
+// that do not know each other until the next regular attempt.
 func (g *Gossip) findFirst(ctx context.Context) {
-	for began := time.Now(); time.Since(began) < firstRetryPeriod && len(g.Live()) == 1; {
+	for began := time.Now(); time.Since(began) < firstRetryPeriod && len(g.unknownSeeds()) > 0; {
 		if !periodic.Pause(ctx, firstRetryInterval) {
 			return
 		}
@@ -296,19 +298,28 @@
 
 // pullFromSeeds merges the tables of the seeds that are not known to be up.
 func (g *Gossip) pullFromSeeds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range g.unknownSeeds() {
+		wg.Go(func() { g.recordSeed(a, g.pull(ctx, a)) })
+	}
+	wg.Wait()
+}
+
+// unknownSeeds returns the seeds that are not among the daemons that are up.
+func (g *Gossip) unknownSeeds() []string {
 	known := map[string]bool{}
 	for _, d := range g.Live() {
 		known[d.PeerAddress] = true
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
+	var out []string
 	for _, a := range g.seeds() {
 		if !known[a] {
-			wg.Go(func() { g.recordSeed(a, g.pull(ctx, a)) })
+			out = append(out, a)
 		}
 	}
-	wg.Wait()
+	return out
 }
 
 // recordSeed records the outcome of a call to a seed.
--- a/internal/member/gossip_test.go
+++ b/internal/member/gossip_test.go
@@ -55,6 +55,33 @@
 		Eventually(func() []string { return ids(a.Live()) }).Should(Equal([]string{"a", "b"}))
 	})
 
+	// Guards against two groups of daemons that do not know each other for five seconds after a
+	// restart of all: the daemons that were up first had found each other, and tried the seed, which
+	// came last, no more.
+	It("finds a seed that comes up after another daemon is known", func() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		a, b := newTestDaemon("a", 1, ""), newTestDaemon("b", 1, "")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		late := l.Addr().String()
+		l.Close()
+		a.seeds = func() []string { return []string{late, b.self.Load().PeerAddress} }
+		go a.Run(ctx)
+		Eventually(func() []string { return ids(a.Live()) }).Should(Equal([]string{"a", "b"}))
+		l, err = net.Listen("tcp", late)
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		server := peer.NewServer()
+		defer server.Close()
+		seed := NewGossip(peer.NewClient(peer.DialFrom("")), nil, func() Daemon {
+			return Daemon{ID: "seed", Incarnation: 1, Region: "r", PeerAddress: late}
+		})
+		seed.Register(server)
+		go server.Serve(ctx, l)
+		Eventually(func() []string { return ids(a.Live()) }, 2*time.Second).Should(Equal([]string{"a", "b", "seed"}))
+	})
+
 	// Guards against a lost replica that counts as live because its successor is ignored.
 	It("lists the new replica of a daemon whose clock was set back before it started", func() {
 		a := newTestDaemon("a", 1, "")
