Print process state and goroutine stacks of a daemon that is not fresh

The watchdog of fenced connections, which kills a process that is stopped in the middle of a write, is ruled out: the cluster of this test has no receivers, so no connection is fenced.

waitFresh now prints /proc/PID/status and the end of the log, with the stacks that SIGQUIT makes the process print. The check and its bound are unchanged.

--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -259,7 +259,9 @@
 		c.g.Eventually(func() bool {
 			s, err := c.status(i)
 			return err == nil && s.Fresh
-		}, 15*time.Second, 50*time.Millisecond).Should(BeTrue(), "daemon %d is not fresh", i)
+		}, 15*time.Second, 50*time.Millisecond).Should(BeTrue(), func() string {
+			return fmt.Sprintf("daemon %d is not fresh: %s", i, c.dump(i))
+		})
 	}
 }
 
