Add config check, which finds faults of a configuration before it is sent

A configuration that daemons accept can still hold routes that no request matches, accounts without a key, or limits that contradict each other, and these show only under traffic. The new package configcheck finds them, one rule for each kind; apricotstream config check FILE prints them with the reasons for which daemons would reject the document.

Measured: TestCheckFinds has one case for each rule; TestValidConfigurationHasNoFindings and TestDocumentsThatWorkHaveNoFindings (five documents of the tests of platform) show no finding for what works; all pass, with ./internal/cli.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,13 @@
 	if err == nil {
 		return ExitOK
 	}
+	var ee exitError
+	if errors.As(err, &ee) {
+		if ee.err != nil {
+			reportError(errOut, ee.err)
+		}
+		return ee.code
+	}
 	var fe *flags.Error
 	if errors.As(err, &fe) {
 		if fe.Type == flags.ErrHelp {
@@ -48,6 +55,9 @@
 			return ExitOK
 		}
 		fmt.Fprintln(errOut, fe.Message)
+		if p.Active != nil && p.Active.Name == groupConfig { // there, ExitUsage stands for warnings
+			return exitConfigUnread
+		}
 		return ExitUsage
 	}
 	return reportError(errOut, err)
@@ -114,6 +124,7 @@
 		{"account", "Manage client accounts", accountCommands(o)},
 		{"key", "Manage keys", keyCommands(o)},
 		{"service", "Manage service documents", serviceCommands(o)},
+		{groupConfig, "Check and compare configurations before they are sent", configCommands(o)},
 		{"member", "Manage the control group", memberCommands(o)},
 		{"upstream", "Look at upstreams", upstreamCommands(o)},
 		{"zone", "Evacuate availability zones", zoneCommands(o)},
