Add config diff, which lists what a configuration changes

An operator who replaces all routes in one call cannot see what else the document changes. apricotstream config diff FILE lists routes, services and accounts that are added, removed or changed, against another document (--against) or the version in force at a replica (--control, GET /config). Keys are compared by hash and never printed.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -24,6 +24,7 @@
 func configCommands(o *options) []subcommand {
 	return []subcommand{
 		{"check", "Check a configuration document before it is sent", "routes.json\n\nExit code 0: no findings; 1: daemons reject the configuration; 2: warnings only; 3: the file cannot be read.", &configCheck{o: o}},
+		{"diff", "List what a configuration document changes", "routes.json --control 10.0.1.1:9000\n\nExit code 0: no differences; 1: differences; 3: one of the two cannot be read. Keys are compared, but never printed.", &configDiff{o: o}},
 	}
 }
 
--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -18,7 +18,8 @@
 		Version: 3, Keyed: true,
 		Services: []routing.Service{
 			{Name: "engine", Engine: &routing.Engine{Slots: 4, Models: []string{"m1"}}, Scaling: &routing.Scaling{Min: 2, Max: 2, Boot: time.Second}},
-			{Name: "plain", ColdPerS: 4}, {Name: "idle"},
+			{Name: "plain", ColdPerS: 4},
+			{Name: "idle"},
 		},
 		Routes: []routing.Route{
 			{Name: "ask", Host: "A.example", Prefix: "/", Kind: routing.Idempotent, Timeout: time.Second, TargetLatency: time.Second, MaxAttempts: 3, Splits: []routing.Split{{Service: "plain", Weight: 9}, {Service: "idle"}}},
--- a/scripts/reference.sh
+++ b/scripts/reference.sh
@@ -17,7 +17,8 @@
 
 The command line exits with 0 when done, 1 when nothing was changed, 2 when the
 command line or a file is wrong, 3 when the change may or may not have been made
-(sending it again is safe: it carries an operation id).
+(sending it again is safe: it carries an operation id). The commands of `config`
+have exit codes of their own: see their help.
 
 T
 	$a codes --markdown
