Bound the attempts of a request, whatever its route allows

A configuration with a huge maxAttempts is accepted, and each request of the route then reserved room for the results of that many attempts: newExecution with 2^30 attempts asked for 352 GB, which ends the entry ("fatal error: out of memory" in the new test before this change).

A request now makes at most 64 attempts. The test passes for 2^30 and for the largest integer.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -63,7 +63,7 @@
 	if request.Route == nil || request.Route.Repeatable() {
 		e.maxAttempts = defaultMaxAttempts
 		if request.Route != nil && request.Route.MaxAttempts > 0 {
-			e.maxAttempts = request.Route.MaxAttempts
+			e.maxAttempts = min(request.Route.MaxAttempts, maxMaxAttempts)
 		}
 	}
 	e.results = make(chan Attempt, e.maxAttempts+maxRejections+1)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,9 @@
 	// defaultMaxAttempts is the number of upstreams that may run a request whose route
 	// sets no limit.
 	defaultMaxAttempts = 2
+	// maxMaxAttempts bounds the number that a route sets. Each request keeps room for the results
+	// of all its attempts, so a number of a billion ends the process.
+	maxMaxAttempts = 64
 	// maxRejections is the number of attempts that may end without running the request,
 	// because the upstream rejected it or was not reached. After that many the request is
 	// not retried: the service counts as having no free concurrency slot.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -246,3 +247,14 @@
 		})
 	}
 }
+
+// Guards against an entry that runs out of memory because of one number in the configuration: each
+// request has room for the results of all attempts that its route allows.
+func TestRouteWithHugeMaxAttemptsCostsNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{1 << 30, math.MaxInt} {
+		route := routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: n}
+		e := newExecution(nil, &Request{ID: "r", Route: &route, Service: "s", Method: "POST", Target: "/"})
+		g.Expect(cap(e.results)).To(BeNumerically("<", 1000))
+	}
+}
