--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -26,7 +26,12 @@
 	Relays        bool   `json:"relays,omitempty"`   // passes connections to upstreams on for other daemons
 	Severed       bool   `json:"severed,omitempty"`  // has lost its links to upstreams
 	Level         int    `json:"level,omitempty"`    // see Level; 0 in older builds
-	InFlight      int    `json:"in_flight,omitempty"`
+	// Overloaded is set while this entry has many more requests in flight than others, see Overload.
+	Overloaded bool `json:"overloaded,omitempty"`
+	// Capacity does not change. It is zero in older builds, which also drop it from what they
+	// pass on.
+	Capacity Capacity `json:"cap,omitzero"`
+	InFlight int      `json:"in_flight,omitempty"`
 }
 
 // Level is the level of commands and fields of the control log that this build can read. A replica
--- a/internal/member/doc.go
+++ b/internal/member/doc.go
@@ -9,4 +9,9 @@
 // other daemons is suspected. It is ejected unless it refutes the suspicion in time. Probes
 // carry a hash of the table, so that daemons find and repair differences that a lost
 // notice has left.
+//
+// Answer selects the entries that a caller should use. If the entries announce capacities that
+// differ, Weighting gives each one a weight, and Answer includes it for a part of the callers
+// that follows the weight. Overload halves the weight of an entry with far more requests in
+// flight than the others.
 package member
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -65,7 +65,7 @@
 // Merge records the description d of another daemon and reports whether it is newer than
 // the known one. It ignores descriptions from other regions, older descriptions, and
 // those that a tombstone covers. If d has the version that is already known, it only
-// updates InFlight.
+// updates InFlight, and adds what a daemon of an older build has left out on the way.
 func (t *Table) Merge(now time.Time, d Daemon) bool {
 	if d.ID == t.self.ID || d.Region != t.self.Region {
 		return false
@@ -81,6 +81,10 @@
 		return true
 	case d.compareVersion(old.daemon) == 0:
 		old.daemon.InFlight = d.InFlight
+		old.daemon.Overloaded = old.daemon.Overloaded || d.Overloaded
+		if old.daemon.Capacity == (Capacity{}) {
+			old.daemon.Capacity = d.Capacity
+		}
 	}
 	return false
 }
