Answer lookups of callers by the capacities of entries

The settings cpu_share and link_mbps (optional, platform's section [daemon]) and the existing memory_mb and descriptors are announced as the capacity of an entry. The directory answers with member.Answer for a key of host, region, zone and the client's IP address. An entry observes once a second whether weighting is active and whether it is overloaded, logs changes of the former at most once a minute, and publishes its weight. Without weighting it announces no requests in flight, as before.

--- a/internal/conntrack/connections.go
+++ b/internal/conntrack/connections.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// Active returns the number of connections with a request in progress.
+func (c *Connections) Active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, since := range c.idleSince {
+		if since.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // CloseIdle closes the connections that have been idle for at least grace and returns how
 // many other connections are open.
 func (c *Connections) CloseIdle(now time.Time, grace time.Duration) int {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/apricotstream/apricotstream/internal/member"
+)
 
 // Config configures a node.
 type Config struct {
@@ -11,10 +15,11 @@
 	PeerListen  string   // IP:port on which the node listens for them; empty: PeerAddress
 	Founders    []string // peer addresses of the initial voters, through which a node finds the others
 
-	CallerAddress string // address given to clients; empty if the node serves no clients
-	DataFolder    string // empty if the node isn't a replica
-	FirstStart    bool   // whether the deployment starts for the first time
-	Tolerance     int    // number of replicas that may fail at the same time
+	CallerAddress string          // address given to clients; empty if the node serves no clients
+	Capacity      member.Capacity // what the process may use
+	DataFolder    string          // empty if the node isn't a replica
+	FirstStart    bool            // whether the deployment starts for the first time
+	Tolerance     int             // number of replicas that may fail at the same time
 
 	UsageInterval  time.Duration // length of a usage interval; 0 disables usage reports
 	TakeoverDelay  time.Duration // time during which a new leader sends no orders
@@ -41,6 +46,10 @@
 
 	// processStatusInterval is the time between two log lines on the size of the process.
 	processStatusInterval = 5 * time.Second
+	// weightingInterval is the time between two observations of the weights and the load.
+	weightingInterval = time.Second
+	// weightingLogInterval is the shortest time between two log lines on weighting.
+	weightingLogInterval  = time.Minute
 	expireInterval        = 250 * time.Millisecond
 	countsInterval        = 500 * time.Millisecond
 	directoryPullInterval = time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	Orders    duty.Engines  // for weight loads
 	Provider  duty.Provider // nil if there is no provider to report usage to
 	Scorer    func(*Node) batch.Scorer
+	InFlight  func() int // number of callers' requests in progress; nil: unknown
 }
 
 // Node is one process of a deployment.
@@ -83,9 +84,10 @@
 	demand     map[string]float64 // tokens of recent batch jobs, by model
 	versionLag map[string]uint64  // versions behind the newest one that the last batch job allowed, by model
 
-	table    atomic.Pointer[routing.Table]
-	draining atomic.Bool
-	wg       sync.WaitGroup // goroutines of Start
+	weighting *entryWeighting
+	table     atomic.Pointer[routing.Table]
+	draining  atomic.Bool
+	wg        sync.WaitGroup // goroutines of Start
 }
 
 // New returns a node; Start runs it. A replica with an empty data folder forms the control
@@ -98,6 +100,7 @@
 		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), versionTable: weights.NewVersionTable(), demand: map[string]float64{}, versionLag: map[string]uint64{},
 	}
 	n.identity.Store(&storage.Identity{})
+	n.weighting = newEntryWeighting(cfg.ID, logger.WithPrefix("weights"))
 	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
 	n.gossip = member.NewGossip(n.client, n.seeds, n.self)
 	n.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(n.log, known, renewed) }
@@ -174,6 +177,9 @@
 			status.logChanges()
 		})
 	})
+	if n.cfg.CallerAddress != "" {
+		n.spawn(func() { periodic.Every(ctx, weightingInterval, n.observeWeighting) })
+	}
 	process := telemetry.NewProcessStatus(n.log)
 	n.spawn(func() {
 		periodic.Every(ctx, processStatusInterval, func() { process.Log(n.statusFields(ctx)...) })
@@ -264,11 +270,16 @@
 
 // self returns the heartbeat of this node.
 func (n *Node) self() member.Daemon {
-	return member.Daemon{
+	d := member.Daemon{
 		ID: n.cfg.ID, Incarnation: n.started.UnixNano(), Zone: n.cfg.Zone, Region: n.cfg.Region,
 		CallerAddress: n.cfg.CallerAddress, PeerAddress: n.cfg.PeerAddress, Replica: n.announcedReplica(),
 		Fresh: n.follower.Fresh(), Draining: n.draining.Load(), Relays: true, Severed: n.dependencies.Links.Severed(), Level: member.Level,
 	}
+	if n.cfg.CallerAddress != "" {
+		d.Capacity = n.cfg.Capacity
+		d.Overloaded, d.InFlight = n.weighting.load()
+	}
+	return d
 }
 
 // Level returns the level of log entries that all known daemons can read, see member.Level.
@@ -356,20 +367,13 @@
 // Log returns the node's logger.
 func (n *Node) Log() *log.Logger { return n.log }
 
-// Entries returns the caller addresses that clients in zone should use: those in the zone
-// if it has at least two, or else all.
-func (n *Node) Entries(zone string) []string {
-	var near, all []string
-	for _, d := range member.Entries(n.gossip.Live(), zone) {
-		all = append(all, d.CallerAddress)
-		if d.Zone == zone {
-			near = append(near, d.CallerAddress)
-		}
+// Entries returns the caller addresses that a caller should use, see member.Answer.
+func (n *Node) Entries(c member.Caller) []string {
+	var out []string
+	for _, d := range member.Answer(n.gossip.Live(), c) {
+		out = append(out, d.CallerAddress)
 	}
-	if len(near) >= 2 {
-		return near
-	}
-	return all
+	return out
 }
 
 // Group returns the newest membership of the control group that this node knows.
