Divide the slots of upstreams by the weights of entries

SlotAllocator takes the share of this entry instead of the number of entries. TestGrantGrowsIntoFreeSlotsAndShrinks passes 1.0/6 where it passed 6 entries; its expectations are unchanged. Only the project's own interface uses SlotAllocator, and its settings have no capacity yet, so its slots do not change.

--- a/internal/admission/fair_admitter_test.go
+++ b/internal/admission/fair_admitter_test.go
@@ -74,13 +74,13 @@
 	n := 0
 	for range 40 { // the only busy one of six entries
 		now = now.Add(grantInterval)
-		n = x.slots(now, 72, n, n, 6)
+		n = x.slots(now, 72, n, n, 1.0/6)
 	}
 	g.Expect(n).To(BeNumerically(">=", 60))
 	for range 40 { // the other five entries use their equal parts
 		now = now.Add(grantInterval)
-		n = x.slots(now, 72, 60+n, n, 6)
+		n = x.slots(now, 72, 60+n, n, 1.0/6)
 	}
 	g.Expect(n).To(Equal(12))
-	g.Expect(x.slots(now, 0, 0, 0, 6)).To(Equal(0))
+	g.Expect(x.slots(now, 0, 0, 0, 1.0/6)).To(Equal(0))
 }
--- a/internal/admission/slot_allocator.go
+++ b/internal/admission/slot_allocator.go
@@ -13,19 +13,20 @@
 }
 
 // SlotAllocator divides the concurrency slots of the live upstreams among the live
-// entries.
+// entries, by their shares.
 type SlotAllocator struct {
 	directory Directory
-	entries   func() int // number of live entries, this one included
+	share     func() float64 // of this entry, above 0 and at most 1
 
 	mu     sync.Mutex
 	grants map[string]*grant // by service
 }
 
-// NewSlotAllocator returns a SlotAllocator for the upstreams of dir. entries returns the
-// number of entries that serve requests now, this one included.
-func NewSlotAllocator(dir Directory, entries func() int) *SlotAllocator {
-	return &SlotAllocator{directory: dir, entries: entries, grants: map[string]*grant{}}
+// NewSlotAllocator returns a SlotAllocator for the upstreams of dir. share returns the part of
+// the slots that belongs to this entry: with equal parts, 1 divided by the number of entries
+// that serve requests now, this one included.
+func NewSlotAllocator(dir Directory, share func() float64) *SlotAllocator {
+	return &SlotAllocator{directory: dir, share: share, grants: map[string]*grant{}}
 }
 
 // Slots implements Slots.
@@ -35,7 +36,7 @@
 		total += u.Concurrency
 		used += u.Running + u.Waiting
 	}
-	entries := max(a.entries(), 1)
+	share := a.share()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.grants[service]
@@ -43,5 +44,5 @@
 		g = &grant{adjustedAt: time.Now()}
 		a.grants[service] = g
 	}
-	return g.slots(time.Now(), total, used, inFlight, entries)
+	return g.slots(time.Now(), total, used, inFlight, share)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,7 +123,7 @@
 	d.rates.Register(d.server)
 	dispatcher.KeepRates(d.rates)
 	d.usage = usage.NewCounter(d.incarnation)
-	d.admission = admission.NewFairAdmitter(admission.NewSlotAllocator(d.directory, d.entryCount))
+	d.admission = admission.NewFairAdmitter(admission.NewSlotAllocator(d.directory, d.entryShare))
 	d.limits = limit.New(d.incarnation, d.follower.Config, d.client, d.grantorAddresses, d.leadership)
 	d.limits.Register(d.server)
 	admitter := limit.Admitter{Limiter: d.limits, Next: d.admission}
--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -77,9 +77,9 @@
 	return d.replica.LeaderAddress()
 }
 
-// entryCount returns the number of entries that share the upstreams.
-func (d *Daemon) entryCount() int {
-	return len(member.Entries(d.gossip.Live(), d.cfg.Zone))
+// entryShare returns the part of the upstreams' slots that belongs to this entry.
+func (d *Daemon) entryShare() float64 {
+	return member.NewWeighting(member.Entries(d.gossip.Live(), d.cfg.Zone)).Share(d.cfg.ID)
 }
 
 // startupGracePeriod is how long after the start the list of daemons may be incomplete.
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -128,7 +128,7 @@
 	g.Expect(dir.Announce(announcement(f, 0))).To(Succeed())
 	d := New("a", dir, forward.New(), quarantine.NewTable(time.Now, nil), noop.NewTracerProvider().Tracer(""))
 	d.TrackDepartures(upstream.DepartureRecorder{Directory: dir, Log: log.New(io.Discard)})
-	admitter := admission.NewFairAdmitter(admission.NewSlotAllocator(dir, func() int { return 1 }))
+	admitter := admission.NewFairAdmitter(admission.NewSlotAllocator(dir, func() float64 { return 1 }))
 	b := Background{Admission: admitter, Dispatcher: d}
 	run := func(id string) chan error {
 		ended := make(chan error, 1)
