Keep answers of the directory within the caller's zone with weighting

With active weighting, answers covered all zones, so most of a caller's requests would have crossed zones. As without weighting, a zone with at least two entries is now answered with these alone, and the weights hold among them.

The tests of shares, stability and overload keep their bounds with all entries in one zone; the test of the size of answers now also checks that answers keep to the zone.

--- a/internal/member/selection.go
+++ b/internal/member/selection.go
@@ -35,20 +35,19 @@
 // CallerKey returns the key of a caller that the parts identify.
 func CallerKey(parts ...string) uint64 { return xxhash.Sum64String(strings.Join(parts, "\x00")) }
 
-// Answer returns the entries that a caller should use. Without weighting these are the ones in the
-// caller's zone if it has at least two, or else all. With weighting each entry is included
-// for a part of the callers that follows its weight. An entry is included or not whatever the
-// other entries are, so that a change of one of them does not make callers drop connections to the
-// rest. Answers depend on live and c alone, thus they are the same at every daemon with the same
-// table.
+// Answer returns the entries that a caller should use: of those in the caller's zone if it has at
+// least two, or else of all, each one is included for a part of the callers that follows its weight.
+// Without weighting it includes them all. An entry is included or not whatever the other entries
+// are, so that a change of one of them does not make callers drop connections to the rest. Answers
+// depend on live and c alone, thus they are the same at every daemon with the same table.
 func Answer(live []Daemon, c Caller) []Daemon {
 	entries := Entries(live, c.Zone)
+	if near := slices.DeleteFunc(slices.Clone(entries), func(d Daemon) bool { return d.Zone != c.Zone }); len(near) >= 2 {
+		entries = near
+	}
 	if w := NewWeighting(entries); w.Active {
 		return w.selectFor(c)
 	}
-	if near := slices.DeleteFunc(slices.Clone(entries), func(d Daemon) bool { return d.Zone != c.Zone }); len(near) >= 2 {
-		return near
-	}
 	return entries
 }
 
