Bound the connections to the peer listener and the memory of their frames

Clients that are no daemons could end a replica: 300 connections that each sent 512 KB of a frame and no end took it to 335 to 379 MB on a machine of 64 MB, and 600 connections that sent nothing took all of its 512 descriptors.

Cause: a frame was bounded for each connection only, nothing bounded the number of connections, and the listener was given up after one failed accept.

Change: a table in internal/peer bounds the connections by 0.2 of the descriptors, half of which may be relayed, and takes the memory of frames above 16 KB from the budget of internal/membudget. Connections that never carried a complete message are closed first; those of daemons wait for memory. A client sends the notice peer.Hello first, which older builds ignore, so that its connections count as used at once. A failed accept is tried again.

TestConnectionsKeepNoLargeBuffers asks the new buffer for its size.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,6 +179,7 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	d.server.Protect(peer.NewGuard(inbound.Share(inbound.Descriptors(), peerShare), membudget.New(frameBudgetBytes), d.log.WithPrefix("peers")))
 	go d.server.Serve(background, peerListener)
 	d.start(background)
 	httpServer := &http.Server{Handler: d.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: d.connections.Track}
@@ -206,6 +207,11 @@
 	readHeaderTimeout = 10 * time.Second
 	// headBudgetBytes bounds the memory of the heads of all requests.
 	headBudgetBytes = 64 << 20
+	// frameBudgetBytes bounds the memory of the incomplete frames of other daemons. The largest
+	// frame, 256 MB, takes 320 MB while it arrives.
+	frameBudgetBytes = 448 << 20
+	// peerShare is the part of the descriptors that connections of other daemons may use.
+	peerShare = 0.2
 	// callerShare is the part of the descriptors that callers' connections may use. A request may
 	// need one more for its upstream.
 	callerShare = 0.4
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -4,6 +4,7 @@
 package membudget
 
 import (
+	"math"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,7 +62,18 @@
 // Take takes n bytes for a small buffer. It returns false if they are not free.
 func (b *Budget) Take(n int64) bool { return b == nil || b.take(n, 0) }
 
-// Return gives n bytes back that Take took.
+// TakeFor takes n bytes for a buffer that then has size bytes. It returns false if they are not free.
+func (b *Budget) TakeFor(n, size int64) bool { return b == nil || b.take(n, size) }
+
+// Limit returns the bytes that small buffers may use.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return b.limit
+}
+
+// Return gives n bytes back that Take or TakeFor took.
 func (b *Budget) Return(n int64) {
 	if b != nil {
 		b.used.Add(-n)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 // provider.
 type Dependencies struct {
 	Links     *reach.Links // opens connections to upstreams
+	Peers     *peer.Guard  // bounds the connections of other daemons; nil: no bounds
 	Upstreams proxy.Upstreams
 	Engines   batch.Engines // for batch items
 	Orders    duty.Engines  // for weight loads
@@ -99,6 +100,7 @@
 		cfg: cfg, log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
 		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), versionTable: weights.NewVersionTable(), demand: map[string]float64{}, versionLag: map[string]uint64{},
 	}
+	n.server.Protect(deps.Peers)
 	n.identity.Store(&storage.Identity{})
 	n.weighting = newEntryWeighting(cfg.ID, logger.WithPrefix("weights"))
 	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	server := peer.NewServer()
+	server.Protect(n.dependencies.Peers)
 	n.gossip.Register(server)
 	register(server)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -29,6 +29,10 @@
 	maxQueuedNotices = 1024
 )
 
+// methodHello is the notice that a client sends first on each connection. It has no handler and makes
+// the other daemon see at once that the connection carries messages, however large the next one is.
+const methodHello = "peer.Hello"
+
 // Dialer opens a connection to an address.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
@@ -128,6 +132,7 @@
 	}
 	e.activity = &activityConn{Conn: nc}
 	e.stream = newStream(e.activity, nil)
+	e.stream.writeNotice(methodHello, []byte("{}")) // sent with the next message
 	e.conn = jsonrpc2.NewConn(context.Background(), e.stream, ignoreRequests{}, discardLibraryLogs)
 	return e.conn, e.stream, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -31,7 +33,9 @@
 
 	// otherPrefix and other handle connections that carry neither calls nor notices.
 	otherPrefix string
-	other       func(c net.Conn, in *bufio.Reader)
+	other       OtherHandler
+
+	guard *Guard // nil: no bounds
 
 	mu      sync.Mutex
 	conns   map[*jsonrpc2.Conn]*stream
@@ -78,21 +82,36 @@
 	s.notices[method] = f
 }
 
-// Serve accepts connections until l.Accept fails, for example because l was closed.
+// Protect makes the server keep to the bounds of g. It must be called before Serve.
+func (s *Server) Protect(g *Guard) { s.guard = g }
+
+// acceptRetryDelay is the time after which a failed Accept is tried again, for example when the
+// process has no descriptors left.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Serve accepts connections until l is closed or ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) {
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			s.serveConn(ctx, c)
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return
+		default:
+			s.guard.acceptFailed(err)
+			time.Sleep(acceptRetryDelay)
 		}
-		s.serveConn(ctx, c)
 	}
 }
 
+// OtherHandler serves a connection that carries neither calls nor notices. in holds what was read of
+// it. admit must be called before the connection is kept; it returns false if too many are.
+type OtherHandler func(c net.Conn, in *bufio.Reader, admit func() bool)
+
 // HandleOther makes f serve the connections that begin with prefix, which must differ from the
-// beginning of a frame. in holds what was read of the connection. The connection is closed with
-// the server.
-func (s *Server) HandleOther(prefix string, f func(c net.Conn, in *bufio.Reader)) {
+// beginning of a frame. They are closed with the server.
+func (s *Server) HandleOther(prefix string, f OtherHandler) {
 	s.otherPrefix, s.other = prefix, f
 }
 
@@ -103,6 +122,9 @@
 		c.Close()
 		return
 	}
+	if !s.guard.open(c) {
+		return
+	}
 	s.opening[c] = true
 	go s.serveOpening(ctx, c)
 }
@@ -110,14 +132,16 @@
 // serveOpening serves a connection according to its first bytes.
 func (s *Server) serveOpening(ctx context.Context, c net.Conn) {
 	st := newStream(c, s.handleNotice)
+	st.guard = s.guard
 	if s.other != nil {
 		first, err := st.in.Peek(len(s.otherPrefix))
 		if err == nil && string(first) == s.otherPrefix {
-			s.other(c, st.in)
+			s.other(c, st.in, func() bool { return s.guard.relay(c) })
 			err = net.ErrClosed
 		}
 		if err != nil {
 			c.Close()
+			s.guard.ended(c)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			delete(s.opening, c)
@@ -129,12 +153,14 @@
 	delete(s.opening, c)
 	if s.closed {
 		c.Close()
+		s.guard.ended(c)
 		return
 	}
 	conn := jsonrpc2.NewConn(ctx, st, s, discardLibraryLogs)
 	s.conns[conn] = st
 	go func() {
 		<-conn.DisconnectNotify()
+		s.guard.ended(c)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -18,20 +17,11 @@
 // object.
 const (
 	lengthHeader = "Content-Length"
-	// maxInitialFrameBytes bounds the memory allocated for a frame before its bytes
-	// arrive.
-	maxInitialFrameBytes = 64 << 10
 	// maxFrameBytes bounds the contents of a frame. The largest message proposes a step of
 	// 64 MB, which has up to 228 MB when it is quoted in JSON and base64 within base64.
 	maxFrameBytes = 256 << 20
 	// maxFrameHeaderBytes bounds the header lines of a frame, of which one is needed.
 	maxFrameHeaderBytes = 4 << 10
-	// maxReusedBufferBytes is the largest size of a frame buffer that is reused.
-	maxReusedBufferBytes = 1 << 20
-	// maxIdleBufferBytes is the largest size of a frame buffer that is kept for small frames.
-	// Every connection has one, and a replica of a large deployment has hundreds, most of
-	// which carry a large frame now and then.
-	maxIdleBufferBytes = 64 << 10
 )
 
 // Notices are most of the traffic. They are written in this form, and only notices in this
@@ -57,7 +47,8 @@
 
 	in     *bufio.Reader
 	frames *frameReader // what in reads from
-	frame  bytes.Buffer
+	frame  frameBuffer
+	guard  *Guard // nil: no bounds
 
 	mu  sync.Mutex
 	out *bufio.Writer
@@ -134,18 +125,30 @@
 			return err
 		}
 		if method, params, ok := parseNotice(b); ok && s.onNotice != nil {
+			s.guard.complete(s.conn)
 			s.onNotice(method, params)
 			continue
 		}
 		if u, ok := v.(json.Unmarshaler); ok {
-			return u.UnmarshalJSON(b)
+			err = u.UnmarshalJSON(b)
+		} else {
+			err = json.Unmarshal(b, v)
 		}
-		return json.Unmarshal(b, v)
+		if err == nil {
+			s.guard.complete(s.conn)
+		}
+		return err
 	}
 }
 
 // readFrame returns the contents of the next frame, which are valid until the next call.
 func (s *stream) readFrame() ([]byte, error) {
+	resize := func(n int64) bool { return s.guard.resize(s.conn, n) }
+	if s.guard != nil && s.in.Buffered() == 0 {
+		s.frame.drop(0, resize) // a connection that waits holds no memory
+	} else {
+		s.frame.drop(maxReusedBytes, resize)
+	}
 	if _, err := s.in.Peek(1); err != nil {
 		return nil, err
 	}
@@ -178,15 +181,10 @@
 	if length > maxFrameBytes {
 		return nil, fmt.Errorf("frame has %d bytes, more than %d", length, maxFrameBytes)
 	}
-	if c := s.frame.Cap(); c > maxReusedBufferBytes || c > maxIdleBufferBytes && length < maxIdleBufferBytes {
-		s.frame = bytes.Buffer{}
-	}
-	s.frame.Reset()
-	s.frame.Grow(int(min(length, maxInitialFrameBytes)))
-	if _, err := io.CopyN(&s.frame, s.in, length); err != nil {
-		return nil, err
+	if !s.guard.fits(largestHold(length)) {
+		return nil, fmt.Errorf("frame has %d bytes, more than this daemon may buffer", length)
 	}
-	return s.frame.Bytes(), nil
+	return s.frame.read(s.in, length, resize)
 }
 
 // parseNotice returns the method and parameters of a notice in the form of writeNotice. It
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -100,7 +100,7 @@
 	var v json.RawMessage
 	g.Expect(s.ReadObject(&v)).NotTo(Succeed(), "the end")
 	g.Expect(seen).To(Equal(2))
-	g.Expect(s.frame.Cap()).To(BeNumerically("<=", 128<<10))
+	g.Expect(cap(s.frame.buf)).To(BeNumerically("<=", 128<<10))
 }
 
 // ReadObject must return an object or an error for any input. It must not allocate the
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -1,7 +1,6 @@
 package reach
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -99,7 +98,7 @@
 // be called before the first connection.
 func (l *Links) Deploy(d Deployment, s *peer.Server) {
 	l.deployment = d
-	s.HandleOther(opening, func(c net.Conn, in *bufio.Reader) { l.relay.serve(c, in) })
+	s.HandleOther(opening, l.relay.serve)
 }
 
 // Run probes while this daemon believes that it has lost its links, and logs when that begins and
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -49,8 +49,8 @@
 	draining bool
 }
 
-// serve passes the connection of another daemon on. in holds what was read of it already.
-func (r *relay) serve(daemon net.Conn, in *bufio.Reader) {
+// serve is a peer.OtherHandler that passes the connection of another daemon on.
+func (r *relay) serve(daemon net.Conn, in *bufio.Reader, admit func() bool) {
 	defer daemon.Close()
 	if err := daemon.SetDeadline(time.Now().Add(openingTimeout)); err != nil {
 		return
@@ -62,7 +62,7 @@
 	if err != nil {
 		return
 	}
-	upstream, answer := r.connect(address)
+	upstream, answer := r.connect(address, admit)
 	relayedForOthers(answer.outcome).Inc()
 	if answer.outcome != answerRefused {
 		defer r.release()
@@ -92,11 +92,11 @@
 type relayAnswer struct{ outcome, reason string }
 
 // connect connects to an upstream for another daemon.
-func (r *relay) connect(address string) (net.Conn, relayAnswer) {
+func (r *relay) connect(address string, admit func() bool) (net.Conn, relayAnswer) {
 	if _, err := netip.ParseAddrPort(address); err != nil || !r.listed(address) {
 		return nil, relayAnswer{answerRefused, "no upstream with this address is known"}
 	}
-	if reason := r.admit(address); reason != "" {
+	if reason := r.admit(address, admit); reason != "" {
 		return nil, relayAnswer{answerRefused, reason}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
@@ -114,7 +114,7 @@
 
 // admit returns why no connection to address is passed on now, or "". Then release must be called
 // when the connection has ended.
-func (r *relay) admit(address string) string {
+func (r *relay) admit(address string, admit func() bool) string {
 	if r.skips(address) {
 		return "this daemon has lost its own links"
 	}
@@ -123,7 +123,7 @@
 	switch {
 	case r.draining:
 		return "this daemon stops"
-	case r.admitted >= maxRelayed:
+	case r.admitted >= maxRelayed || !admit():
 		return "this daemon passes on as many connections as it may"
 	}
 	r.admitted++
