Serve others while callers pipeline requests and read no answers

300 callers that each sent 200 requests at once and read no answer kept all other callers out of an entry, for as long as they liked, and took all of its 512 descriptors.

Cause: a connection with a complete request was never closed, and an answer that is not taken has no deadline.

Change: inbound.Table may close a connection whose caller has taken no byte of its answer for five seconds, after all others and only when another one needs the place; answers are written in parts of 16 KB to see that.

--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -25,6 +25,8 @@
 	// free when their goroutines have ended.
 	maxRoomWait      = time.Second
 	roomPollInterval = 5 * time.Millisecond
+	// maxWriteBytes is the largest part of an answer that is written at a time.
+	maxWriteBytes = 16 << 10
 	// maxDescriptors is the number of descriptors that is assumed when the system sets no limit.
 	maxDescriptors = 1 << 16
 	// minConnections is the smallest number of connections of a listener.
@@ -229,6 +231,12 @@
 	g.budget.Return(g.table.Answered(time.Now(), c))
 }
 
+func (g *Guard) writing(c *conn, begins bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Writing(time.Now(), c, begins)
+}
+
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
@@ -251,6 +259,21 @@
 	return n, err
 }
 
+// Write implements net.Conn. It writes small parts, so that a caller that takes few bytes at a time
+// differs from one that takes none.
+func (c *conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		part := b[written:min(len(b), written+maxWriteBytes)]
+		c.guard.writing(c, true)
+		n, err := c.Conn.Write(part)
+		c.guard.writing(c, false)
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.ended(c)
--- a/internal/inbound/table.go
+++ b/internal/inbound/table.go
@@ -9,6 +9,10 @@
 // ordinary request is complete by then.
 const minWait = 500 * time.Millisecond
 
+// maxUnreadTime is how long a caller may take no byte of its answer before its connection may be closed
+// for others. It is many times the round-trip time.
+const maxUnreadTime = 5 * time.Second
+
 // phase is what a connection is doing.
 type phase int
 
@@ -24,11 +28,13 @@
 	since time.Time // when the phase began
 	used  bool      // a request has been complete on it
 	held  int64     // bytes of memory held for its request
+	// unreadSince is since when the caller has taken no byte of its answer; zero: nothing is written.
+	unreadSince time.Time
 }
 
 // Table decides which connections are closed when there are too many of them, or when the memory for
-// their requests is in use. A connection whose request is complete is never closed: the caller must
-// get its answer. C identifies a connection. Not safe for concurrent use.
+// their requests is in use. A connection whose request is complete is not closed as long as its caller
+// takes the answer. C identifies a connection. Not safe for concurrent use.
 type Table[C comparable] struct {
 	max         int
 	connections map[C]*state
@@ -92,6 +98,16 @@
 	return held
 }
 
+// Writing records that a part of an answer is being written, or that the caller has taken it.
+func (t *Table[C]) Writing(now time.Time, c C, begins bool) {
+	if s := t.connections[c]; s != nil {
+		s.unreadSince = time.Time{}
+		if begins {
+			s.unreadSince = now
+		}
+	}
+}
+
 // Hold records that n more bytes are held for a connection. It returns false if the connection has
 // been closed.
 func (t *Table[C]) Hold(c C, n int64) bool {
@@ -105,13 +121,13 @@
 // Victim returns the connection to close first, apart from one.
 //
 // Connections on which no request was ever complete come first, then those with an incomplete
-// request, then idle ones; among them the one that has waited longest. One that has waited for less
-// than minWait comes last.
+// request, then idle ones, then those whose caller does not take the answer; among them the one that has
+// waited longest. One that has waited for less than minWait comes last.
 func (t *Table[C]) Victim(now time.Time, except C) (C, bool) {
 	var victim C
 	var worst *state
 	for c, s := range t.connections {
-		if c != except && s.phase != serving && (worst == nil || before(now, s, worst)) {
+		if c != except && (s.phase != serving || s.unread(now)) && (worst == nil || before(now, s, worst)) {
 			victim, worst = c, s
 		}
 	}
@@ -131,6 +147,11 @@
 	return victim, worst != nil
 }
 
+// unread reports whether the caller does not take its answer.
+func (s *state) unread(now time.Time) bool {
+	return !s.unreadSince.IsZero() && now.Sub(s.unreadSince) >= maxUnreadTime
+}
+
 // before reports whether a connection in state a is closed before one in state b.
 func before(now time.Time, a, b *state) bool {
 	if x, y := class(now, a), class(now, b); x != y {
@@ -142,6 +163,8 @@
 func class(now time.Time, s *state) int {
 	switch {
 	case now.Sub(s.since) < minWait:
+		return 4
+	case s.unread(now):
 		return 3
 	case !s.used:
 		return 0
--- a/internal/inbound/table_test.go
+++ b/internal/inbound/table_test.go
@@ -41,6 +41,29 @@
 	g.Expect(x.Len()).To(Equal(1), "a caller whose request is complete gets its answer")
 }
 
+// Guards against callers that read no answer and keep all others out, and against callers that read
+// theirs and are closed.
+func TestCallersThatTakeNoAnswerMakeRoomForOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := NewTable[string](2)
+	for _, c := range []string{"reads", "reads nothing"} {
+		x.Open(now, c)
+		x.Complete(now, c)
+		x.Writing(now, c, true)
+	}
+	x.Writing(now.Add(4*time.Second), "reads", false)
+	x.Writing(now.Add(4*time.Second), "reads", true)
+	victim, _, _ := x.Open(now.Add(4*time.Second), "early")
+	g.Expect(victim).To(Equal("early"))
+	victim, _, _ = x.Open(now.Add(6*time.Second), "later")
+	g.Expect(victim).To(Equal("reads nothing"))
+	x.Complete(now.Add(6*time.Second), "later")
+	x.Writing(now.Add(7*time.Second), "reads", false)
+	victim, _, _ = x.Open(now.Add(time.Minute), "new")
+	g.Expect(victim).To(Equal("new"), "an upstream that takes its time is no reason")
+}
+
 // Guards against memory that is taken from connections that hold none, or that are being served.
 func TestOnlyIncompleteRequestsGiveMemoryBack(t *testing.T) {
 	g := NewWithT(t)
