--- a/internal/peer/guard.go
+++ b/internal/peer/guard.go
@@ -119,8 +119,18 @@
 	return g.table.relay(time.Now(), c)
 }
 
-// fits reports whether a buffer of n bytes fits into the budget if there is no other.
-func (g *Guard) fits(n int64) bool { return g == nil || n <= g.budget.Limit() }
+// fits reports whether a connection may hold n bytes if there is no other buffer.
+func (g *Guard) fits(c net.Conn, n int64) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.table.connections[c]; s != nil && s.used {
+		return n <= g.budget.Limit()
+	}
+	return g.budget.Fits(n)
+}
 
 // resize makes the memory held for the frame of a connection n bytes. It waits for memory that is not
 // free. If there is none, it closes the connection and returns false.
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -181,7 +181,7 @@
 	if length > maxFrameBytes {
 		return nil, fmt.Errorf("frame has %d bytes, more than %d", length, maxFrameBytes)
 	}
-	if !s.guard.fits(largestHold(length)) {
+	if !s.guard.fits(s.conn, largestHold(length)) {
 		return nil, fmt.Errorf("frame has %d bytes, more than this daemon may buffer", length)
 	}
 	return s.frame.read(s.in, length, resize)
