Revert the order of batch items by priority

Cause: trainers ask for a step only when they have an earlier one, which the test did not model; a less urgent step that waits delays all later steps of its trainer.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -23,12 +23,8 @@
 	items           []*item
 	unfinishedItems map[string]int // number of items without a result, by group
 	groupSize       map[string]int // number of items, by group
-	priority        int            // 0 to maxPriority; 0 is the highest
 }
 
-// maxPriority is the lowest priority.
-const maxPriority = 9
-
 // item is one request of a job that has no result yet.
 type item struct {
 	job             *job
@@ -84,14 +80,6 @@
 // deadline returns the time at which the results are due.
 func (j *job) deadline() time.Time { return j.batch.Accepted.Add(j.batch.RunDeadline) }
 
-// urgency returns the time by which the items of jobs are ordered, the earliest first. It is the
-// deadline, and a run deadline later for each level of priority below the highest. So a job
-// precedes less urgent ones when engines are scarce, but none waits for jobs that were accepted more
-// than a run deadline for each level after it.
-func (j *job) urgency() time.Time {
-	return j.deadline().Add(time.Duration(j.priority) * j.batch.RunDeadline)
-}
-
 // expiresAt returns the time from which items may be aborted.
 func (j *job) expiresAt() time.Time { return j.batch.Accepted.Add(j.batch.ItemTTL + abortMargin) }
 
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -55,9 +55,6 @@
 	// RecordDemand records the number of tokens that a batch job needs from a model, and
 	// the oldest weight version that may produce them.
 	RecordDemand(model string, tokens int, minVersion uint64)
-	// JobPriority returns the priority of the account or the route of a batch job, 0 being the
-	// highest. It returns false if neither is configured now.
-	JobPriority(b *state.Batch) (priority int, known bool)
 	// Seen records the weight version that a response of an upstream has shown.
 	Seen(id, model string, version uint64)
 }
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -89,13 +89,6 @@
 	return dropped
 }
 
-// SetPriority sets the priority of a job, 0 being the highest, which is also that of a new job.
-func (s *Scheduler) SetPriority(id string, priority int) {
-	if j := s.jobs[id]; j != nil {
-		j.priority = min(max(priority, 0), maxPriority)
-	}
-}
-
 // Schedule assigns items to the free slots of engines and marks these items as running.
 // It counts them in the Running field of the engines passed in. An item whose partial output
 // no engine can continue begins anew.
@@ -144,7 +137,7 @@
 }
 
 // readyItems returns the waiting items whose retry delay has passed. It sorts them by the
-// urgency of their job, then by the number of unfinished items of their group, then by
+// deadline of their job, then by the number of unfinished items of their group, then by
 // estimated length, longest first.
 func (s *Scheduler) readyItems(now time.Time) []*item {
 	var out []*item
@@ -157,7 +150,7 @@
 	}
 	slices.SortStableFunc(out, func(a, b *item) int {
 		return cmp.Or(
-			a.job.urgency().Compare(b.job.urgency()),
+			a.job.deadline().Compare(b.job.deadline()),
 			cmp.Compare(a.job.unfinishedItems[a.spec.Group], b.job.unfinishedItems[b.spec.Group]),
 			cmp.Compare(b.estimatedTokens(), a.estimatedTokens()),
 			cmp.Compare(a.spec.ID, b.spec.ID),
--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -132,13 +132,9 @@
 		return false
 	}
 	jobs := make([]OpenJob, 0, len(open))
-	priorities := map[string]int{}
 	for _, o := range open {
-		if p, known := s.pool.JobPriority(o.Batch); known {
-			priorities[o.Batch.ID] = p
-		}
 		if s.scheduler.jobs[o.Batch.ID] == nil {
-			s.log.Info("Batch job added to the scheduler.", "batch", o.Batch.ID, "items", len(o.Batch.Items), "listed", len(o.Listed), "min_version", o.Batch.MinVersion, "priority", priorities[o.Batch.ID], "age_ms", time.Since(o.Batch.Accepted).Milliseconds())
+			s.log.Info("Batch job added to the scheduler.", "batch", o.Batch.ID, "items", len(o.Batch.Items), "listed", len(o.Listed), "min_version", o.Batch.MinVersion, "age_ms", time.Since(o.Batch.Accepted).Milliseconds())
 			s.recordDemand(o.Batch)
 		}
 		jobs = append(jobs, OpenJob(o))
@@ -149,9 +145,6 @@
 		}
 		it.phase = phaseFinished
 	}
-	for id, p := range priorities {
-		s.scheduler.SetPriority(id, p)
-	}
 	for id, j := range s.jobs {
 		if s.scheduler.jobs[id] == nil {
 			j.end(errJobEnded)
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -10,7 +10,6 @@
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/routing"
-	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -167,15 +166,6 @@
 	return d.n.workloads.AnyStates(d.n.Upstreams(service))
 }
 
-// JobPriority implements batch.Pool.
-func (d engineDirectory) JobPriority(b *state.Batch) (priority int, known bool) {
-	table := d.n.Table()
-	if table == nil {
-		return 0, false
-	}
-	return table.JobPriority(b.Host, b.Path, b.Account)
-}
-
 // leads returns the term of the leader lease that this node holds.
 func (n *Node) leads() (term uint64, ok bool) {
 	if n.replica == nil {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -56,22 +56,6 @@
 	return nil
 }
 
-// JobPriority returns the priority of batch jobs that an account submits on a route: that of the
-// account, else that of the route. It returns false if the route takes no batch jobs.
-func (t *Table) JobPriority(host, path, account string) (priority int, known bool) {
-	path, _, _ = strings.Cut(path, "?")
-	r := t.Route(host, path)
-	if r == nil || r.Kind != Batch {
-		return 0, false
-	}
-	for i := range t.Config.Accounts {
-		if a := &t.Config.Accounts[i]; a.Name == account && a.Priority != nil {
-			return *a.Priority, true
-		}
-	}
-	return r.Priority, true
-}
-
 // Account returns the client account that has the given key, or nil if there is none.
 func (t *Table) Account(key string) *Account {
 	if key == "" {
