Order loads of weights at once after a restart of all voters

Cause: a new leader gives no orders for its takeover delay of 3 s. After a restart of all voters nothing is left to wait for: the calls of the previous leader ended with its process, and if that leader had led for the delay, no leader before it acted within the delay.

The leader of an early election now skips the delay for loads of weights if the newest term in its log spans the delay. Usage reports wait as before.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -14,6 +14,9 @@
 	// BootUntil is the same time on the boot clock, which continues while the machine
 	// is suspended. It is 0 when only Until is known.
 	BootUntil time.Duration
+	// PredecessorLed is how long the leader before this one led at least, if the processes of
+	// all voters have ended since. It is 0 otherwise, and where it is not known.
+	PredecessorLed time.Duration
 }
 
 // ExpiredFor reports whether the lease expired at least d ago.
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -91,8 +91,11 @@
 	stored       consensus.HardState // newest one that was synced
 	storedLast   consensus.Entry     // index and term of the newest log entry that was synced
 	reopenPolicy reopenPolicy
-	suspended    atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
-	writingSince atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
+	// loadedTermTime is how long the leader of the newest term in the log led at least when the
+	// data folder was read.
+	loadedTermTime time.Duration
+	suspended      atomic.Bool  // the data folder failed and is not open; see folder_recovery.go
+	writingSince   atomic.Int64 // nanoseconds on the boot clock; 0: the loop does not write
 
 	silence    atomic.Pointer[memberSilence] // nil until this replica has led
 	leadership atomic.Pointer[Leadership]
@@ -154,6 +157,7 @@
 		return err
 	}
 	r.disk, r.state, r.stored, r.storedLast = disk, st, l.Hard, lastStored(l)
+	r.loadedTermTime = newestTermTime(l, st.Ledger.Time)
 	r.groupClock = r.groupClock.advanceTo(st.Ledger.Time, clock.Now()).advanceTo(lastCommandTime(l.Entries), clock.Now())
 	r.node = consensus.New(consensus.Config{
 		ID: l.Identity.ID, Hard: l.Hard, Snapshot: l.Snapshot.Meta, Entries: l.Entries, Now: r.now(),
@@ -338,6 +342,9 @@
 	l := Leadership{}
 	if until, ok := r.node.LeaseUntil(); ok {
 		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), BootUntil: r.startedAt + until}
+		if st.ElectedEarly {
+			l.PredecessorLed = r.loadedTermTime
+		}
 	}
 	r.logLease(*r.leadership.Swap(&l), l, &st)
 	if r.config.Swap(r.state.Config) != r.state.Config {
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -41,7 +41,7 @@
 			"commit", st.Commit, "last", st.LastIndex, "up_ms", r.upMs())
 	}
 	if now.Term != 0 && old.Term != now.Term {
-		r.log.Info("Leader lease acquired.", "id", st.ID, "term", now.Term, "commit", st.Commit, "voters", st.Members.Voters(), "up_ms", r.upMs())
+		r.log.Info("Leader lease acquired.", "id", st.ID, "term", now.Term, "commit", st.Commit, "voters", st.Members.Voters(), "predecessor_led_ms", now.PredecessorLed.Milliseconds(), "up_ms", r.upMs())
 	}
 }
 
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -18,6 +18,8 @@
 	holder        string
 	token         uint64
 	since         time.Time // when token was first seen
+	// actsAfterRestart is set if this process need not wait when all voters have restarted.
+	actsAfterRestart bool
 }
 
 // NewTerm returns the term of the process called holder. A new leader waits takeoverDelay
@@ -26,6 +28,15 @@
 	return &Term{leadership: leadership, holder: holder, takeoverDelay: takeoverDelay}
 }
 
+// ActingAfterRestart returns t after making it skip takeoverDelay if the processes of all voters
+// have ended since the previous leader acted. The calls of that leader have then ended with its
+// process. The delay also keeps two leaders from acting in turn within it: a leader before the
+// previous one acted before the previous one took over, so that one must have led for the delay.
+func (t *Term) ActingAfterRestart() *Term {
+	t.actsAfterRestart = true
+	return t
+}
+
 // fence returns the identity to act under. ok is false when this process doesn't lead, or
 // is still within its takeover delay. changed reports that the term differs from that of
 // the last call.
@@ -38,7 +49,8 @@
 		t.token, t.since = l.Term, now
 		changed = true
 	}
-	return Fence{Holder: t.holder, Token: l.Term}, changed, now.Sub(t.since) >= t.takeoverDelay
+	delayed := now.Sub(t.since) < t.takeoverDelay && !(t.actsAfterRestart && l.PredecessorLed >= t.takeoverDelay)
+	return Fence{Holder: t.holder, Token: l.Term}, changed, !delayed
 }
 
 // valid reports whether this process still leads in the term of f. Callers check it right
--- a/internal/duty/usage_test.go
+++ b/internal/duty/usage_test.go
@@ -148,3 +148,29 @@
 		g.Expect(leaderTerm.valid(f)).To(BeFalse())
 	})
 }
+
+// Guards against engines that wait seconds for weights after all daemons have restarted, and against
+// two leaders that act in turn because the one before had not led for the takeover delay.
+func TestTermActsAtOnceAfterRestartOfAllVoters(t *testing.T) {
+	const delay = 3 * time.Second
+	for _, c := range []struct {
+		name           string
+		predecessorLed time.Duration
+		configured, ok bool
+	}{
+		{"after a restart", delay, true, true},
+		{"the predecessor had just taken over", delay - 1, true, false},
+		{"no restart of all, or the predecessor is unknown", 0, true, false},
+		{"a duty that waits always", delay, false, false},
+	} {
+		g := NewWithT(t)
+		term := NewTerm(func() control.Leadership {
+			return control.Leadership{Term: 7, Until: time.Now().Add(time.Second), PredecessorLed: c.predecessorLed}
+		}, "me", delay)
+		if c.configured {
+			term.ActingAfterRestart()
+		}
+		_, _, ok := term.fence(time.Now())
+		g.Expect(ok).To(Equal(c.ok), c.name)
+	}
+}
