Elect early after a restart of all although voters have lost their disks

After a loss of power of all machines, no leader acted until the election timeout had passed if a voter had also lost its disk: such a voter never answers whether it has restarted, so the early election did not begin and steps requested just before were late by about 1.2 s.

A process that waits to join with an empty data folder now answers the question and the vote request of an early election that are addressed to the replica that has run at its address: it is absent. Both answers carry the random number of this run. The candidate counts a voter as absent if both come from the same run, from the address of the voter in the newest membership, and for its own questions of this run. A quorum of real votes is still needed, and no election begins if the voters with a log form none.

The process does not know its cluster before it joins, so it returns the cluster of the question: it holds no replica of any cluster. It answers only if its folder is empty, and a founder on a first start only once it knows that the group exists and therefore joins. While a change of the address of a voter is not known to be committed, its absence does not count, since it may run at the other address.

The random schedules of consensus and the group simulation of control lose disks at restarts of all. An older replica reads the answer as "not restarted".

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -178,7 +178,7 @@
 		return
 	}
 	n.confirmRestart(m)
-	if m.Reject {
+	if m.Reject || m.Absent {
 		n.rejections[m.From] = true
 	} else {
 		n.votes[m.From] = true
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -63,6 +63,12 @@
 	// EchoIncarnation that of the receiver's. The replies have these two the other way round.
 	Restarted bool `json:"z,omitempty"`
 
+	// Absent is set in replies to MsgRestarted and MsgVote by a process that waits to join at
+	// the address of the receiver of the request, and holds no replica: the receiver has lost
+	// its disk. Incarnation then identifies the run of that process. Older builds read such a
+	// reply as that of a voter that has not restarted.
+	Absent bool `json:"b,omitempty"`
+
 	// Reject is set when a vote or an append is rejected. For an append, Hint is then
 	// the last index at which the follower's log may match.
 	Reject bool   `json:"x,omitempty"`
--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -7,10 +7,15 @@
 }
 
 // deliver passes f to its receiver. It drops f if the receiver is down or drops incoming
-// messages, and delays f by one unit if the receiver is frozen.
+// messages, and delays f by one unit if the receiver is frozen. A process that waits at the
+// address of a lost disk answers in the place of its receiver.
 func (s *simCluster) deliver(f simMessage) {
 	r := s.replicas[f.message.To]
 	switch {
+	case r != nil && r.waitingRun != 0 && !r.dropsIncoming:
+		if reply, ok := AbsentReply(r.waitingRun, f.message); ok {
+			s.send(r, []Message{reply})
+		}
 	case r == nil || r.node == nil || r.dropsIncoming:
 	case r.frozen:
 		s.inFlight = append(s.inFlight, simMessage{deliverAt: s.realTime + 1, message: f.message})
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -311,8 +312,10 @@
 	Active   []ID
 	Election ElectionResult
 	// ElectedEarly is set on a leader that was elected without waiting for the election
-	// timeout, because all voters had restarted.
+	// timeout, because all voters had restarted or lost their disks. AbsentVoters are those
+	// that have lost their disks.
 	ElectedEarly bool
+	AbsentVoters []ID
 }
 
 // Status describes the replica now.
@@ -324,7 +327,9 @@
 	}
 	if n.role == Leader {
 		s.RecentCommit = n.recentCommit
-		s.ElectedEarly = n.restart.elected
+		if s.ElectedEarly = n.restart.elected; s.ElectedEarly {
+			s.AbsentVoters = slices.Clone(n.restart.absent)
+		}
 		s.Match = make(map[ID]uint64, len(n.progress))
 		for id, p := range n.progress {
 			s.Match[id] = p.match
--- a/internal/consensus/restart_test.go
+++ b/internal/consensus/restart_test.go
@@ -32,6 +32,52 @@
 	}
 }
 
+// restartAllWithoutDisks restarts all replicas at once, and up to the tolerated number of voters
+// without their disks. A process that waits to join runs at the address of each of them. It does
+// nothing while there is no leader.
+func (s *simCluster) restartAllWithoutDisks(f *rand.Rand) {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	newest, committed := l.node.members, l.node.MembersAt(l.node.commit)
+	for _, i := range f.Perm(len(s.order)) {
+		r := s.replicas[s.order[i]]
+		if s.toleratesLoss(newest, r) && s.toleratesLoss(committed, r) && f.IntN(4) > 0 {
+			s.wipe(r)
+			r.waitingRun, r.leaseEnd = 1+f.Uint32N(1e9), 0 // as at the start of any new process
+		}
+	}
+	s.restartAllBut(nil)
+}
+
+// toleratesLoss reports whether voter r of m may lose its disk besides those that have.
+func (s *simCluster) toleratesLoss(m Membership, r *simReplica) bool {
+	lost := 0
+	for id, x := range m {
+		if x.Voter && s.replicas[id].wiped {
+			lost++
+		}
+	}
+	return m.IsVoter(r.id) && !r.wiped && lost < (m.Voters()-1)/2
+}
+
+// endWaiting lets the processes that wait to join do so if there is a leader. Otherwise, some
+// of them start again.
+func (s *simCluster) endWaiting() {
+	for _, id := range s.order {
+		r := s.replicas[id]
+		switch {
+		case r.waitingRun == 0:
+		case s.leader() != nil:
+			r.waitingRun = 0
+			s.addEmptyReplica(r.address)
+		case s.rnd.IntN(4) == 0:
+			r.waitingRun++
+		}
+	}
+}
+
 // runUntilLeader runs until a replica other than except leads. It returns the units that this
 // took, or -1 if it took more than failoverUnits.
 func (s *simCluster) runUntilLeader(except *simReplica) int {
@@ -46,7 +92,7 @@
 
 // Guards against a leader that acts beside the one from before the restart, and against votes
 // that are lost in an early election. The schedules are those of the other random test, with
-// restarts of all replicas among the faults.
+// restarts of all replicas, also without some of the disks, among the faults.
 func TestSafetyUnderRandomFaultsAndRestartsOfAll(t *testing.T) {
 	setRapidChecks(t, "500")
 	for shard := range uint64(shards) {
@@ -59,11 +105,13 @@
 					f := rand.New(rand.NewPCG(seed, x))
 					s.run(f.IntN(15))
 					r, fault, arg := s.replicas[s.order[f.IntN(len(s.order))]], faults[f.IntN(len(faults))], f.IntN(1000)
-					switch f.IntN(6) {
+					switch f.IntN(7) {
 					case 0:
 						s.restartAllBut(nil)
 					case 1:
 						s.restartAllBut(r)
+					case 2:
+						s.restartAllWithoutDisks(f)
 					default:
 						rt.Logf("%.0f: %s %s %d", s.realTime, fault.name, r.id, arg)
 						fault.do(s, r, arg)
@@ -79,7 +127,8 @@
 	}
 }
 
-// Guards against waiting for leases of processes that no longer run.
+// Guards against waiting for leases of processes that no longer run, also of those that have
+// lost their disks.
 func TestRestartOfAllNeedsNoElectionTimeout(t *testing.T) {
 	setRapidChecks(t, "500")
 	rapid.Check(t, func(rt *rapid.T) {
@@ -88,6 +137,7 @@
 		g.Expect(s.runUntilLeader(nil)).To(BeNumerically("<", earlyUnits))
 		s.run(rapid.IntRange(0, 50).Draw(rt, "time"))
 		s.inFlight = nil // a message of the last leader that arrives late would count as heard
+		s.restartAllWithoutDisks(rand.New(rand.NewPCG(1, rapid.Uint64().Draw(rt, "lost"))))
 		s.restartAllBut(nil)
 		g.Expect(s.runUntilLeader(nil)).To(BeNumerically("<", earlyUnits))
 		g.Expect(s.failure).To(BeEmpty())
@@ -201,3 +251,66 @@
 	g.Expect(newRestartedVoter(HardState{Term: 1, Commit: 1}, e).restartVoters()).To(Equal([]ID{"a", "b", "c"}))
 	g.Expect(newRestartedVoter(HardState{Term: 1, Commit: 2}, e).restartVoters()).To(Equal([]ID{"a", "b"}))
 }
+
+// Guards against an early election that counts a voter as absent although its process may run:
+// the answers are of two runs, answer another vote request, or come from one of two possible
+// addresses. Guards also against one that counts an absent voter as a vote.
+func TestAbsentVoterIsCountedOnlyWithTwoAnswersOfOneRun(t *testing.T) {
+	g := NewWithT(t)
+	const run = 9
+	// ask returns voter a after b has answered its question, and a process at the address of c.
+	ask := func(hard HardState, entries ...Entry) (n *Node, requests []Message) {
+		n = newRestartedVoter(hard, entries...)
+		n.restart.own = true
+		n.Step(n.now, Message{Kind: MsgRestartedReply, From: "b", To: "a", Index: 1, LogTerm: 1, Incarnation: 2, EchoIncarnation: n.incarnation, Restarted: true})
+		reply, ok := AbsentReply(run, Message{Kind: MsgRestarted, From: "a", To: "c", Incarnation: n.incarnation})
+		g.Expect(ok).To(BeTrue())
+		n.Step(n.now, reply)
+		return n, flushReady(n)
+	}
+	n, requests := ask(HardState{Term: 1, Commit: 1})
+	g.Expect(requests).To(HaveLen(2))
+	answer := func(change func(*Message)) {
+		m, ok := AbsentReply(run, requests[1])
+		g.Expect(ok).To(BeTrue())
+		change(&m)
+		n.Step(n.now, m)
+	}
+	answer(func(*Message) {})
+	g.Expect(n.role).To(Equal(Candidate), "an absent voter has no vote")
+	clear(n.restart.confirmed)
+	n.restart.confirmed["a"] = true
+	n.Step(n.now, Message{Kind: MsgVoteReply, From: "b", To: "a", Term: n.term, SentAt: n.restart.votesAt, Incarnation: 2, EchoIncarnation: n.incarnation, Restarted: true})
+	answer(func(m *Message) { m.Incarnation++ })
+	answer(func(m *Message) { m.SentAt-- })
+	answer(func(m *Message) { m.EchoIncarnation++ })
+	answer(func(m *Message) { m.From = "d" })
+	answer(func(m *Message) { m.Absent = false })
+	answer(func(m *Message) { m.Absent, m.Restarted = false, true })
+	g.Expect(n.role).To(Equal(Candidate), "c has not confirmed")
+	answer(func(*Message) {})
+	g.Expect(n.role).To(Equal(Leader))
+	g.Expect(n.Status().AbsentVoters).To(Equal([]ID{"c"}))
+
+	moved := Membership{"a": {ID: "a", Voter: true}, "b": {ID: "b", Voter: true}, "c": {ID: "c", Address: "new", Voter: true}}
+	e := Entry{Index: 2, Term: 1, Kind: EntryMembership, Data: moved.Encode()}
+	n, _ = ask(HardState{Term: 1, Commit: 1}, e)
+	g.Expect(n.role).To(Equal(Follower), "c may still run at its old address")
+	n, _ = ask(HardState{Term: 1, Commit: 2}, e)
+	g.Expect(n.role).To(Equal(Candidate))
+	_, ok := AbsentReply(run, Message{Kind: MsgVote, From: "a", To: "c"})
+	g.Expect(ok).To(BeFalse(), "the vote request of an ordinary election")
+}
+
+// Guards against elections that fail one after the other, and raise the term each time, when too
+// few voters have kept their disks.
+func TestNoEarlyElectionWithoutQuorumOfDisks(t *testing.T) {
+	g := NewWithT(t)
+	n := newRestartedVoter(HardState{Term: 1, Commit: 1})
+	n.restart.own = true
+	for i, id := range []ID{"b", "c"} {
+		reply, _ := AbsentReply(uint32(i), Message{Kind: MsgRestarted, From: "a", To: id, Incarnation: n.incarnation})
+		n.Step(n.now, reply)
+	}
+	g.Expect([]any{n.role, n.term}).To(Equal([]any{Follower, uint64(1)}))
+}
--- a/internal/consensus/sim_cluster_test.go
+++ b/internal/consensus/sim_cluster_test.go
@@ -198,6 +198,7 @@
 		}
 		if s.rnd.IntN(15) == 0 {
 			s.repairMembership()
+			s.endWaiting()
 		}
 		for _, id := range s.order {
 			s.endFaultsAtRandom(s.replicas[id])
--- a/internal/consensus/sim_replica_test.go
+++ b/internal/consensus/sim_replica_test.go
@@ -32,8 +32,9 @@
 	disk             disk
 	clockRate        float64 // 1: no drift
 	clockOffset      Time
-	wiped            bool // its disk is lost for good
-	removalRequested bool // to be removed from the cluster and wiped
+	wiped            bool   // its disk is lost for good
+	waitingRun       uint32 // run of the process that waits to join at its address; 0: none
+	removalRequested bool   // to be removed from the cluster and wiped
 	frozen           bool
 	dropsIncoming    bool // loses all messages to it
 	dropsOutgoing    bool // loses all messages from it
--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -39,19 +39,23 @@
 type Founding struct {
 	self     string
 	founders []string
+	absence  *Absence // answers from the moment at which the group is known to exist
 
 	mu     sync.Mutex
 	isNew  map[string]bool // founders that have had no log since this process waits
 	formed bool
 }
 
-// NewFounding returns the decision of the founder at the address self.
-func NewFounding(self string, founders []string) *Founding {
-	return &Founding{self: self, founders: founders, isNew: map[string]bool{self: true}}
+// NewFounding returns the decision of the founder at the address self, whose data folder
+// absence has looked at.
+func NewFounding(self string, founders []string, absence *Absence) *Founding {
+	return &Founding{self: self, founders: founders, absence: absence, isNew: map[string]bool{self: true}}
 }
 
-// Register answers the other founders while this one waits.
+// Register answers the other founders while this one waits, and once it is to join, the
+// replicas that ask for the voter that has run here.
 func (f *Founding) Register(s *peer.Server) {
+	f.absence.Register(s)
 	peer.Handle(s, MethodFounding, func(_ context.Context, q FoundingRequest) (FoundingReply, error) {
 		f.record(q.Address, false)
 		return FoundingReply{}, nil
@@ -64,6 +68,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.formed = f.formed || formed
+	if formed {
+		f.absence.Begin()
+	}
 	if !formed && slices.Contains(f.founders, address) {
 		f.isNew[address] = true
 	}
--- a/internal/control/group_sim_machine_test.go
+++ b/internal/control/group_sim_machine_test.go
@@ -81,6 +81,20 @@
 	m.s.after(joinRetryInterval, func() { m.join(boot) })
 }
 
+// answerAbsent answers m of p in the place of the replica that has lost its disk here, as
+// Absence does.
+func (m *simMachine) answerAbsent(p *simProcess, message consensus.Message) {
+	reply, ok := consensus.AbsentReply(uint32(1+m.boots), message)
+	if !ok || !m.joining || !m.s.connected(m, p.machine) {
+		return
+	}
+	m.s.after(m.s.between(200*time.Microsecond, 3*time.Millisecond), func() {
+		if m.s.connected(m, p.machine) {
+			p.enqueueIfRuns(func() { p.node.Step(p.s.now, reply) })
+		}
+	})
+}
+
 // knows reports whether a process without data on m knows p: p runs on a founder, or has
 // made itself known through the gossip to m or to a founder. It does so at the addresses of
 // the founders and of its membership.
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -204,6 +204,9 @@
 	if receiver != nil {
 		process = receiver.process
 	}
+	if receiver != nil && process == nil && receiver.joining {
+		p.s.after(delay, func() { receiver.answerAbsent(p, m) })
+	}
 	p.s.after(delay, func() {
 		received := process != nil && process.runs() && p.s.connected(p.machine, receiver)
 		if m.Kind == consensus.MsgSnapshot {
--- a/internal/control/group_sim_restart_test.go
+++ b/internal/control/group_sim_restart_test.go
@@ -54,15 +54,20 @@
 }
 
 // Guards against the wait for an election timeout when no lease can be left: all replicas lose
-// power, and a leader acts shortly after the last voter has started.
+// power, up to the tolerated number of voters lose their disks, and a leader acts shortly after
+// the last voter, or the process that waits in its place, has started.
 func TestLeaderActsShortlyAfterRestartOfAll(t *testing.T) {
 	testStableDeployments(t, func(g *WithT, s *simDeployment, l *simProcess) {
-		voters := l.node.Status().Members
+		voters := slices.DeleteFunc(slices.Clone(s.machines), func(m *simMachine) bool {
+			return m.disk == nil || !l.node.Status().Members.IsVoter(m.disk.id)
+		})
 		s.losePower(nil)
+		for _, i := range s.rnd.Perm(len(voters))[:s.rnd.IntN(s.maxLost+1)] {
+			s.logf("%s loses its disk", voters[i].address)
+			voters[i].wipe(simRestart + s.between(0, simReadFolder))
+		}
 		allRun := func() bool {
-			return !slices.ContainsFunc(s.machines, func(m *simMachine) bool {
-				return m.disk != nil && voters.IsVoter(m.disk.id) && m.process == nil
-			})
+			return !slices.ContainsFunc(voters, func(m *simMachine) bool { return m.process == nil && !m.joining })
 		}
 		g.Expect(s.runUntil(s.now+simRestart+simReadFolder, allRun)).To(BeTrue())
 		g.Expect(s.runUntil(s.now+simEarlyLeader, func() bool { return s.leader() != nil })).To(BeTrue(), "no leader; %s", s.failure)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -257,7 +257,12 @@
 	}
 }
 
+// stepCore passes a message to the consensus core. An answer that a voter is absent counts only
+// from the address at which the newest membership has that voter.
 func (r *Replica) stepCore(n StepNotice) {
+	if n.Message.Absent && r.node.Status().Members[n.Message.From].Address != n.Address {
+		return
+	}
 	r.senderAddresses[n.Message.From] = n.Address
 	r.node.Step(r.now(), n.Message)
 }
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -22,6 +22,9 @@
 		r.log.Info("Role in the control group.", "id", now.ID, "role", roleNames[now.Role], "term", now.Term, "leader", now.Leader,
 			"commit", now.Commit, "last", now.LastIndex, "voters", now.Members.Voters(), "members", len(now.Members), "elected_early", now.ElectedEarly, "up_ms", r.upMs())
 	}
+	if old == nil || old.Role != now.Role || old.Term != now.Term {
+		r.logAbsentVoters(now)
+	}
 	if old != nil && old.Election.Failed != now.Election.Failed {
 		e := now.Election
 		r.log.Warn("Election failed.", "failed", e.Failed, "pre_vote", e.PreVote, "term", now.Term, "last", now.LastIndex, "quorum", now.Members.Quorum(),
@@ -29,6 +32,18 @@
 	}
 }
 
+var votersCountedAbsent = metrics.NewCounter("apricotstream_voters_counted_absent_total")
+
+// logAbsentVoters logs on a new leader which voters its early election has counted as absent.
+func (r *Replica) logAbsentVoters(st *consensus.Status) {
+	if len(st.AbsentVoters) == 0 {
+		return
+	}
+	votersCountedAbsent.Add(len(st.AbsentVoters))
+	r.log.Info("Early election counted voters as absent: they have lost their disks.", "id", st.ID, "term", st.Term, "absent", st.AbsentVoters,
+		"quorum", st.Members.Quorum(), "voters", st.Members.Voters(), "last", st.LastIndex, "up_ms", r.upMs())
+}
+
 var leasesLapsed = metrics.NewCounter("apricotstream_leader_leases_lapsed_total")
 
 // logLease logs when the replica acquires the leader lease, from where on it may serve reads,
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -20,8 +20,9 @@
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
+	absence := control.NewAbsence(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
 	for reported := false; ; {
-		if err = n.createFolder(ctx); !storage.LacksSpace(err) {
+		if err = n.createFolder(ctx, absence); !storage.LacksSpace(err) {
 			break
 		}
 		if !reported {
@@ -39,10 +40,11 @@
 }
 
 // createFolder creates the contents of an empty data folder, as a founder on the first start
-// of the deployment, otherwise as a learner of the running group.
-func (n *Node) createFolder(ctx context.Context) error {
-	if n.cfg.FirstStart && n.isFounder() {
-		form, err := n.awaitFounding(ctx)
+// of the deployment, otherwise as a learner of the running group. A founder that is to join
+// once stays with it, because it may have answered that the voter that has run here is absent.
+func (n *Node) createFolder(ctx context.Context, absence *control.Absence) error {
+	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() {
+		form, err := n.awaitFounding(ctx, absence)
 		if err != nil {
 			return err
 		}
@@ -52,7 +54,8 @@
 			return err
 		}
 	}
-	id, err := n.join(ctx)
+	absence.Begin()
+	id, err := n.join(ctx, absence)
 	n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
 	return err
 }
@@ -67,8 +70,8 @@
 
 // awaitFounding reports whether this founder, whose folder is empty, forms the group. If
 // the group exists, the founder has lost its disk and joins like any other replica.
-func (n *Node) awaitFounding(ctx context.Context) (form bool, err error) {
-	f := control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders)
+func (n *Node) awaitFounding(ctx context.Context, absence *control.Absence) (form bool, err error) {
+	f := control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders, absence)
 	err = n.whileListening(ctx, f.Register, func(ctx context.Context) (err error) {
 		form, err = f.Await(ctx, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
 		return err
@@ -77,8 +80,8 @@
 }
 
 // join writes the data folder of a learner of the running group.
-func (n *Node) join(ctx context.Context) (id storage.Identity, err error) {
-	err = n.whileListening(ctx, func(*peer.Server) {}, func(ctx context.Context) (err error) {
+func (n *Node) join(ctx context.Context, absence *control.Absence) (id storage.Identity, err error) {
+	err = n.whileListening(ctx, absence.Register, func(ctx context.Context) (err error) {
 		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
 		return err
 	})
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -55,15 +55,10 @@
 // wrote the identity. They may be of another Create than the next one. Once Open has
 // returned, the folder also has a log.
 func removeInterruptedCreate(fs fileSystem, dir string) error {
-	names, err := fs.readDir(dir)
+	names, err := vacantFiles(fs, dir)
 	if err != nil {
 		return err
 	}
-	for _, name := range names {
-		if !strings.HasPrefix(name, snapshotPrefix) && name != identityFile+temporarySuffix {
-			return result.New(result.AlreadyExists, "data folder %s is not empty", dir)
-		}
-	}
 	for _, name := range names {
 		if err := fs.remove(filepath.Join(dir, name)); err != nil {
 			return err
@@ -72,6 +67,31 @@
 	return nil
 }
 
+// CheckVacant returns nil if the folder does not exist, or holds nothing but what an
+// interrupted Create has left, so that it holds no replica.
+func CheckVacant(dir string) error {
+	_, err := vacantFiles(osFiles{}, dir)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	return err
+}
+
+// vacantFiles returns the files that an interrupted Create has left in the folder, or
+// AlreadyExists if there are others.
+func vacantFiles(fs fileSystem, dir string) ([]string, error) {
+	names, err := fs.readDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		if !strings.HasPrefix(name, snapshotPrefix) && name != identityFile+temporarySuffix {
+			return nil, result.New(result.AlreadyExists, "data folder %s is not empty", dir)
+		}
+	}
+	return names, nil
+}
+
 func readIdentity(fs fileSystem, dir string) (Identity, error) {
 	var id Identity
 	b, err := fs.readFile(filepath.Join(dir, identityFile))
