Listen without a break from the founding until the join

A founder that has lost its disk closed its listener when it learned that the group exists, and opened it again to join. From the answer to the question on, the candidate counts it, but the vote request, which is sent once, could fall into that gap; the candidate would then try again two heartbeat intervals (400 ms) later. One listener now serves both.

The test of absent voters now lets the other voter refuse its vote, since with its vote an absent voter that counts as a vote went unnoticed.

--- a/internal/consensus/restart_test.go
+++ b/internal/consensus/restart_test.go
@@ -276,11 +276,13 @@
 		change(&m)
 		n.Step(n.now, m)
 	}
+	fromB := Message{Kind: MsgVoteReply, From: "b", To: "a", Term: n.term, SentAt: n.restart.votesAt, Incarnation: 2, EchoIncarnation: n.incarnation, Restarted: true, Reject: true}
+	n.Step(n.now, fromB)
 	answer(func(*Message) {})
 	g.Expect(n.role).To(Equal(Candidate), "an absent voter has no vote")
-	clear(n.restart.confirmed)
-	n.restart.confirmed["a"] = true
-	n.Step(n.now, Message{Kind: MsgVoteReply, From: "b", To: "a", Term: n.term, SentAt: n.restart.votesAt, Incarnation: 2, EchoIncarnation: n.incarnation, Restarted: true})
+	n.restart.confirmed = map[ID]bool{"a": true}
+	fromB.Reject = false
+	n.Step(n.now, fromB)
 	answer(func(m *Message) { m.Incarnation++ })
 	answer(func(m *Message) { m.SentAt-- })
 	answer(func(m *Message) { m.EchoIncarnation++ })
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -42,21 +42,31 @@
 // createFolder creates the contents of an empty data folder, as a founder on the first start
 // of the deployment, otherwise as a learner of the running group. A founder that is to join
 // once stays with it, because it may have answered that the voter that has run here is absent.
+// The node listens all the time, so that no vote request of an early election is lost.
 func (n *Node) createFolder(ctx context.Context, absence *control.Absence) error {
+	form, register := false, absence.Register
+	var founding *control.Founding
 	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() {
-		form, err := n.awaitFounding(ctx, absence)
-		if err != nil {
-			return err
-		}
-		if form {
-			_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
-			n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
-			return err
+		founding = control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders, absence)
+		register = founding.Register
+	}
+	var id storage.Identity
+	err := n.whileListening(ctx, register, func(ctx context.Context) (err error) {
+		if founding != nil {
+			// If the group exists, the founder has lost its disk and joins like any other replica.
+			if form, err = founding.Await(ctx, n.client, n.replicaAddresses, n.log.WithPrefix("control")); form || err != nil {
+				return err
+			}
 		}
+		absence.Begin()
+		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+		n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
+		return err
+	})
+	if form && err == nil {
+		_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
+		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
 	}
-	absence.Begin()
-	id, err := n.join(ctx, absence)
-	n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
 	return err
 }
 
@@ -68,26 +78,6 @@
 	return err
 }
 
-// awaitFounding reports whether this founder, whose folder is empty, forms the group. If
-// the group exists, the founder has lost its disk and joins like any other replica.
-func (n *Node) awaitFounding(ctx context.Context, absence *control.Absence) (form bool, err error) {
-	f := control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders, absence)
-	err = n.whileListening(ctx, f.Register, func(ctx context.Context) (err error) {
-		form, err = f.Await(ctx, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
-		return err
-	})
-	return form, err
-}
-
-// join writes the data folder of a learner of the running group.
-func (n *Node) join(ctx context.Context, absence *control.Absence) (id storage.Identity, err error) {
-	err = n.whileListening(ctx, absence.Register, func(ctx context.Context) (err error) {
-		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
-		return err
-	})
-	return id, err
-}
-
 // whileListening calls f while the node listens on its peer address and takes part in the
 // gossip: replicas that know its address from their membership make themselves known to it,
 // and through it to processes that know only the founders. register adds other handlers.
