End calls of the platform's duties with the leader lease

Cause: a usage report or an order to load weights was sent after a check of the lease, but nothing ended it with the lease. Only its time limits did (1.5 s a report, 2 s an order, 3 s a round). A holder that is frozen between the check and the write, writes right after the thaw, and is frozen again while its link is cut leaves bytes in its kernel. They reached the receiver after a call of its successor, whose guard time of 3 s was over. A receiver that checks no fencing token takes both.

Evidence: a property test plays the usage and the weights duty of three holders in virtual time, with freezes, clocks that run 10% fast or slow, cut links, late and lost answers, and takeovers. It uses the duties and duty.Term themselves; leases and the sending of the kernel are small models. Calls within 300 ms of a thaw or of the return of a link do not count.

Change: Term.call checks the lease and returns a context that ends with it; both duties send with it. internal/fenced had the same code, which is now control.WithLease. It polls first after 20 ms, because its callers have just checked the lease. TestTermRequiresLeaseAndTakeoverDelay asks Term.call instead of Term.valid, which it replaces, for the same refusal.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/clock"
@@ -32,3 +33,29 @@
 
 // ValidInTerm reports whether the lease belongs to term and has not expired.
 func (l Leadership) ValidInTerm(term uint64) bool { return l.Term == term && l.Valid() }
+
+// leasePollInterval is the time between two checks of the lease during a call.
+const leasePollInterval = 20 * time.Millisecond
+
+// WithLease returns a context for one call to another system. It ends when the lease of term ends,
+// which resets the connection of a call that has no response by then and discards the bytes that
+// the receiver has not read. Callers check the lease right before the call.
+func WithLease(ctx context.Context, leadership func() Leadership, term uint64) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		t := time.NewTicker(leasePollInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			if l := leadership(); !l.ValidInTerm(term) {
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
--- a/internal/duty/load.go
+++ b/internal/duty/load.go
@@ -73,9 +73,11 @@
 	if w.versionTable.Versions(u)[key.model] >= s.Version {
 		return nil
 	}
-	if !w.term.valid(f) {
+	ctx, end, ok := w.term.call(ctx, f)
+	if !ok {
 		return result.New(result.Fenced, "the leadership has ended")
 	}
+	defer end()
 	o := Order{Model: key.model, Version: s.Version, RequestPolicy: FinishRequests, Expected: expected}
 	if continueRequests {
 		o.RequestPolicy = ContinueRequests
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -41,10 +41,15 @@
 	return Fence{Holder: t.holder, Token: l.Term}, changed, now.Sub(t.since) >= t.takeoverDelay
 }
 
-// valid reports whether this process still leads in the term of f. Callers check it right
-// before they send an order or a report.
-func (t *Term) valid(f Fence) bool {
-	return t.leadership().ValidInTerm(f.Token)
+// call returns the context of one order or report under f. It returns false if this process no
+// longer leads in the term of f. The context ends with the lease: a receiver may check no fencing
+// token, and takeoverDelay covers only what the kernel still sends of a process that is frozen.
+func (t *Term) call(ctx context.Context, f Fence) (context.Context, context.CancelFunc, bool) {
+	if !t.leadership().ValidInTerm(f.Token) {
+		return nil, nil, false
+	}
+	ctx, cancel := control.WithLease(ctx, t.leadership, f.Token)
+	return ctx, cancel, true
 }
 
 // runPeriodically calls round every roundInterval until ctx ends.
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -186,10 +186,12 @@
 	}
 	slices.Sort(due)
 	for _, n := range due {
-		if !u.term.valid(f) {
+		callCtx, end, ok := u.term.call(ctx, f)
+		if !ok {
 			return
 		}
-		err := u.provider.ReportUsage(ctx, f, n, u.committed[n])
+		err := u.provider.ReportUsage(callCtx, f, n, u.committed[n])
+		end()
 		if err != nil {
 			u.retryAt = now.Add(reportRetryDelay)
 			u.log.Warn("Failed to report usage.", "interval", n, "fence", f.Token, "code", int(result.CodeOf(err)), "err", result.From(err).Message)
--- a/internal/duty/usage_test.go
+++ b/internal/duty/usage_test.go
@@ -145,6 +145,7 @@
 		g.Expect(ok).To(BeTrue())
 		g.Expect(f.Token).To(Equal(uint64(7)))
 		term = 8
-		g.Expect(leaderTerm.valid(f)).To(BeFalse())
+		_, _, ok = leaderTerm.call(t.Context(), f)
+		g.Expect(ok).To(BeFalse())
 	})
 }
--- a/internal/fenced/sender.go
+++ b/internal/fenced/sender.go
@@ -8,15 +8,13 @@
 	"net/http"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
 // requestTimeout bounds one request, including its response.
 const requestTimeout = 2 * time.Second
 
-// leasePollInterval is the time between two checks of the lease during a request.
-const leasePollInterval = 20 * time.Millisecond
-
 // maxResponseBytes limits how many bytes of a response body are read.
 const maxResponseBytes = 1 << 16
 
@@ -66,7 +64,7 @@
 	if !s.holdsLease() {
 		return result.New(result.Fenced, "the leader's lease has ended")
 	}
-	ctx, cancel := s.withLeaseContext(ctx)
+	ctx, cancel := control.WithLease(ctx, s.lease, s.term)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -106,23 +104,3 @@
 	l := s.lease()
 	return l.ValidInTerm(s.term)
 }
-
-// withLeaseContext returns a context that is cancelled when the lease ends. This resets
-// the connection of a request that has no response by then, which discards the bytes that
-// the receiver has not read.
-func (s *Sender) withLeaseContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		t := time.NewTicker(leasePollInterval)
-		defer t.Stop()
-		for s.holdsLease() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-		}
-		cancel()
-	}()
-	return ctx, cancel
-}
