--- a/internal/systest/cluster_test.go
+++ b/internal/systest/cluster_test.go
@@ -210,10 +210,17 @@
 }
 
 // freeze stops the process of daemon i without ending it.
-func (c *cluster) freeze(i int) { _ = c.processes[i].Process.Signal(syscall.SIGSTOP) }
+func (c *cluster) freeze(i int) { c.signal(i, syscall.SIGSTOP) }
 
 // unfreeze continues the process of daemon i.
-func (c *cluster) unfreeze(i int) { _ = c.processes[i].Process.Signal(syscall.SIGCONT) }
+func (c *cluster) unfreeze(i int) { c.signal(i, syscall.SIGCONT) }
+
+// signal sends a signal to daemon i. The test fails if it cannot be sent.
+func (c *cluster) signal(i int, s syscall.Signal) {
+	if err := c.processes[i].Process.Signal(s); err != nil {
+		c.t.Errorf("%v to d%d: %v", s, i, err)
+	}
+}
 
 // isolate silently blocks the connections between daemon i and all other daemons.
 func (c *cluster) isolate(i int) { c.setLinks(i, true) }
