Count a crash although the upstream announced itself just before it

Callers saw a stream that crashes its upstreams reach one more of them later than 3 s after its third crash (TestStreamThatCrashesUpstreamsAtAnyMomentIsHeldBack, case "left": reached upstreams 6 times, 1 too late).

Cause: after an attempt that its caller has left, the upstream must refuse connections twice and must not have announced itself since the end of the attempt, because an upstream that is full refuses connections, too. A heartbeat between the end of the attempt and the crash (100 ms apart in the test, up to 500 ms by the rule) was taken as one of a full upstream, and the crash was never counted. A trace shows it: at the check 0.5 s after the end the upstream refuses connections and has announced itself since; at the second check the crash is dropped. An announcement that another daemon returned in an exchange had the same effect, however old it was.

Fix: an announcement after the end of the attempt no longer drops the crash. The upstream is checked once more 2.5 s after it and counts as crashed if it still refuses connections and is silent. Entries hear of a running upstream every 2 s, and one that is heard of more than 500 ms after the first refusal runs. Announcements of an exchange no longer count as heartbeats. So a crash is counted 2.5 s after the last heartbeat at the latest, and a full upstream has to be silent for longer than before.

TestFullUpstreamsAreNoCrashes announced each upstream once, at the end of the attempt, and never again in 3 s, which is what a crash looks like. Now its upstreams announce themselves every 2.05 s, beginning at any of 40 moments, and none may be blamed in 10 s.

--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -14,6 +14,17 @@
 // does so. A later crash is weaker evidence, see quarantine.LateCrash.
 const earlyCrashTime = time.Second
 
+// Announcements of an upstream that refuses connections after its attempt was abandoned.
+const (
+	// crashedSilence is the silence after which an upstream that has announced itself since its
+	// attempt was abandoned counts as crashed. Entries are told of heartbeats at least every 2 s. A
+	// crash has to be counted within 3 s.
+	crashedSilence = 2500 * time.Millisecond
+	// announcementDelay is the longest time that a heartbeat takes to this daemon through another
+	// one. An upstream that is heard of later, after it has refused connections, runs.
+	announcementDelay = 500 * time.Millisecond
+)
+
 var (
 	earlyCrashes = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="false"}`)
 	lateCrashes  = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="true"}`)
@@ -81,8 +92,8 @@
 
 // Abandoned implements proxy.CrashTracker. It counts a crash against the request, as a late one, if
 // the upstream is found to have crashed later. An upstream that is heard meanwhile is not checked. One
-// that is full may refuse connections too, so it has to refuse them twice and must not have
-// announced itself since.
+// that is full may refuse connections too, so it has to refuse them twice and must no longer
+// announce itself. That it has done so since the attempt is no proof: it may have crashed just after.
 func (t crashTracker) Abandoned(q *proxy.Request, fingerprint string, a proxy.Attempt) {
 	if t.excused(fingerprint, a) {
 		return
@@ -97,30 +108,39 @@
 		return // checked with the attempt that was abandoned first
 	}
 	heardSince := at.Add(upstream.AbandonedCheckDelay / 2)
-	before, _ := t.n.directory.Get(a.To.ID)
 	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
 		count := t.abandoned.Take(a.To.Address)
 		if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) || !t.crashed(a) {
 			return
 		}
-		time.AfterFunc(upstream.RestartCheckDelay, func() {
-			if t.announcedSince(before) || !t.crashed(a) {
+		t.confirmCrash(a, at, time.Now(), upstream.RestartCheckDelay, count)
+	})
+}
+
+// confirmCrash calls count after a delay if the upstream of an attempt that was abandoned at the given
+// time, and that refused connections at refusedAt, still does and is silent. If it has announced itself
+// since the attempt, it checks it again after crashedSilence.
+func (t crashTracker) confirmCrash(a proxy.Attempt, abandonedAt, refusedAt time.Time, delay time.Duration, count []func()) {
+	time.AfterFunc(delay, func() {
+		if !t.crashed(a) {
+			return
+		}
+		heardAt := t.n.directory.HeardAt(a.To.ID, a.To.Incarnation)
+		if !heardAt.Before(abandonedAt) && !t.restarted(a) {
+			if heardAt.After(refusedAt.Add(announcementDelay)) {
 				return
 			}
-			for _, c := range count {
-				c()
+			if silentAt := heardAt.Add(crashedSilence); time.Now().Before(silentAt) {
+				t.confirmCrash(a, abandonedAt, refusedAt, time.Until(silentAt), count)
+				return
 			}
-		})
+		}
+		for _, c := range count {
+			c()
+		}
 	})
 }
 
-// announcedSince reports whether the incarnation of an earlier announcement has announced itself
-// again.
-func (t crashTracker) announcedSince(before upstream.Announcement) bool {
-	now, ok := t.n.directory.Get(before.ID)
-	return ok && now.Incarnation == before.Incarnation && now.Seq > before.Seq
-}
-
 // excused reports whether a crash of the upstream of an attempt would say nothing of the request.
 func (t crashTracker) excused(fingerprint string, a proxy.Attempt) bool {
 	return t.survivors.Has(time.Now(), fingerprint) || t.withdrawn(a)
--- a/internal/node/crash_tracker_test.go
+++ b/internal/node/crash_tracker_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,29 +74,79 @@
 	}
 }
 
+// abandonedStreams are attempts of one request on three upstreams, which have just been abandoned.
+type abandonedStreams struct {
+	n       *Node
+	tracker crashTracker
+	refuses atomic.Bool // whether the upstreams refuse connections
+	list    []upstream.Announcement
+}
+
+func newAbandonedStreams(g Gomega) *abandonedStreams {
+	x := &abandonedStreams{}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		if x.refuses.Load() {
+			return nil, errors.New("connection refused")
+		}
+		c, _ := net.Pipe()
+		return c, nil
+	}
+	x.n = &Node{
+		log: log.New(io.Discard), quarantine: quarantine.NewTable(time.Now, nil), directory: upstream.NewDirectory(alone{}),
+		dependencies: Dependencies{Links: reach.NewLinks(dial, log.New(io.Discard))},
+	}
+	x.tracker = newCrashTracker(x.n)
+	for i, id := range []string{"u1", "u2", "u3"} {
+		x.list = append(x.list, upstream.Announcement{ID: id, Incarnation: 1, Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Zone: id, Class: upstream.ClassRegular, Concurrency: 1, TTL: 5})
+	}
+	x.announce(g)
+	time.Sleep(time.Second)
+	for _, a := range x.list {
+		x.tracker.Abandoned(&proxy.Request{}, "fp", proxy.Attempt{To: a, Began: time.Now()})
+	}
+	return x
+}
+
+func (x *abandonedStreams) announce(g Gomega) {
+	for i := range x.list {
+		x.list[i].Seq++
+		g.Expect(x.n.directory.Announce(x.list[i])).To(Succeed())
+	}
+}
+
 // Guards against a request that is held back because upstreams were full: these refuse connections
-// too, but announce themselves. Upstreams that crashed just after the request was ended do not.
+// too, but go on announcing themselves. Entries are told of every second heartbeat.
 func TestFullUpstreamsAreNoCrashes(t *testing.T) {
-	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("connection refused") }
-	for _, full := range []bool{true, false} {
+	for first := time.Duration(0); first < 2*time.Second; first += 50 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
-			n := &Node{
-				log: log.New(io.Discard), quarantine: quarantine.NewTable(time.Now, nil), directory: upstream.NewDirectory(alone{}),
-				dependencies: Dependencies{Links: reach.NewLinks(refuse, log.New(io.Discard))},
-			}
-			tracker := newCrashTracker(n)
-			for i, id := range []string{"u1", "u2", "u3"} {
-				a := upstream.Announcement{ID: id, Incarnation: 1, Seq: 1, Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Zone: id, Class: upstream.ClassRegular, Concurrency: 1, TTL: 5}
-				g.Expect(n.directory.Announce(a)).To(Succeed())
-				tracker.Abandoned(&proxy.Request{}, "fp", proxy.Attempt{To: a, Began: time.Now()})
-				if full {
-					a.Seq = 2
-					g.Expect(n.directory.Announce(a)).To(Succeed())
-				}
+			x := newAbandonedStreams(g)
+			x.refuses.Store(true)
+			time.Sleep(first)
+			for range 5 {
+				x.announce(g)
+				time.Sleep(2050 * time.Millisecond)
 			}
-			time.Sleep(3 * time.Second)
-			g.Expect(tracker.Blocked("fp")).To(Equal(!full))
+			g.Expect(x.tracker.Blocked("fp")).To(BeFalse(), "heartbeats from %v on", first)
 		})
 	}
 }
+
+// Guards against a crash that is never counted because the upstream announced itself between the end
+// of the attempt and its crash. The request must be held back 3 s after the third crash.
+func TestCrashAfterAbandonedAttemptCountsInTime(t *testing.T) {
+	for crash := time.Duration(0); crash < upstream.AbandonedCheckDelay; crash += 25 * time.Millisecond {
+		for announced := time.Duration(0); announced <= crash; announced += 25 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				x := newAbandonedStreams(g)
+				time.Sleep(announced)
+				x.announce(g)
+				time.Sleep(crash - announced)
+				x.refuses.Store(true)
+				time.Sleep(2900 * time.Millisecond)
+				g.Expect(x.tracker.Blocked("fp")).To(BeTrue(), "announced %v and crashed %v after the end of the attempts", announced, crash)
+			})
+		}
+	}
+}
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -67,6 +67,7 @@
 	peer.HandleNotice(s, MethodAnnounce, func(a Announcement) {
 		if a.Check() == nil {
 			d.record(a, true)
+			d.markHeard(a)
 		}
 	})
 }
@@ -77,12 +78,28 @@
 	if err := a.Check(); err != nil {
 		return err
 	}
-	if recorded, due := d.record(a, false); due {
+	recorded, due := d.record(a, false)
+	d.markHeard(a)
+	if due {
 		d.group.Broadcast(MethodAnnounce, recorded)
 	}
 	return nil
 }
 
+func (d *Directory) markHeard(a Announcement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.MarkHeard(time.Now(), a)
+}
+
+// HeardAt returns when this daemon last got a heartbeat of an incarnation, or a notice of one. It
+// returns the zero time if it got none.
+func (d *Directory) HeardAt(id string, incarnation int64) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.HeardAt(id, incarnation)
+}
+
 // record records a. It returns what is believed now, and whether that must be sent to the
 // other daemons. notified means that they have received a already.
 func (d *Directory) record(a Announcement, notified bool) (recorded Announcement, notify bool) {
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -16,6 +16,7 @@
 	a          Announcement
 	expiresAt  time.Time
 	notifiedAt time.Time // when all daemons were last notified
+	heardAt    time.Time // when this daemon last got it as a heartbeat or a notice of one
 	confirmed  bool      // the withdrawal of this incarnation was acknowledged to the upstream
 }
 
@@ -55,7 +56,11 @@
 	if a.Leaving {
 		until = now.Add(tombstoneTTL)
 	}
-	r.byID[a.ID] = record{a, until, old.notifiedAt, old.confirmed && a.Incarnation == old.a.Incarnation}
+	k := record{a: a, expiresAt: until, notifiedAt: old.notifiedAt}
+	if a.Incarnation == old.a.Incarnation {
+		k.heardAt, k.confirmed = old.heardAt, old.confirmed
+	}
+	r.byID[a.ID] = k
 	return true
 }
 
@@ -129,6 +134,24 @@
 	}
 }
 
+// MarkHeard records that a has just come as a heartbeat of its upstream, or as a notice of one. It must
+// be called after Record. Announcements of an exchange may be as old as the last heartbeat.
+func (r *Registry) MarkHeard(now time.Time, a Announcement) {
+	if k, ok := r.byID[a.ID]; ok && k.a.Incarnation == a.Incarnation && k.a.Seq <= a.Seq {
+		k.heardAt = now
+		r.byID[a.ID] = k
+	}
+}
+
+// HeardAt returns when MarkHeard was last called for an incarnation. It returns the zero time if it
+// was not.
+func (r *Registry) HeardAt(id string, incarnation int64) time.Time {
+	if k, ok := r.byID[id]; ok && k.a.Incarnation == incarnation {
+		return k.heardAt
+	}
+	return time.Time{}
+}
+
 // What a daemon believed of an incarnation before it departed.
 const (
 	beforeUnknown  = "unknown"
