Wait in TestNoRequestsToWithdrawnUpstream until the replica knows all daemons

Cause: the test asks for more than the platform does. The replica tells all daemons that it knows, and two seconds after the start of the deployment it did not know one of them ("called 2 failed 0" of 3). A daemon counts from contactMs after its start, and a withdrawn upstream may be used until drainMs after the acknowledgement.

Change: the test waits until r1 knows the four daemons (Node.Daemons). Its check is unchanged: 503 with Retry-After for the first request after the acknowledgement. TestDaemonThatJoinsLearnsOfWithdrawal covers what the test no longer meets: daemons that join while the withdrawal is under way, and one that certainly is not told, because nobody can call it until the acknowledgement. Each must refuse every request that is sent later than drainMs (2.5 s) after the acknowledgement.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -67,6 +67,15 @@
 	return out
 }
 
+// Daemons returns the ids of the daemons that this node knows to be up, itself included.
+func (n *Node) Daemons() []string {
+	var out []string
+	for _, d := range n.gossip.Live() {
+		out = append(out, d.ID)
+	}
+	return out
+}
+
 // helpers returns the other daemons that pass connections to upstreams on.
 func (n *Node) helpers() []reach.Helper {
 	return reach.HelpersOf(n.gossip.Live(), n.cfg.PeerAddress)
