Check abandoned attempts until the upstream runs half a second after their end

A request that crashes its upstream within half a second after its caller left, or after its time was up, was not counted when the upstream showed a sign of life in between. Such a request is never held back.

Cause: one check, 500 ms after the end of the first attempt, settled all attempts that had been ended at the upstream until then. An attempt ended 450 ms after the first was thus checked after 50 ms, and the crash that follows was missed, also on the own interface. And an upstream that was heard in the last 250 ms before the check, as one that runs other requests is, counted as running, whatever happened after.

Fix: an attempt stays pending until the upstream was heard or reached 500 ms after its end. Until then the upstream is checked every 250 to 500 ms. PendingChecks does this for both interfaces. It keeps the attempts by incarnation, so that attempts on the process that follows at the same address are not counted for the crash of the one before.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -101,22 +101,24 @@
 // checkAbandoned checks for a crash after this daemon has ended an attempt that u may still have
 // worked on, because the caller left or the time of the request was up.
 func (d *Dispatcher) checkAbandoned(job Job, u upstream.Announcement, err error) {
-	if err == nil || job.Owed || !mayHaveRun(err) || !d.abandoned.Add(u.Address, func() { d.recordCrash(job, u) }) {
+	if err == nil || job.Owed || !mayHaveRun(err) {
 		return
 	}
-	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
-		record := d.abandoned.Take(u.Address)
-		if !d.refuses(u.Address) && !d.restarted(u) {
-			return
-		}
-		time.AfterFunc(upstream.RestartCheckDelay, func() { // it may have been full
-			if !d.refuses(u.Address) && !d.restarted(u) {
-				return
-			}
-			for _, r := range record {
-				r()
-			}
-		})
+	d.abandoned.Add(u, time.Now(), func() { d.recordCrash(job, u) }, upstream.CrashCheck{
+		Look: func() (ranAt time.Time, crashed bool) {
+			now := time.Now()
+			return now, d.refuses(u.Address) || d.restarted(u)
+		},
+		Confirm: func(record []func()) {
+			time.AfterFunc(upstream.RestartCheckDelay, func() { // it may have been full
+				if !d.refuses(u.Address) && !d.restarted(u) {
+					return
+				}
+				for _, r := range record {
+					r()
+				}
+			})
+		},
 	})
 }
 
--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -91,29 +91,29 @@
 }
 
 // Abandoned implements proxy.CrashTracker. It counts a crash against the request, as a late one, if
-// the upstream is found to have crashed later. An upstream that is heard meanwhile is not checked. One
-// that is full may refuse connections too, so it has to refuse them twice and must no longer
+// the upstream is found to have crashed later. An upstream that is heard is not connected to. One that is
+// full may refuse connections too, so it has to refuse them twice and must no longer
 // announce itself. That it has done so since the attempt is no proof: it may have crashed just after.
 func (t crashTracker) Abandoned(q *proxy.Request, fingerprint string, a proxy.Attempt) {
 	if t.excused(fingerprint, a) {
 		return
 	}
 	at := time.Now()
-	first := t.abandoned.Add(a.To.Address, func() {
+	ifCrashed := func() {
 		if !t.excused(fingerprint, a) {
 			t.count(q, fingerprint, a, true, at)
 		}
-	})
-	if !first {
-		return // checked with the attempt that was abandoned first
 	}
-	heardSince := at.Add(upstream.AbandonedCheckDelay / 2)
-	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
-		count := t.abandoned.Take(a.To.Address)
-		if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) || !t.crashed(a) {
-			return
-		}
-		t.confirmCrash(a, at, time.Now(), upstream.RestartCheckDelay, count)
+	t.abandoned.Add(a.To, at, ifCrashed, upstream.CrashCheck{
+		Look: func() (ranAt time.Time, crashed bool) {
+			now := time.Now()
+			heardSince := now.Add(-upstream.AbandonedCheckDelay / 2)
+			if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) {
+				return heardSince, false
+			}
+			return now, t.crashed(a)
+		},
+		Confirm: func(count []func()) { t.confirmCrash(a, at, time.Now(), upstream.RestartCheckDelay, count) },
 	})
 }
 
