Check an upstream again while no other daemon can tell whether it runs

A request that crashes its upstream was not counted, and could be sent on, when the other daemons did not answer in time whether they reach that upstream, as on a busy machine.

Cause: a crash counts only if another daemon does not reach the upstream either. If none answers within 300 ms, Links.RefusesConnections returns false, and the crash tracker took that as an upstream that runs, for good.

Fix: Links.Reach tells an unknown state from a reachable upstream. While the state is unknown, the tracker checks again, for 5 s at most. Nothing is counted without the answer of another daemon, as before. The own interface (package dispatch) still takes unknown for running.

Evidence: TestCrashCountsOnceOtherDaemonsCanTell fails before: for an abandoned attempt if others are slow for 600 ms, for a lost connection if they are for 1.6 s. Found by reading.

--- a/internal/node/abandoned_test.go
+++ b/internal/node/abandoned_test.go
@@ -1,6 +1,11 @@
 package node
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/proxy"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -52,3 +58,44 @@
 		}
 	}
 }
+
+// Guards against a crash that is never counted because no other daemon could tell in time whether the
+// upstream accepts connections, as when all are slow for a moment.
+func TestCrashCountsOnceOtherDaemonsCanTell(t *testing.T) {
+	for slow := time.Duration(0); slow <= 3*time.Second; slow += 200 * time.Millisecond {
+		for _, abandoned := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				answersAt := time.Now().Add(time.Second + slow)
+				x := newAbandonedStreams(g, reach.Deployment{
+					Helpers: func() []reach.Helper { return []reach.Helper{{Address: "helper", Zone: "z"}} },
+					DialHelper: func(context.Context, string) (net.Conn, error) {
+						if time.Now().Before(answersAt) {
+							return nil, errors.New("slow")
+						}
+						c, helper := net.Pipe()
+						go func() {
+							in := bufio.NewReader(helper)
+							_, _ = in.ReadString('\n')
+							_, _ = io.WriteString(helper, "unreachable refused\n")
+							helper.Close()
+						}()
+						return c, nil
+					},
+				})
+				x.refuses.Store(true)
+				if !abandoned {
+					for _, a := range x.list {
+						go x.tracker.ConnectionLost(&proxy.Request{}, "lost", proxy.Attempt{To: a, Began: time.Now()})
+					}
+				}
+				time.Sleep(8 * time.Second)
+				if abandoned {
+					g.Expect(x.tracker.Blocked("fp")).To(BeTrue(), "abandoned, other daemons slow for %v", slow)
+				} else {
+					g.Expect(x.tracker.Blocked("lost")).To(BeTrue(), "connection lost, other daemons slow for %v", slow)
+				}
+			})
+		}
+	}
+}
--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -7,6 +7,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -25,6 +26,14 @@
 	announcementDelay = 500 * time.Millisecond
 )
 
+// While no other daemon can tell whether an upstream accepts connections, for example because all are
+// slow, it is checked again after unknownRetryDelay, for unknownTime at most. A helper that failed is
+// asked again after a second.
+const (
+	unknownRetryDelay = 500 * time.Millisecond
+	unknownTime       = 5 * time.Second
+)
+
 var (
 	earlyCrashes = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="false"}`)
 	lateCrashes  = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="true"}`)
@@ -83,9 +92,21 @@
 		t.count(q, fingerprint, a, late, at)
 		return
 	}
-	time.AfterFunc(upstream.RestartCheckDelay, func() {
-		if !t.excused(fingerprint, a) && t.crashed(a) {
+	t.countIfCrashed(q, fingerprint, a, late, at, upstream.RestartCheckDelay)
+}
+
+// countIfCrashed counts a crash after a delay if the upstream has crashed. While this is not known, it
+// checks again.
+func (t crashTracker) countIfCrashed(q *proxy.Request, fingerprint string, a proxy.Attempt, late bool, at time.Time, delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		if t.excused(fingerprint, a) {
+			return
+		}
+		switch r := t.reach(a); {
+		case r == reach.Unreachable:
 			t.count(q, fingerprint, a, late, at)
+		case r == reach.Unknown && time.Since(at) < unknownTime:
+			t.countIfCrashed(q, fingerprint, a, late, at, unknownRetryDelay)
 		}
 	})
 }
@@ -111,7 +132,11 @@
 			if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) {
 				return heardSince, false
 			}
-			return now, t.crashed(a)
+			r := t.reach(a)
+			if r == reach.Unknown {
+				return now.Add(-unknownTime), false
+			}
+			return now, r == reach.Unreachable
 		},
 		Confirm: func(count []func()) { t.confirmCrash(a, at, time.Now(), upstream.RestartCheckDelay, count) },
 	})
@@ -122,7 +147,11 @@
 // since the attempt, it checks it again after crashedSilence.
 func (t crashTracker) confirmCrash(a proxy.Attempt, abandonedAt, refusedAt time.Time, delay time.Duration, count []func()) {
 	time.AfterFunc(delay, func() {
-		if !t.crashed(a) {
+		switch r := t.reach(a); {
+		case r == reach.Unknown && time.Since(refusedAt) < unknownTime:
+			t.confirmCrash(a, abandonedAt, refusedAt, unknownRetryDelay, count)
+			return
+		case r != reach.Unreachable:
 			return
 		}
 		heardAt := t.n.directory.HeardAt(a.To.ID, a.To.Incarnation)
@@ -161,9 +190,12 @@
 		"ran_ms", a.RanFor.Milliseconds(), "ms", time.Since(a.Began).Milliseconds(), "late", late, "crashes", len(r.Upstreams), "late_crashes", len(r.Late), "blocked", r.Blocked())
 }
 
-// crashed reports whether the upstream of an attempt refuses connections or was started again.
-func (t crashTracker) crashed(a proxy.Attempt) bool {
-	return t.restarted(a) || t.n.dependencies.Links.RefusesConnections(a.To.Address)
+// reach returns whether the upstream of an attempt can be reached. One that was started again cannot.
+func (t crashTracker) reach(a proxy.Attempt) reach.Reachability {
+	if t.restarted(a) {
+		return reach.Unreachable
+	}
+	return t.n.dependencies.Links.Reach(a.To.Address)
 }
 
 // restarted reports whether a newer incarnation of the upstream of an attempt is known, under its
--- a/internal/node/crash_tracker_test.go
+++ b/internal/node/crash_tracker_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/reach"
@@ -82,7 +83,8 @@
 	list    []upstream.Announcement
 }
 
-func newAbandonedStreams(g Gomega) *abandonedStreams {
+// newAbandonedStreams ends the attempts a second after its call. The node is alone or has others.
+func newAbandonedStreams(g Gomega, others ...reach.Deployment) *abandonedStreams {
 	x := &abandonedStreams{}
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		if x.refuses.Load() {
@@ -95,6 +97,9 @@
 		log: log.New(io.Discard), quarantine: quarantine.NewTable(time.Now, nil), directory: upstream.NewDirectory(alone{}),
 		dependencies: Dependencies{Links: reach.NewLinks(dial, log.New(io.Discard))},
 	}
+	for _, o := range others {
+		x.n.dependencies.Links.Deploy(o, peer.NewServer())
+	}
 	x.tracker = newCrashTracker(x.n)
 	for i, id := range []string{"u1", "u2", "u3"} {
 		x.list = append(x.list, upstream.Announcement{ID: id, Incarnation: 1, Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Zone: id, Class: upstream.ClassRegular, Concurrency: 1, TTL: 5})
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -279,21 +279,5 @@
 	return second(ctx, network, address)
 }
 
-// RefusesConnections reports whether the upstream at address accepts no connections, as this daemon
-// and another one see it. If no other daemon can tell, a daemon that has others does not know.
-func (l *Links) RefusesConnections(address string) bool {
-	if !l.hasOthers() {
-		return !l.probe(address)
-	}
-	c, err := l.Dial(context.Background(), "tcp", address)
-	if err == nil {
-		c.Close()
-		return false
-	}
-	c, _, err = l.dialHelpers(context.Background(), address)
-	if err == nil {
-		c.Close()
-		l.log.Warn("Another daemon reaches an upstream that this one does not: it has not crashed.", "address", address)
-	}
-	return errors.Is(err, errUnreachable)
-}
+// RefusesConnections reports whether Reach returns Unreachable for address.
+func (l *Links) RefusesConnections(address string) bool { return l.Reach(address) == Unreachable }
