--- a/internal/node/crash_tracker.go
+++ b/internal/node/crash_tracker.go
@@ -7,6 +7,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/proxy"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
+	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
 
@@ -14,6 +15,25 @@
 // does so. A later crash is weaker evidence, see quarantine.LateCrash.
 const earlyCrashTime = time.Second
 
+// Announcements of an upstream that refuses connections after its attempt was abandoned.
+const (
+	// crashedSilence is the silence after which an upstream that has announced itself since its
+	// attempt was abandoned counts as crashed. Entries are told of heartbeats at least every 2 s. A
+	// crash has to be counted within 3 s.
+	crashedSilence = 2500 * time.Millisecond
+	// announcementDelay is the longest time that a heartbeat takes to this daemon through another
+	// one. An upstream that is heard of later, after it has refused connections, runs.
+	announcementDelay = 500 * time.Millisecond
+)
+
+// While no other daemon can tell whether an upstream accepts connections, for example because all are
+// slow, it is checked again after unknownRetryDelay, for unknownTime at most. A helper that failed is
+// asked again after a second.
+const (
+	unknownRetryDelay = 500 * time.Millisecond
+	unknownTime       = 5 * time.Second
+)
+
 var (
 	earlyCrashes = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="false"}`)
 	lateCrashes  = metrics.NewCounter(`apricotstream_crashes_under_requests_total{late="true"}`)
@@ -72,55 +92,84 @@
 		t.count(q, fingerprint, a, late, at)
 		return
 	}
-	time.AfterFunc(upstream.RestartCheckDelay, func() {
-		if !t.excused(fingerprint, a) && t.crashed(a) {
+	t.countIfCrashed(q, fingerprint, a, late, at, upstream.RestartCheckDelay)
+}
+
+// countIfCrashed counts a crash after a delay if the upstream has crashed. While this is not known, it
+// checks again.
+func (t crashTracker) countIfCrashed(q *proxy.Request, fingerprint string, a proxy.Attempt, late bool, at time.Time, delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		if t.excused(fingerprint, a) {
+			return
+		}
+		switch r := t.reach(a); {
+		case r == reach.Unreachable:
 			t.count(q, fingerprint, a, late, at)
+		case r == reach.Unknown && time.Since(at) < unknownTime:
+			t.countIfCrashed(q, fingerprint, a, late, at, unknownRetryDelay)
 		}
 	})
 }
 
 // Abandoned implements proxy.CrashTracker. It counts a crash against the request, as a late one, if
-// the upstream is found to have crashed later. An upstream that is heard meanwhile is not checked. One
-// that is full may refuse connections too, so it has to refuse them twice and must not have
-// announced itself since.
+// the upstream is found to have crashed later. An upstream that is heard is not connected to. One that is
+// full may refuse connections too, so it has to refuse them twice and must no longer
+// announce itself. That it has done so since the attempt is no proof: it may have crashed just after.
 func (t crashTracker) Abandoned(q *proxy.Request, fingerprint string, a proxy.Attempt) {
 	if t.excused(fingerprint, a) {
 		return
 	}
 	at := time.Now()
-	first := t.abandoned.Add(a.To.Address, func() {
+	ifCrashed := func() {
 		if !t.excused(fingerprint, a) {
 			t.count(q, fingerprint, a, true, at)
 		}
-	})
-	if !first {
-		return // checked with the attempt that was abandoned first
 	}
-	heardSince := at.Add(upstream.AbandonedCheckDelay / 2)
-	before, _ := t.n.directory.Get(a.To.ID)
-	time.AfterFunc(upstream.AbandonedCheckDelay, func() {
-		count := t.abandoned.Take(a.To.Address)
-		if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) || !t.crashed(a) {
+	t.abandoned.Add(a.To, at, ifCrashed, upstream.CrashCheck{
+		Look: func() (ranAt time.Time, crashed bool) {
+			now := time.Now()
+			heardSince := now.Add(-upstream.AbandonedCheckDelay / 2)
+			if t.n.dependencies.Links.HeardSince(a.To.Address, heardSince) && !t.restarted(a) {
+				return heardSince, false
+			}
+			r := t.reach(a)
+			if r == reach.Unknown {
+				return now.Add(-unknownTime), false
+			}
+			return now, r == reach.Unreachable
+		},
+		Confirm: func(count []func()) { t.confirmCrash(a, at, time.Now(), upstream.RestartCheckDelay, count) },
+	})
+}
+
+// confirmCrash calls count after a delay if the upstream of an attempt that was abandoned at the given
+// time, and that refused connections at refusedAt, still does and is silent. If it has announced itself
+// since the attempt, it checks it again after crashedSilence.
+func (t crashTracker) confirmCrash(a proxy.Attempt, abandonedAt, refusedAt time.Time, delay time.Duration, count []func()) {
+	time.AfterFunc(delay, func() {
+		switch r := t.reach(a); {
+		case r == reach.Unknown && time.Since(refusedAt) < unknownTime:
+			t.confirmCrash(a, abandonedAt, refusedAt, unknownRetryDelay, count)
+			return
+		case r != reach.Unreachable:
 			return
 		}
-		time.AfterFunc(upstream.RestartCheckDelay, func() {
-			if t.announcedSince(before) || !t.crashed(a) {
+		heardAt := t.n.directory.HeardAt(a.To.ID, a.To.Incarnation)
+		if !heardAt.Before(abandonedAt) && !t.restarted(a) {
+			if heardAt.After(refusedAt.Add(announcementDelay)) {
 				return
 			}
-			for _, c := range count {
-				c()
+			if silentAt := heardAt.Add(crashedSilence); time.Now().Before(silentAt) {
+				t.confirmCrash(a, abandonedAt, refusedAt, time.Until(silentAt), count)
+				return
 			}
-		})
+		}
+		for _, c := range count {
+			c()
+		}
 	})
 }
 
-// announcedSince reports whether the incarnation of an earlier announcement has announced itself
-// again.
-func (t crashTracker) announcedSince(before upstream.Announcement) bool {
-	now, ok := t.n.directory.Get(before.ID)
-	return ok && now.Incarnation == before.Incarnation && now.Seq > before.Seq
-}
-
 // excused reports whether a crash of the upstream of an attempt would say nothing of the request.
 func (t crashTracker) excused(fingerprint string, a proxy.Attempt) bool {
 	return t.survivors.Has(time.Now(), fingerprint) || t.withdrawn(a)
@@ -141,9 +190,12 @@
 		"ran_ms", a.RanFor.Milliseconds(), "ms", time.Since(a.Began).Milliseconds(), "late", late, "crashes", len(r.Upstreams), "late_crashes", len(r.Late), "blocked", r.Blocked())
 }
 
-// crashed reports whether the upstream of an attempt refuses connections or was started again.
-func (t crashTracker) crashed(a proxy.Attempt) bool {
-	return t.restarted(a) || t.n.dependencies.Links.RefusesConnections(a.To.Address)
+// reach returns whether the upstream of an attempt can be reached. One that was started again cannot.
+func (t crashTracker) reach(a proxy.Attempt) reach.Reachability {
+	if t.restarted(a) {
+		return reach.Unreachable
+	}
+	return t.n.dependencies.Links.Reach(a.To.Address)
 }
 
 // restarted reports whether a newer incarnation of the upstream of an attempt is known, under its
