Bound bodies and buffered answers at the own interface together

They now share a budget of 0.35 of the new setting memory_mb, 4096 by default, which two steps of 64 MB or 67 bodies of 16 MB fit into at the same moment. The runtime's soft limit follows the setting, as on the platform.

- A body is read into memory that was taken before.
One that does not fit now is refused as not run with the new code 226 (503, Retry-After), one that never fits with 107 (413).
What still arrives is discarded for a second, so that the caller reads the refusal.
- A step counts eight times its body.
- An answer that does not fit is passed on as it arrives.
Under an idempotency key it has to be stored first, so it waits for memory until the deadline of its request.
- The memory of a request that continues after its caller has left is held until it ends.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/daemon"
 	"github.com/apricotstream/apricotstream/internal/document"
+	"github.com/apricotstream/apricotstream/internal/heaplimit"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/settings"
 	"github.com/apricotstream/apricotstream/internal/telemetry"
@@ -32,6 +33,9 @@
 	defer stop()
 	logger, flush := telemetry.StartLogger(os.Stdout, cfg.LogLevel)
 	defer flush()
+	governor := heaplimit.NewGovernor(int64(cfg.MemoryMB)<<20, logger)
+	governor.Adjust() // before the data folder is read
+	go governor.Run(ctx)
 	d, err := daemon.New(ctx, cfg, logger)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,6 +136,7 @@
 		Dispatcher: dispatcher, Admission: admitter,
 		Claims:     d.claims,
 		Quarantine: d.quarantine, Rollouts: rollouts, Usage: d.usage, Tracing: d.tracing,
+		Buffers: membudget.ForMemory(int64(d.cfg.MemoryMB) << 20),
 	})
 }
 
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -59,4 +59,7 @@
 		status = http.StatusInternalServerError
 	}
 	_ = c.JSON(status, errorBody{Error: newErrorInfo(err, requestID(c))})
+	if c.Get(unreadKey) != nil {
+		discardBody(c)
+	}
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,11 +18,20 @@
 	if err := checkDelimited(resp); err != nil {
 		return err
 	}
+	return p.forwardUnbuffered(resp, nil)
+}
+
+// forwardUnbuffered forwards a response as it arrives, after the beginning of its body that was read
+// before.
+func (p *proxiedRequest) forwardUnbuffered(resp *http.Response, beginning []byte) error {
 	w := p.c.Response()
 	for k, v := range forwardedHeaders(resp.Header) {
 		w.Header().Set(k, v)
 	}
 	w.WriteHeader(resp.StatusCode)
+	if _, err := w.Write(beginning); err != nil {
+		return dispatch.Delivered(result.New(result.AnswerCut, "the caller disconnected: %v", err))
+	}
 	w.Flush()
 	buf := make([]byte, eventBufferBytes)
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/dispatch"
 	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/membudget"
 	"github.com/apricotstream/apricotstream/internal/quarantine"
 	"github.com/apricotstream/apricotstream/internal/rollout"
 	"github.com/apricotstream/apricotstream/internal/telemetry"
@@ -45,6 +46,7 @@
 	Rollouts   *rollout.Manager
 	Usage      *usage.Counter
 	Tracing    *telemetry.Tracing
+	Buffers    *membudget.Budget // for bodies and answers; nil: no bound
 }
 
 // Gateway serves the HTTP interface of a daemon.
@@ -53,11 +55,12 @@
 	sessions *Sessions
 	tracer   trace.Tracer
 	drain    Drain
+	buffers  buffers
 }
 
 // New returns a gateway with the given dependencies.
 func New(deps Dependencies) *Gateway {
-	return &Gateway{Dependencies: deps, sessions: NewSessions(deps.View), tracer: deps.Tracing.Tracer}
+	return &Gateway{Dependencies: deps, sessions: NewSessions(deps.View), tracer: deps.Tracing.Tracer, buffers: newBuffers(deps.Buffers)}
 }
 
 // Sessions returns the requests in flight that were authenticated with a key.
@@ -70,7 +73,7 @@
 func (g *Gateway) Handler() http.Handler {
 	e := echo.New()
 	e.HTTPErrorHandler = g.writeError
-	e.Use(g.assignRequestID)
+	e.Use(g.assignRequestID, g.holdMemory)
 	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/metrics", metricsHandler)
 	e.GET("/v1/entries", g.entries)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -13,6 +13,7 @@
 	"github.com/apricotstream/apricotstream/internal/document"
 	"github.com/apricotstream/apricotstream/internal/engine"
 	"github.com/apricotstream/apricotstream/internal/forward"
+	"github.com/apricotstream/apricotstream/internal/membudget"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -37,7 +38,15 @@
 	if isEventStream(resp) {
 		return p.forwardPlainStream(resp)
 	}
-	a, err := readResponse(resp)
+	held := p.g.buffers.budget.Hold()
+	defer held.Release()
+	a, err := readResponse(resp, func() ([]byte, error) {
+		return membudget.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes, held)
+	})
+	if errors.Is(err, membudget.ErrFull) {
+		p.g.didNotFit(requestID(p.c), "answer_unbuffered", resp.ContentLength)
+		return p.forwardUnbuffered(resp, a.Body)
+	}
 	if err != nil {
 		return err
 	}
@@ -55,10 +64,10 @@
 }
 
 // bufferResponse returns a consumer that stores the response of an upstream in buffered.
-// kind is the kind of the service.
-func bufferResponse(buffered *bufferedResponse, kind string) dispatch.Consumer {
+// kind is the kind of the service, and read reads the body.
+func bufferResponse(buffered *bufferedResponse, kind string, read func(*http.Response) ([]byte, error)) dispatch.Consumer {
 	return func(resp *http.Response, from upstream.Announcement) error {
-		got, err := readResponse(resp)
+		got, err := readResponse(resp, func() ([]byte, error) { return read(resp) })
 		if err != nil {
 			return err
 		}
@@ -119,19 +128,25 @@
 	return result.New(result.AnswerCut, "%v", err)
 }
 
-// readResponse reads a whole response. It returns AnswerCut if the response is incomplete,
+// readResponse reads a whole response, whose body it gets from read. It returns ErrFull and what was
+// read if read does, AnswerCut if the response is incomplete,
 // UpstreamTimeout if the deadline passes, and UpstreamFailed if the body exceeds
 // maxResponseBytes.
-func readResponse(resp *http.Response) (*state.Answer, error) {
+func readResponse(resp *http.Response, read func() ([]byte, error)) (*state.Answer, error) {
 	if err := checkDelimited(resp); err != nil {
 		return nil, err
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, readError(err)
-	}
-	if len(b) > maxResponseBytes {
+	b, err := read()
+	var coded *result.Error
+	switch {
+	case errors.Is(err, membudget.ErrFull):
+		return &state.Answer{Body: b}, err
+	case errors.Is(err, membudget.ErrTooLarge):
 		return nil, result.New(result.UpstreamFailed, "the response exceeds %d bytes", maxResponseBytes)
+	case errors.As(err, &coded):
+		return nil, err
+	case err != nil:
+		return nil, readError(err)
 	}
 	return &state.Answer{Status: resp.StatusCode, Header: forwardedHeaders(resp.Header), Body: b}, nil
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -29,6 +30,7 @@
 
 // proxiedRequest is a caller's request to a service.
 type proxiedRequest struct {
+	g       *Gateway
 	c       echo.Context
 	service state.Service
 	route   document.Route
@@ -53,7 +55,7 @@
 // prepare finds the service and the route, authenticates the caller and reads the body.
 // The request that it returns is never nil.
 func (g *Gateway) prepare(c echo.Context) (*proxiedRequest, error) {
-	p := &proxiedRequest{c: c}
+	p := &proxiedRequest{g: g, c: c}
 	cfg := g.View.Config()
 	var ok bool
 	if p.service, ok = cfg.Services[c.Param("service")]; !ok {
@@ -170,8 +172,18 @@
 	id := state.ClaimID{Account: p.key.Account, Key: key}
 	account, service := p.key.Account, p.service
 	var buffered bufferedResponse
+	request, size, body, answer := job.Out.RequestID, len(job.Out.Body), holdOf(p.c), g.newSharedHold()
+	defer answer.release()
 	response, err := g.Claims.Run(ctx, id, job.Fingerprint, func(ctx context.Context) (*state.Answer, error) {
-		err := g.Dispatcher.Run(ctx, job, bufferResponse(&buffered, service.Parsed.Kind))
+		if !body.use(size) {
+			return nil, result.NewRetryAfter(result.MemoryFull, memoryRetryAfter, "the memory for bodies is in use")
+		}
+		defer body.release()
+		answer.use(0)
+		defer answer.release()
+		err := g.Dispatcher.Run(ctx, job, bufferResponse(&buffered, service.Parsed.Kind, func(resp *http.Response) ([]byte, error) {
+			return g.readWhole(ctx, request, resp, answer.Hold)
+		}))
 		g.countUsage(account, service.Name, buffered.tokens, err)
 		return buffered.response, err
 	})
--- a/internal/gateway/trainer.go
+++ b/internal/gateway/trainer.go
@@ -52,8 +52,15 @@
 	if err != nil {
 		return err
 	}
+	b, err := readBody(c, maxStepBodyBytes)
+	if err != nil {
+		return err
+	}
+	if err := g.holdStep(c, int64(len(b))); err != nil {
+		return err
+	}
 	var q rollout.StepRequest
-	if err := readJSON(c, maxStepBodyBytes, &q); err != nil {
+	if err := decodeJSON(b, &q); err != nil {
 		return err
 	}
 	step, err := g.Rollouts.Open(c.Request().Context(), k.Account, s, q)
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -105,6 +105,9 @@
 // Hold returns a hold of no bytes.
 func (b *Budget) Hold() *Hold { return &Hold{budget: b} }
 
+// Fits reports whether the hold may have n bytes if there is no other buffer.
+func (h *Hold) Fits(n int64) bool { return h == nil || h.budget.Fits(n) }
+
 // Resize makes the hold one of n bytes. It returns false, and changes nothing, if they are not free.
 func (h *Hold) Resize(n int64) bool {
 	if h == nil || h.budget == nil {
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -45,6 +45,7 @@
 	NoEntry           Code = 223
 	OriginUnknown     Code = 224
 	VersionGone       Code = 225
+	MemoryFull        Code = 226
 
 	StepUnknown    Code = 301
 	StepMoved      Code = 302
--- a/internal/result/info.go
+++ b/internal/result/info.go
@@ -52,6 +52,7 @@
 	{NoEntry, "no-entry", NotRun, http.StatusServiceUnavailable, "This daemon does not know an entry that accepts callers yet.", "Come back after Retry-After, or ask another daemon."},
 	{OriginUnknown, "origin-unknown", NotRun, http.StatusServiceUnavailable, "It is not known which software version began the stream, so no upstream may go on with it.", "Come back after Retry-After if there is one, else begin the stream anew."},
 	{VersionGone, "version-gone", NotRun, http.StatusServiceUnavailable, "No upstream of the software version that began the stream serves, or the route leads to its service no more.", "Come back after Retry-After if there is one, else begin the stream anew."},
+	{MemoryFull, "memory-full", NotRun, http.StatusServiceUnavailable, "The memory for bodies or batch jobs is in use.", "Come back after Retry-After, or use another entry."},
 
 	{StepUnknown, "step-unknown", NotRun, http.StatusNotFound, "No such step.", "Open the step first."},
 	{StepMoved, "step-moved", NotRun, http.StatusConflict, "The owner of the step failed or was replaced.", "Open the step again under the same id."},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,8 @@
 	PeerListen    string // IP:port on which this daemon listens for other daemons
 	DataFolder    string // folder of the control log; empty: the daemon is not a replica
 
+	MemoryMB int // memory that the process may use
+
 	Peers []string // peer addresses of other daemons, from which this one discovers the system
 
 	FreshnessLease time.Duration // how long keyed routes are served after the last confirmed read
@@ -41,6 +43,9 @@
 	maxDrainTime      = 10 * time.Minute
 )
 
+// defaultMemoryMB leaves room for two steps of 64 MB at the same moment, or for 67 other bodies of 16 MB.
+const defaultMemoryMB = 4096
+
 func defaults() Settings {
 	return Settings{
 		FreshnessLease: 2500 * time.Millisecond,
@@ -48,6 +53,7 @@
 		AddressTTL:     2 * time.Second,
 		Window:         10 * time.Second,
 		LogLevel:       "info",
+		MemoryMB:       defaultMemoryMB,
 	}
 }
 
--- a/internal/settings/spec.go
+++ b/internal/settings/spec.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/strictini"
@@ -41,6 +42,7 @@
 		{Name: "peer_address", Required: true, Help: "IP:port by which the other daemons reach this one", Set: strictini.Address(&s.PeerAddress)},
 		{Name: "peer_listen", Default: "peer_address", Help: "IP:port on which this daemon listens for the other daemons, if it differs from peer_address", Set: strictini.Address(&s.PeerListen)},
 		{Name: "data_folder", Help: "folder of the control log; without it the daemon is not a replica", Set: strictini.Text(&s.DataFolder)},
+		{Name: "memory_mb", Default: strconv.Itoa(defaultMemoryMB), Help: "memory that the process may use, in MB, 64 to 1048576; bodies and buffered answers share 0.35 of it", Set: strictini.Int(&s.MemoryMB, 64, 1<<20)},
 	}
 }
 
