Bound the memory of batch jobs that entries hand in at a leader

An entry bounds the jobs of its callers, but 24 entries that handed in 8 jobs of 1 MB each took a leader of 64 MB to 568 and 663 MB (TestCrowdOfBatchJobs), and all jobs were accepted. Three causes:

- The JSON-RPC library decodes the parameters of a call into values of any type and encodes them again, before a handler can refuse anything.
Calls of more than 16 KB are now taken from the frame as they are, and the memory of the frame stays held until their handler has returned.
- Proposals had no bound.
A job now takes five times its encoded size from the budget that frames and bodies share, before it is decoded, and holds it until it is committed or has failed.
A single job may use all of the budget, several ones half of it.
- The log entries in memory were 16 MB on any machine.

A job that never fits is rejected with 107 (413). One that does not fit now gets 204 from the leader, which older entries know as a final "not run"; entries of this build answer 226 (503, Retry-After). A replica that does not lead answers 401, so that the entry asks the next one. A job that was accepted before needs no memory. If an earlier submission of the same job may still be committed, the answer is 409, because "not run" would not be true; entries of this build also see that from their own attempts.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -54,9 +54,9 @@
 	}
 	delete(r.pendingProposals, e.Index)
 	if p.term != e.Term {
-		p.reply <- proposalResult{err: errEntryReplaced()}
+		p.end(state.Outcome{}, errEntryReplaced())
 		return nil
 	}
-	p.reply <- proposalResult{outcome: o}
+	p.end(o, nil)
 	return nil
 }
--- a/internal/control/compact.go
+++ b/internal/control/compact.go
@@ -45,7 +45,7 @@
 	st := r.node.Status()
 	last, size := r.disk.Snapshot()
 	enoughEntries := st.Applied >= last.Index+snapshotEntries && r.bytesSinceSnapshot < largeSnapshotBytes
-	enoughBytes := r.bytesSinceSnapshot >= max(snapshotBytes, size/2)
+	enoughBytes := r.bytesSinceSnapshot >= max(r.snapshotBytes(), size/2)
 	if !enoughEntries && !enoughBytes {
 		return nil
 	}
@@ -67,6 +67,12 @@
 	return nil
 }
 
+// snapshotBytes returns the size of the log entries at which a snapshot is written whatever their
+// number: on a small machine less than maxLogBytes, because the entries are in its memory.
+func (r *Replica) snapshotBytes() int {
+	return int(min(maxLogBytes, r.proposalMemory.budget.Limit()/logShare))
+}
+
 // activateSnapshot makes p the current snapshot and discards the log entries that it
 // covers. It ignores p if the leader has sent a newer snapshot in the meantime. If writing p
 // failed, the log stays, and the snapshot is tried again later.
--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -11,6 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
 
@@ -81,7 +82,7 @@
 			return r.resume(f, failedAt)
 		case <-r.inbox:
 		case p := <-r.proposals:
-			p.reply <- proposalResult{err: errUnavailable()}
+			p.end(state.Outcome{}, errUnavailable())
 		case task := <-r.tasks:
 			task()
 		}
--- a/internal/control/proposal.go
+++ b/internal/control/proposal.go
@@ -15,6 +15,13 @@
 	change  memberChange // set instead of command for a membership change
 	term    uint64
 	reply   chan proposalResult
+	hold    *jobHold // memory of the command; nil: none
+}
+
+// end releases the memory of p and replies to it.
+func (p *proposal) end(outcome state.Outcome, err error) {
+	p.hold.release()
+	p.reply <- proposalResult{outcome: outcome, err: err}
 }
 
 // memberChange returns the next membership, given the newest one. It runs in the loop,
@@ -36,17 +43,19 @@
 		wall := r.wallClock().UTC()
 		p.command.At, p.command.GroupTime = wall, r.groupClock.now(clock.Now(), wall)
 		var b []byte
-		if b, err = p.command.Encode(); err == nil {
+		b, err = p.command.Encode()
+		p.command = state.Command{} // the log entry replaces it
+		if err == nil {
 			index, term, err = r.node.Propose(r.now(), b)
 		}
 	}
 	if err != nil {
-		p.reply <- proposalResult{err: proposeError(err)}
+		p.end(state.Outcome{}, proposeError(err))
 		return
 	}
 	p.term = term
 	if old := r.pendingProposals[index]; old != nil {
-		old.reply <- proposalResult{err: errEntryReplaced()}
+		old.end(state.Outcome{}, errEntryReplaced())
 	}
 	r.pendingProposals[index] = p
 }
@@ -68,6 +77,6 @@
 func (r *Replica) failPendingProposals() {
 	for i, p := range r.pendingProposals {
 		delete(r.pendingProposals, i)
-		p.reply <- proposalResult{err: result.NewRetryAfter(result.CommitUnknown, time.Second, "the leader changed or the replica stopped before the commit was confirmed")}
+		p.end(state.Outcome{}, result.NewRetryAfter(result.CommitUnknown, time.Second, "the leader changed or the replica stopped before the commit was confirmed"))
 	}
 }
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -68,6 +68,9 @@
 	if !c.IsConfig() && c.BatchAccept == nil {
 		err = unknownToNoQuorum(err)
 	}
+	if result.CodeOf(err) == result.Overloaded { // what replicas answer, because older builds know no other code for it
+		err = result.NewRetryAfter(result.MemoryFull, result.From(err).RetryAfter, "%s", result.From(err).Message)
+	}
 	return out, err
 }
 
@@ -117,7 +120,7 @@
 	for {
 		if p.local != nil {
 			r, err := callWithTimeout(ctx, func(ctx context.Context) (R, error) { return local(p.local, ctx, params) })
-			if isFinal(err) {
+			if isFinalAfter(err, outcomeUnknown) {
 				return r, err
 			}
 			failed.add("this replica", err)
@@ -129,7 +132,7 @@
 			}
 			r, err := callWithTimeout(ctx, func(ctx context.Context) (R, error) { return peer.Call[R](ctx, p.client, a, method, params) })
 			p.health.Mark(a, replicaAnswered(err))
-			if isFinal(err) {
+			if isFinalAfter(err, outcomeUnknown) {
 				return r, err
 			}
 			failed.add(a, err)
@@ -170,6 +173,12 @@
 	return true
 }
 
+// isFinalAfter is isFinal after other attempts. That a replica has no memory for the command says
+// nothing about an earlier attempt, whose outcome may be unknown.
+func isFinalAfter(err error, outcomeUnknown bool) bool {
+	return isFinal(err) && (!outcomeUnknown || result.CodeOf(err) != result.Overloaded)
+}
+
 // mayHaveRun reports whether a replica may have run the call after an error that is not
 // final.
 func mayHaveRun(err error) bool {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -28,10 +28,13 @@
 	// unless the size of these entries has reached largeSnapshotBytes.
 	snapshotEntries = 1000
 	// Whatever their number, a new snapshot is also written once the log entries after
-	// the last one reach the larger of snapshotBytes and half the size of the last snapshot: the
-	// log in memory is then smaller than the state. A restart replays snapshotBytes in well
+	// the last one reach the larger of Replica.snapshotBytes and half the size of the last snapshot: the
+	// log in memory is then smaller than the state. A restart replays maxLogBytes in well
 	// under a second.
-	snapshotBytes = 16 << 20
+	maxLogBytes = 16 << 20
+	// logShare is the part of the budget for buffers, as a divisor, that the log entries after the
+	// last snapshot may reach. With 16 MB of them, batch jobs took a replica of 64 MB to 72 MB.
+	logShare = 4
 	// largeSnapshotBytes is the size of the log entries after the last snapshot at which
 	// their number no longer matters.
 	largeSnapshotBytes = 1 << 20
@@ -66,7 +69,8 @@
 	compactTo       consensus.SnapshotMeta // newest snapshot that replaces log entries; see compactLog
 	snapshotWriter  sync.WaitGroup         // the goroutine that writes it
 
-	pendingProposals   map[uint64]*proposal    // by log index
+	pendingProposals   map[uint64]*proposal // by log index
+	proposalMemory     *proposalMemory
 	senderAddresses    map[consensus.ID]string // newest address from which each replica sent a message
 	indexWaits         []appliedWait
 	changes            []Change
@@ -126,10 +130,10 @@
 		proposals:        make(chan *proposal, 4096),
 		tasks:            make(chan func(), 256),
 		preparedSnapshot: make(chan preparedSnapshot, 1),
-		pendingProposals: map[uint64]*proposal{},
-		senderAddresses:  map[consensus.ID]string{},
-		configChanged:    make(chan struct{}),
-		batchChanged:     map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
+		pendingProposals: map[uint64]*proposal{}, proposalMemory: newProposalMemory(),
+		senderAddresses: map[consensus.ID]string{},
+		configChanged:   make(chan struct{}),
+		batchChanged:    map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
 		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedSnapshots: map[consensus.ID]receivedSnapshot{},
 		done: make(chan struct{}),
 	}
@@ -335,6 +339,7 @@
 func (r *Replica) publish() {
 	st := r.node.Status()
 	r.logRoleChange(r.status.Swap(&st), &st)
+	r.proposalMemory.holdLog(int64(r.node.DataBytes(r.node.FirstIndex(), st.LastIndex+1)))
 	l := Leadership{}
 	if until, ok := r.node.LeaseUntil(); ok {
 		l = Leadership{Term: st.Term, Until: time.Now().Add(until - r.now()), BootUntil: r.startedAt + until}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -18,7 +18,7 @@
 // Register registers the replica's methods with s.
 func (r *Replica) Register(s *peer.Server) {
 	peer.HandleRawNotice(s, MethodStep, r.receiveStep)
-	peer.Handle(s, MethodPropose, r.Propose)
+	peer.HandleRaw(s, MethodPropose, r.receiveProposal)
 	peer.Handle(s, MethodReadIndex, r.readIndex)
 	peer.Handle(s, MethodSync, r.Sync)
 	peer.Handle(s, MethodQuery, r.Query)
@@ -54,13 +54,20 @@
 // the leader that it knows, unless the request was relayed already. After an error other
 // than NotLeader the command may still be committed.
 func (r *Replica) Propose(ctx context.Context, q ProposeRequest) (state.Outcome, error) {
+	return r.propose(ctx, q, nil)
+}
+
+// propose is Propose for a command whose memory is in hold, which it releases.
+func (r *Replica) propose(ctx context.Context, q ProposeRequest, hold *jobHold) (state.Outcome, error) {
 	if err := r.checkCluster(q.Cluster); err != nil {
+		hold.release()
 		return state.Outcome{}, err
 	}
 	if st := r.Status(); st.Role != consensus.Leader {
+		defer hold.release()
 		return relay[state.Outcome](ctx, r, q.Relayed, MethodPropose, ProposeRequest{Cluster: r.cluster, Command: q.Command, Relayed: true})
 	}
-	return r.submit(ctx, &proposal{command: q.Command})
+	return r.submit(ctx, &proposal{command: q.Command, hold: hold})
 }
 
 // checkCluster rejects a call that a replica of another cluster relayed.
@@ -98,17 +105,21 @@
 	return out, err
 }
 
-// submit hands p to the loop and waits for its outcome.
+// submit hands p to the loop and waits for its outcome. The memory of p is released when p ends, which
+// may be after ctx has.
 func (r *Replica) submit(ctx context.Context, p *proposal) (state.Outcome, error) {
 	if !r.Available() {
+		p.hold.release()
 		return state.Outcome{}, errUnavailable()
 	}
 	p.reply = make(chan proposalResult, 1)
 	select {
 	case r.proposals <- p:
 	case <-ctx.Done():
+		p.hold.release()
 		return state.Outcome{}, ctx.Err()
 	case <-r.done:
+		p.hold.release()
 		return state.Outcome{}, result.NewRetryAfter(result.NotLeader, time.Second, "the replica has stopped")
 	}
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/apricotstream/apricotstream/internal/duty"
 	"github.com/apricotstream/apricotstream/internal/evacuation"
 	"github.com/apricotstream/apricotstream/internal/member"
+	"github.com/apricotstream/apricotstream/internal/membudget"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/proxy"
@@ -37,8 +38,9 @@
 // Dependencies are the clients through which a node reaches upstreams, engines and the
 // provider.
 type Dependencies struct {
-	Links     *reach.Links // opens connections to upstreams
-	Peers     *peer.Guard  // bounds the connections of other daemons; nil: no bounds
+	Links     *reach.Links      // opens connections to upstreams
+	Peers     *peer.Guard       // bounds the connections of other daemons; nil: no bounds
+	Buffers   *membudget.Budget // shared with batch jobs that other daemons hand in; nil: no bound
 	Upstreams proxy.Upstreams
 	Engines   batch.Engines // for batch items
 	Orders    duty.Engines  // for weight loads
@@ -138,6 +140,7 @@
 	n.proxy.KeepOrigins(n.origins)
 	n.proxy.RefreshUpstreamsBy(n.refreshUpstreams)
 	if n.replica != nil {
+		n.replica.LimitProposals(deps.Buffers)
 		n.replica.Register(n.server)
 		n.registerUsage()
 		scorer, process := deps.Scorer(n), n.started.UnixNano()
--- a/internal/peer/guard.go
+++ b/internal/peer/guard.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// detach makes the memory that is held for the frame of a connection last until release is called,
+// whatever the connection does.
+func (g *Guard) detach(c net.Conn) (release func()) {
+	if g == nil {
+		return func() {}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := g.table.resize(c, 0)
+	return func() { g.budget.Return(held) }
+}
+
 // attempt is the outcome of tryResize.
 type attempt struct {
 	done    bool
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -65,6 +65,11 @@
 	}
 }
 
+// HandleRaw registers f as the handler of a call that decodes the parameters itself.
+func HandleRaw[R any](s *Server, method string, f func(ctx context.Context, params json.RawMessage) (R, error)) {
+	s.calls[method] = func(ctx context.Context, raw json.RawMessage) (any, error) { return f(ctx, raw) }
+}
+
 // HandleNotice registers f as the handler of a notice. Notices that cannot be decoded are
 // ignored.
 func HandleNotice[P any](s *Server, method string, f func(P)) {
@@ -133,6 +138,7 @@
 func (s *Server) serveOpening(ctx context.Context, c net.Conn) {
 	st := newStream(c, s.handleNotice)
 	st.guard = s.guard
+	st.onCall = func(c largeCall) { go s.handleLargeCall(ctx, st, c) }
 	if s.other != nil {
 		first, err := st.in.Peek(len(s.otherPrefix))
 		if err == nil && string(first) == s.otherPrefix {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -44,6 +44,7 @@
 type stream struct {
 	conn     net.Conn
 	onNotice func(method string, params json.RawMessage) // if nil, the library handles notices
+	onCall   func(largeCall)                             // if nil, the library handles large calls
 
 	in     *bufio.Reader
 	frames *frameReader // what in reads from
@@ -129,6 +130,9 @@
 			s.onNotice(method, params)
 			continue
 		}
+		if s.readLargeCall(b) {
+			continue
+		}
 		if u, ok := v.(json.Unmarshaler); ok {
 			err = u.UnmarshalJSON(b)
 		} else {
@@ -143,11 +147,10 @@
 
 // readFrame returns the contents of the next frame, which are valid until the next call.
 func (s *stream) readFrame() ([]byte, error) {
-	resize := func(n int64) bool { return s.guard.resize(s.conn, n) }
 	if s.guard != nil && s.in.Buffered() == 0 {
-		s.frame.drop(0, resize) // a connection that waits holds no memory
+		s.frame.drop(0, s.resize) // a connection that waits holds no memory
 	} else {
-		s.frame.drop(maxReusedBytes, resize)
+		s.frame.drop(maxReusedBytes, s.resize)
 	}
 	if _, err := s.in.Peek(1); err != nil {
 		return nil, err
@@ -184,9 +187,12 @@
 	if !s.guard.fits(s.conn, largestHold(length)) {
 		return nil, fmt.Errorf("frame has %d bytes, more than this daemon may buffer", length)
 	}
-	return s.frame.read(s.in, length, resize)
+	return s.frame.read(s.in, length, s.resize)
 }
 
+// resize makes the memory that is held for the frame n bytes. It returns false if that is not free.
+func (s *stream) resize(n int64) bool { return s.guard.resize(s.conn, n) }
+
 // parseNotice returns the method and parameters of a notice in the form of writeNotice. It
 // returns false for any other object.
 func parseNotice(b []byte) (string, json.RawMessage, bool) {
