--- a/internal/control/proposal_memory.go
+++ b/internal/control/proposal_memory.go
@@ -70,6 +70,13 @@
 	m.logHeld = n
 }
 
+// neverFits reports whether a job whose encoded command has size bytes, and its frame, do not fit
+// beside the log entries in memory.
+func (m *proposalMemory) neverFits(size int) bool {
+	limit := m.budget.Limit()
+	return (proposalMemoryFactor+1)*int64(size) > limit-limit/logShare
+}
+
 // jobHold is the memory of one batch job. A nil jobHold holds none.
 type jobHold struct {
 	memory *proposalMemory
@@ -165,7 +172,7 @@
 // their earlier calls.
 func (r *Replica) holdJob(ctx context.Context, job jobKey, size int) (hold *jobHold, accepted bool, err error) {
 	m := r.proposalMemory
-	if (proposalMemoryFactor+1)*int64(size) > m.budget.Limit()-m.budget.Limit()/logShare { // with its frame, beside the log
+	if m.neverFits(size) {
 		r.jobRejected(job, size, reasonTooLarge)
 		return nil, false, result.New(result.BodyTooLarge, "the batch job has %d bytes, more than a replica can keep", size)
 	}
