--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -52,7 +52,7 @@
 	b := it.job.batch
 	a := &attempt{item: it, engine: engine, startedAt: time.Now(), budget: budget, limit: limitOf(it.spec), earlier: len(it.events), bytes: textBytes(it.events)}
 	a.request = GenerateRequest{
-		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body,
+		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body, Homes: b.Homes,
 		LastEventID: it.lastEventID, Priority: batchPriority, Deadline: it.job.expiresAt(),
 		ReadPause: func() time.Duration { return readPause(int(budget.attempts.Load())) }, MaxEventBytes: budget.maxEventBytes,
 		Term: term, MaxEvents: a.limit.events - a.earlier, MaxBytes: a.limit.bytes - a.bytes,
--- a/internal/batch/carried_rewards.go
+++ b/internal/batch/carried_rewards.go
@@ -13,7 +13,7 @@
 
 // Score implements Scorer.
 func (c *Carriers) Score(ctx context.Context, q *state.Reward, limits ScoreLimits) (string, error) {
-	address := c.place.ScorerFor(q.ID)
+	address := c.place.ScorerFor(q.ID, limits.Homes)
 	if address == "" {
 		return c.scorer.Score(ctx, q, limits)
 	}
@@ -23,7 +23,7 @@
 	var reply ScoreReply
 	err := c.greet(ctx, address)
 	if err == nil {
-		reply, err = peer.Call[ScoreReply](ctx, c.client, address, MethodScore, ScoreRequest{Reward: q, Left: left, StartUntil: c.startUntil(address)})
+		reply, err = peer.Call[ScoreReply](ctx, c.client, address, MethodScore, ScoreRequest{Reward: q, Left: left, Homes: limits.Homes, StartUntil: c.startUntil(address)})
 	}
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrConnectionLost) || errors.Is(err, context.DeadlineExceeded) {
 		c.place.Unresponsive(address)
--- a/internal/batch/carrier.go
+++ b/internal/batch/carrier.go
@@ -73,7 +73,7 @@
 		// The call goes on when the leader gives it up: a leader that is killed, or whose batch job
 		// has ended, must not be outlived for longer than by runs. The call may also arrive late: what
 		// a partition has held up is sent again long after it has healed.
-		score, err := c.scorer.Score(ctx, q.Reward, ScoreLimits{Deadline: now.Add(q.Left), StartBy: startBy})
+		score, err := c.scorer.Score(ctx, q.Reward, ScoreLimits{Deadline: now.Add(q.Left), StartBy: startBy, Homes: q.Homes})
 		return ScoreReply{Score: score}, err
 	})
 }
@@ -132,7 +132,7 @@
 		return RunReply{}, err
 	}
 	g := GenerateRequest{
-		ID: q.ID, Host: q.Host, Path: q.Path, Account: q.Account, Header: q.Header, Body: q.Body, LastEventID: q.LastEventID, Priority: q.Priority,
+		ID: q.ID, Host: q.Host, Path: q.Path, Account: q.Account, Header: q.Header, Body: q.Body, Homes: q.Homes, LastEventID: q.LastEventID, Priority: q.Priority,
 		Deadline: time.Now().Add(q.Left), MaxEventBytes: func() int { return q.MaxEventBytes },
 	}
 	if q.StartUntil > 0 {
--- a/internal/batch/carrier_messages.go
+++ b/internal/batch/carrier_messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -45,6 +46,7 @@
 	Account       string                `json:"account"`
 	Header        []state.Field         `json:"header,omitempty"`
 	Body          []byte                `json:"body,omitempty"`
+	Homes         *homes.Homes          `json:"homes,omitempty"`
 	LastEventID   int                   `json:"last,omitempty"`
 	Priority      int                   `json:"priority"`
 	Left          time.Duration         `json:"left"`       // nanoseconds until the deadline
@@ -97,6 +99,7 @@
 type ScoreRequest struct {
 	Reward *state.Reward `json:"reward"`
 	Left   time.Duration `json:"left"` // nanoseconds until the deadline
+	Homes  *homes.Homes  `json:"homes,omitempty"`
 	// StartUntil is when the last attempt must have begun, in nanoseconds on the carrier's boot
 	// clock; 0 from older builds.
 	StartUntil time.Duration `json:"start_until,omitempty"`
--- a/internal/batch/carriers.go
+++ b/internal/batch/carriers.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/apricotstream/apricotstream/internal/clock"
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -28,10 +29,11 @@
 // Placement says which daemon carries a run or a reward request. An empty address means
 // this daemon itself.
 type Placement interface {
-	// CarrierOf returns the peer address of the carrier for the runs on an upstream.
-	CarrierOf(u upstream.Announcement) string
-	// ScorerFor returns the peer address of the carrier for a reward request.
-	ScorerFor(reward string) string
+	// CarrierOf returns the peer address of the carrier for the runs on an upstream, which must be in
+	// a region that h allows and obey h.
+	CarrierOf(u upstream.Announcement, h *homes.Homes) string
+	// ScorerFor returns the peer address of the carrier for a reward request, like CarrierOf.
+	ScorerFor(reward string, h *homes.Homes) string
 	// Unresponsive records that a carrier does not answer. It is not chosen for a while.
 	Unresponsive(address string)
 }
@@ -188,7 +190,7 @@
 // answer, it returns only when the carrier has ended the run, or its permit has run out:
 // until then the run may still be at work.
 func (c *Carriers) Generate(ctx context.Context, to upstream.Announcement, g GenerateRequest, emit func(Event)) error {
-	address := c.place.CarrierOf(to)
+	address := c.place.CarrierOf(to, g.Homes)
 	if address == "" {
 		return c.local.Generate(ctx, to, g, emit)
 	}
@@ -295,7 +297,7 @@
 	}
 	return r, RunRequest{
 		StartUntil: startUntil,
-		Permit:     v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body,
+		Permit:     v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body, Homes: g.Homes,
 		LastEventID: g.LastEventID, Priority: g.Priority, Left: time.Until(g.Deadline), MaxEventBytes: g.maxEventBytes(), MaxEvents: g.MaxEvents, MaxBytes: g.MaxBytes,
 	}
 }
--- a/internal/batch/carriers_test.go
+++ b/internal/batch/carriers_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
@@ -46,9 +47,11 @@
 	address string
 }
 
-func (p *oneCarrier) CarrierOf(upstream.Announcement) string { return p.ScorerFor("") }
+func (p *oneCarrier) CarrierOf(upstream.Announcement, *homes.Homes) string {
+	return p.ScorerFor("", nil)
+}
 
-func (p *oneCarrier) ScorerFor(string) string {
+func (p *oneCarrier) ScorerFor(string, *homes.Homes) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.address
@@ -158,7 +161,7 @@
 	g.Expect(result.CodeOf(err)).To(Equal(result.SampleMoved))
 	g.Expect(x.engines.ended.Load()).To(Equal(int32(1)))
 	g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond+permitDuration+time.Second))
-	g.Expect(x.place.ScorerFor("")).To(BeEmpty())
+	g.Expect(x.place.ScorerFor("", nil)).To(BeEmpty())
 }
 
 func TestDrainingCarrierHandsItsRunsBackWithTheirEvents(t *testing.T) {
@@ -229,7 +232,7 @@
 	}
 	g.Expect(time.Until(score().StartBy)).To(BeNumerically(">", 0))
 	x.leader.mu.Lock()
-	x.leader.carriers[x.place.CarrierOf(upstream.Announcement{})].offset.offset -= 12 * time.Second // as if sent that long ago
+	x.leader.carriers[x.place.CarrierOf(upstream.Announcement{}, nil)].offset.offset -= 12 * time.Second // as if sent that long ago
 	x.leader.mu.Unlock()
 	g.Expect(time.Until(score().StartBy)).To(BeNumerically("<", 0))
 }
@@ -237,7 +240,7 @@
 func TestRestartedCarrierIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	x := newCarried(t, &scriptedEngines{events: 3})
-	address := x.place.CarrierOf(upstream.Announcement{})
+	address := x.place.CarrierOf(upstream.Announcement{}, nil)
 	_, err := x.generate(t.Context(), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	x.leader.mu.Lock()
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -17,8 +18,9 @@
 	Account     string
 	Header      []state.Field
 	Body        []byte
-	LastEventID int // id of the last event received by earlier attempts; 0 if none
-	Priority    int // priority at the engine, from 0 (highest) to 9
+	Homes       *homes.Homes // the regions that may run the item; nil: any
+	LastEventID int          // id of the last event received by earlier attempts; 0 if none
+	Priority    int          // priority at the engine, from 0 (highest) to 9
 	// StartBy is when the request must have been sent; zero: at any time.
 	StartBy  time.Time
 	Deadline time.Time
@@ -75,6 +77,9 @@
 	// included; zero for the deadline. A daemon that does not hear when the batch job ends must
 	// not send it long after.
 	StartBy time.Time
+	// Homes holds the regions of the batch job, which apply besides those of the request's own route;
+	// nil: any.
+	Homes *homes.Homes
 }
 
 // Scorer sends the reward request of a complete item.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -208,7 +208,7 @@
 	}
 	mayLoad := false
 	for _, e := range engines {
-		if e.Upstream.Service != it.job.batch.Service || e.Upstream.Silent {
+		if e.Upstream.Service != it.job.batch.Service || e.Upstream.Silent || !it.job.batch.Homes.Allows(e.Upstream.Region) {
 			continue
 		}
 		switch v := e.Versions[it.spec.Model]; {
@@ -232,7 +232,9 @@
 	if len(it.events) == 0 {
 		return false
 	}
-	listed := slices.ContainsFunc(engines, func(e Engine) bool { return it.origin.Allows(e.Upstream) })
+	listed := slices.ContainsFunc(engines, func(e Engine) bool {
+		return it.origin.Allows(e.Upstream) && it.job.batch.Homes.Allows(e.Upstream.Region)
+	})
 	if !listed {
 		return true
 	}
--- a/internal/batch/maintenance.go
+++ b/internal/batch/maintenance.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
@@ -44,7 +45,12 @@
 // cancelled only while other engines that may continue the item have free slots.
 func (s *session) moveAttempts(now time.Time) {
 	engineStates := s.engineStates(now)
-	freeSlots := map[origin.Origin]int{} // that of no text: of all engines
+	type place struct { // the home regions of an item as text, and the origin of its text
+		homes string
+		from  origin.Origin
+	}
+	freeSlots := map[place]int{} // by home regions; that of no text: of all engines
+	restrictions := s.restrictions()
 	slow := map[string]bool{}
 	reclaimedSoon := map[string]bool{}
 	for _, e := range engineStates {
@@ -55,12 +61,16 @@
 			slow[e.Upstream.ID] = true
 		case !e.Loading && !e.BackingOff && !e.Upstream.Evacuated:
 			free := max(0, e.Slots-e.Running)
-			freeSlots[origin.Of(e.Upstream)] += free
-			freeSlots[origin.Origin{}] += free
+			for text, h := range restrictions {
+				if h.Allows(e.Upstream.Region) {
+					freeSlots[place{text, origin.Of(e.Upstream)}] += free
+					freeSlots[place{text, origin.Origin{}}] += free
+				}
+			}
 		}
 	}
 	for _, a := range s.attempts {
-		from := a.origin()
+		from := place{a.request.Homes.String(), a.origin()}
 		if !reclaimedSoon[a.engine.ID] && (!slow[a.engine.ID] || freeSlots[from] <= 0 || now.Sub(a.startedAt) < maintenanceInterval) {
 			continue
 		}
@@ -70,6 +80,15 @@
 	}
 }
 
+// restrictions returns the home regions of the items in flight by their text.
+func (s *session) restrictions() map[string]*homes.Homes {
+	out := map[string]*homes.Homes{}
+	for _, a := range s.attempts {
+		out[a.request.Homes.String()] = a.request.Homes
+	}
+	return out
+}
+
 // relocate cancels attempts whose items go on at faster engines, see planRelocations. These engines
 // keep a slot for them, which it counts in engines.
 func (s *session) relocate(now time.Time, engines []Engine) {
--- a/internal/batch/reward.go
+++ b/internal/batch/reward.go
@@ -24,7 +24,7 @@
 		return
 	}
 	ctx = s.jobContext(ctx, it.job)
-	limits := ScoreLimits{Deadline: it.job.expiresAt()}
+	limits := ScoreLimits{Deadline: it.job.expiresAt(), Homes: it.job.batch.Homes}
 	s.wg.Go(func() {
 		if wait := time.Until(it.notBefore); wait > 0 {
 			if !periodic.Pause(ctx, wait) {
--- a/internal/batch/scheduler.go
+++ b/internal/batch/scheduler.go
@@ -187,7 +187,7 @@
 // canRun reports whether the engine can run the item now.
 func (e *Engine) canRun(now time.Time, it *item) bool {
 	b := it.job.batch
-	if !it.mayContinueAt(e.Upstream) {
+	if !it.mayContinueAt(e.Upstream) || !b.Homes.Allows(e.Upstream.Region) {
 		return false
 	}
 	if e.Upstream.Service != b.Service || e.Loading || e.BackingOff || e.Running >= e.Slots || e.NamesRate && e.Turns <= 0 {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -143,7 +142,7 @@
 
 // pick picks an upstream and counts the request as in flight there.
 func (c *Chooser) pick(q picker.Request) (upstream.Announcement, *Work, bool) {
-	all := c.directory.Service(q.Service)
+	all := c.Within(q.Homes).Upstreams(q.Service)
 	q.Entry = c.Entry
 	now := time.Now()
 	c.mu.Lock()
@@ -187,33 +186,6 @@
 	}
 }
 
-// AtRate returns when one of the upstreams of a service may be tried again, if all of them
-// are at the rates that they name. It returns false if one may be tried now.
-func (c *Chooser) AtRate(service string) (time.Duration, bool) {
-	all := c.directory.Service(service)
-	if c.Rates == nil || len(all) == 0 {
-		return 0, false
-	}
-	now, earliest := time.Now(), time.Duration(math.MaxInt64)
-	for _, a := range all {
-		wait := c.Rates.Wait(now, a)
-		if wait == 0 && c.coldBound(now, a) {
-			wait = coldPollInterval // its token may have come since the last choice
-		}
-		earliest = min(earliest, wait)
-	}
-	return earliest, earliest > 0
-}
-
-// ReturnDelay returns when a caller should return that no upstream of a service can take,
-// because all of them are at the rates that they name. It returns false if they are not.
-func (c *Chooser) ReturnDelay(service string) (time.Duration, bool) {
-	if c.Rates == nil {
-		return 0, false
-	}
-	return c.Rates.ReturnDelay(service, c.directory.Service(service))
-}
-
 // candidates returns the upstreams with what this daemon has observed of them. The caller
 // holds c.mu.
 func (c *Chooser) candidates(now time.Time, p ratecap.Purpose, all []upstream.Announcement) []picker.Candidate {
@@ -272,9 +244,3 @@
 	defer c.mu.Unlock()
 	return c.health.Ejected(time.Now(), list)
 }
-
-// Upstreams returns all upstreams of a service that the directory lists, ejected ones
-// included.
-func (c *Chooser) Upstreams(service string) []upstream.Announcement {
-	return c.directory.Service(service)
-}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -32,7 +32,9 @@
 	o        *options
 	JSON     bool `long:"json" description:"print JSON"`
 	MemoryMB int  `long:"memory-mb" value-name:"MB" description:"memory of the smallest entry, its setting memory_mb; limits are compared with it"`
-	Args     struct {
+	// Zones holds the region of each availability zone.
+	Zones map[string]string `long:"zone" value-name:"ZONE:REGION" description:"region of an availability zone, as in the section [zones] of the settings; given once for each zone, home regions are compared with them"`
+	Args  struct {
 		File string `positional-arg-name:"FILE" required:"true" description:"configuration document as operators send it"`
 	} `positional-args:"true"`
 }
@@ -50,7 +52,9 @@
 		return unread(result.New(result.SettingInvalid, "%v", err))
 	}
 	document := platform.DecodeConfiguration(b)
-	findings := configcheck.Check(document.Configuration, document.Problems, platform.EntryBounds(c.MemoryMB))
+	bounds := platform.EntryBounds(c.MemoryMB)
+	bounds.Zones = c.Zones
+	findings := configcheck.Check(document.Configuration, document.Problems, bounds)
 	list := []foundAt{}
 	for _, f := range findings {
 		list = append(list, foundAt{f, document.Path(f.Location)})
--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -11,7 +11,7 @@
 	"github.com/apricotstream/apricotstream/internal/routing"
 )
 
-var entryBounds = Bounds{HeaderBytes: 128 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, Memory: 144 << 20, JobPrefixes: []string{"/jobs/"}}
+var entryBounds = Bounds{HeaderBytes: 128 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, Memory: 144 << 20, Zones: map[string]string{"z0": "r", "f0": "far"}, JobPrefixes: []string{"/jobs/"}}
 
 func validConfiguration() *routing.Configuration {
 	return &routing.Configuration{
@@ -81,6 +81,15 @@
 			c.Routes[0].Open, c.Routes[2].Open, c.Routes[2].Kind = true, true, routing.Idempotent
 			c.Routes[2].TargetLatency = 0
 		}, []string{"accounts-unused accounts"}},
+		"homes without upstreams": {func(c *routing.Configuration) {
+			c.Routes[0].Homes, c.Routes[1].Homes = []string{"far"}, []string{"far", "r"}
+			for i := range c.Services {
+				c.Services[i].Scaling = &routing.Scaling{Max: 2, ZonePrices: map[string]float64{"z0": 1}}
+			}
+		}, []string{"homes-without-upstreams routes[0].splits[0].service"}},
+		"disjoint homes": {func(c *routing.Configuration) {
+			c.Routes[0].Homes, c.Accounts[1].Homes = []string{"far"}, []string{"r"}
+		}, []string{"homes-disjoint accounts[1].homes"}},
 		"bodies below headers":  {func(c *routing.Configuration) { c.Limits.BodyBytes = 1 << 10 }, []string{"body-limit-below-header-limit limits.body_bytes"}},
 		"bodies above memory":   {func(c *routing.Configuration) { c.Limits.BodyBytes = 64 << 20 }, []string{"body-limit-above-memory limits.body_bytes"}},
 		"headers above entries": {func(c *routing.Configuration) { c.Limits.HeaderBytes = 128<<10 + 1 }, []string{"limit-above-entry limits.header_bytes"}},
@@ -112,3 +121,19 @@
 	g.Expect(Worst(list)).To(Equal(Error))
 	g.Expect(Worst(nil)).To(BeEmpty())
 }
+
+// Guards against an unknown home region that is found only when the document is sent, and against a
+// change of home regions that Diff does not list.
+func TestHomeRegionsAreCheckedAndCompared(t *testing.T) {
+	g := NewWithT(t)
+	c := validConfiguration()
+	c.Routes[0].Homes, c.Accounts[1].Homes = []string{"r", "far"}, []string{"r", "x"}
+	findings := Check(c, nil, entryBounds)
+	g.Expect(found(findings)).To(Equal([]string{"region-unknown accounts[1].homes[1]"}))
+	g.Expect(Worst(findings)).To(Equal(Error))
+	other := validConfiguration()
+	other.Routes[0].Homes = []string{"far", "r", "r"}
+	changes := Diff(c, other)
+	g.Expect(changes).To(HaveLen(1), "the order of regions is no difference")
+	g.Expect(changes[0].Fields).To(Equal([]FieldChange{{Field: "home regions", Old: "r x"}}))
+}
--- a/internal/configcheck/finding.go
+++ b/internal/configcheck/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/routing"
@@ -26,11 +27,12 @@
 
 // Bounds holds what entries do whatever the configuration says. Of a zero value nothing is checked.
 type Bounds struct {
-	HeaderBytes   int           // size up to which they read the header of a request
-	HeaderTimeout time.Duration // after which they close a connection whose header is incomplete
-	IdleTimeout   time.Duration // after which they close a connection without a request
-	Memory        int64         // bytes that the process of the smallest entry may use
-	JobPrefixes   []string      // paths of calls about batch jobs on hosts that take these
+	HeaderBytes   int               // size up to which they read the header of a request
+	HeaderTimeout time.Duration     // after which they close a connection whose header is incomplete
+	IdleTimeout   time.Duration     // after which they close a connection without a request
+	Memory        int64             // bytes that the process of the smallest entry may use
+	Zones         map[string]string // region of each availability zone
+	JobPrefixes   []string          // paths of calls about batch jobs on hosts that take these
 }
 
 // rules are the checks of a configuration that daemons accept. Each returns warnings.
@@ -38,6 +40,7 @@
 	noRoutes, impossibleHosts, hostPatterns, hiddenByJobCalls, unusedSplits, targetAboveTimeout, itemTTLs, runDeadlines, negativeRouteTimes,
 	unusedServices, scalingRanges, negativeServiceNumbers,
 	accountsWithoutKey, emptyKeys, noUsableKey, unusedAccounts,
+	homesWithoutUpstreams, disjointHomes,
 	bodyBelowHeader, bodyAboveMemory, limitsAboveEntry, negativeLimits,
 }
 
@@ -45,6 +48,9 @@
 // the warnings. c is nil if the document could not be decoded.
 func Check(c *routing.Configuration, problems []routing.Problem, b Bounds) []Finding {
 	var out []Finding
+	if c != nil && len(b.Zones) > 0 {
+		problems = append(slices.Clone(problems), c.UnknownRegions(routing.RegionsOf(b.Zones))...)
+	}
 	for _, p := range problems {
 		out = append(out, Finding{Severity: Error, Code: p.Code, Location: p.Location, Message: p.Message})
 	}
--- a/internal/configcheck/items.go
+++ b/internal/configcheck/items.go
@@ -47,6 +47,7 @@
 			set("timeout", r.Timeout), set("target latency", r.TargetLatency), always("priority", r.Priority), set("attempts", r.MaxAttempts),
 			set("open", r.Open), set("streaming", r.Streaming), set("resumable", r.Resumable), set("single version", r.SingleVersion),
 			set("run deadline", r.RunDeadline), set("item time to live", r.ItemTTL),
+			set("home regions", regions(r.Homes)),
 		}})
 	}
 	return distinct(out)
@@ -90,11 +91,16 @@
 			priority = always("priority", *a.Priority)
 		}
 		hashes := slices.Compact(slices.Sorted(slices.Values(a.KeyHashes)))
-		out = append(out, item{a.Name, []field{priority, {name: "keys", value: join(hashes, word), secret: true}}})
+		out = append(out, item{a.Name, []field{priority, set("home regions", regions(a.Homes)), {name: "keys", value: join(hashes, word), secret: true}}})
 	}
 	return distinct(out)
 }
 
+// regions returns the text of home regions, whose order and repetition do not matter.
+func regions(list []string) string {
+	return join(slices.Compact(slices.Sorted(slices.Values(list))), word)
+}
+
 // word returns s so that it remains one entry of a list whose entries are separated by blanks.
 func word(s string) string {
 	if s == "" || strings.ContainsAny(s, " \"") {
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -39,7 +39,8 @@
 // daemons announce at least that level.
 //
 //	1: evacuations of availability zones, and the rate of a service's cold upstreams
-const Level = 1
+//	2: home regions of routes, client accounts and batch jobs
+const Level = 2
 
 // CommonLevel returns the lowest level of daemons.
 func CommonLevel(daemons []Daemon) int {
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -65,6 +65,10 @@
 	return g
 }
 
+// KnowAllRegions makes the gossip record daemons of other regions too. It must be called before the
+// first message.
+func (g *Gossip) KnowAllRegions() { g.table.AllRegions = true }
+
 // Register adds the handlers of the gossip methods to s.
 func (g *Gossip) Register(s *peer.Server) {
 	peer.Handle(s, MethodPing, g.handlePing)
--- a/internal/member/selection.go
+++ b/internal/member/selection.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/apricotstream/apricotstream/internal/homes"
 )
 
 const (
@@ -35,6 +37,24 @@
 // CallerKey returns the key of a caller that the parts identify.
 func CallerKey(parts ...string) uint64 { return xxhash.Sum64String(strings.Join(parts, "\x00")) }
 
+// Within returns the daemons whose regions h allows. The result may share memory with live.
+func Within(live []Daemon, h *homes.Homes) []Daemon {
+	outside := func(d Daemon) bool { return !h.Allows(d.Region) }
+	if !slices.ContainsFunc(live, outside) {
+		return live
+	}
+	return slices.DeleteFunc(slices.Clone(live), outside)
+}
+
+// AnswerWithin returns the Answer of the entries whose regions h allows. If there are none, it returns
+// that of all.
+func AnswerWithin(live []Daemon, h *homes.Homes, c Caller) []Daemon {
+	if out := Answer(Within(live, h), c); len(out) > 0 {
+		return out
+	}
+	return Answer(live, c)
+}
+
 // Answer returns the entries that a caller should use: of those in the caller's zone if it has at
 // least two, or else of all, each one is included for a part of the callers that follows its weight.
 // Without weighting it includes them all. An entry is included or not whatever the other entries
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -34,6 +34,9 @@
 // Table is the set of daemons known to this daemon. It does no I/O and takes no locks; the
 // caller passes in the time and serializes the calls.
 type Table struct {
+	// AllRegions is set if daemons of other regions are recorded too.
+	AllRegions bool
+
 	self       Daemon
 	others     map[string]*peerState
 	tombstones map[string]tombstone
@@ -63,11 +66,11 @@
 }
 
 // Merge records the description d of another daemon and reports whether it is newer than
-// the known one. It ignores descriptions from other regions, older descriptions, and
-// those that a tombstone covers. If d has the version that is already known, it only
+// the known one. It ignores descriptions from other regions unless AllRegions is set, older
+// descriptions, and those that a tombstone covers. If d has the version that is already known, it only
 // updates InFlight, and adds what a daemon of an older build has left out on the way.
 func (t *Table) Merge(now time.Time, d Daemon) bool {
-	if d.ID == t.self.ID || d.Region != t.self.Region {
+	if d.ID == t.self.ID || d.Region != t.self.Region && !t.AllRegions {
 		return false
 	}
 	if ts, ok := t.tombstones[d.ID]; ok && d.compareVersion(ts.daemon) <= 0 && now.Before(ts.expiresAt) {
--- a/internal/node/carrier_placement.go
+++ b/internal/node/carrier_placement.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -33,6 +35,7 @@
 	listedAt     time.Time
 	byZone       map[string][]string  // peer addresses of carriers
 	all          []string             // of all zones
+	regions      map[string]string    // of the carriers that obey home regions, by peer address
 	unresponsive map[string]time.Time // until when, by peer address
 }
 
@@ -41,19 +44,28 @@
 }
 
 // CarrierOf implements batch.Placement.
-func (p *carrierPlacement) CarrierOf(u upstream.Announcement) string {
-	byZone, all := p.carriers()
-	if address := highestWeight(u.ID, byZone[u.Zone]); address != "" {
+func (p *carrierPlacement) CarrierOf(u upstream.Announcement, h *homes.Homes) string {
+	byZone, all, regions := p.carriers()
+	if address := highestWeight(u.ID, withinHomes(byZone[u.Zone], regions, h)); address != "" {
 		return address
 	}
-	return highestWeight(u.ID, all)
+	return highestWeight(u.ID, withinHomes(all, regions, h))
 }
 
 // ScorerFor implements batch.Placement. The carriers of all zones share the reward requests,
 // so that each zone's upstreams get their part.
-func (p *carrierPlacement) ScorerFor(reward string) string {
-	_, all := p.carriers()
-	return highestWeight(reward, all)
+func (p *carrierPlacement) ScorerFor(reward string, h *homes.Homes) string {
+	_, all, regions := p.carriers()
+	return highestWeight(reward, withinHomes(all, regions, h))
+}
+
+// withinHomes returns the carriers in the regions that h allows. regions lacks those of older builds,
+// which do not obey h.
+func withinHomes(carriers []string, regions map[string]string, h *homes.Homes) []string {
+	if h == nil {
+		return carriers
+	}
+	return slices.DeleteFunc(slices.Clone(carriers), func(address string) bool { return !h.Allows(regions[address]) })
 }
 
 // Unresponsive implements batch.Placement.
@@ -66,26 +78,32 @@
 
 // carriers returns the carriers by availability zone and all of them. There are none while
 // the leader can serve all engines itself.
-func (p *carrierPlacement) carriers() (byZone map[string][]string, all []string) {
+func (p *carrierPlacement) carriers() (byZone map[string][]string, all []string, regions map[string]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	if now.Sub(p.listedAt) < carrierListTTL {
-		return p.byZone, p.all
+		return p.byZone, p.all, p.regions
 	}
-	p.listedAt, p.byZone, p.all = now, map[string][]string{}, nil
+	p.listedAt, p.byZone, p.all, p.regions = now, map[string][]string{}, nil, map[string]string{}
 	if p.n.engineSlots() < minCarriedSlots {
-		return p.byZone, p.all
+		return p.byZone, p.all, p.regions
 	}
 	members := p.n.follower.Members()
 	usable := func(d member.Daemon) bool {
 		return d.Replica != "" && !d.Draining && d.PeerAddress != p.n.cfg.PeerAddress && now.After(p.unresponsive[d.PeerAddress])
 	}
-	p.byZone, p.all = carriersOf(p.n.gossip.Live(), usable, func(d member.Daemon) bool {
+	live := p.n.gossip.Live()
+	for _, d := range live {
+		if d.Level >= homes.MinLevel {
+			p.regions[d.PeerAddress] = d.Region
+		}
+	}
+	p.byZone, p.all = carriersOf(live, usable, func(d member.Daemon) bool {
 		_, ok := members[consensus.ID(d.Replica)]
 		return ok
 	})
-	return p.byZone, p.all
+	return p.byZone, p.all, p.regions
 }
 
 // carriersOf returns the peer addresses of the usable daemons, by availability zone and of
--- a/internal/node/carrier_placement_test.go
+++ b/internal/node/carrier_placement_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/member"
 )
 
@@ -82,3 +83,12 @@
 	}
 	g.Expect(second).To(HaveLen(2))
 }
+
+// Guards against a carrier outside the home regions, or one of an older build, that gets the body of
+// an item.
+func TestCarriersStayInHomeRegions(t *testing.T) {
+	g := NewWithT(t)
+	regions := map[string]string{"a": "r", "b": "far"} // c is of an older build
+	g.Expect(withinHomes([]string{"a", "b", "c"}, regions, homes.Of([]string{"r"}))).To(Equal([]string{"a"}))
+	g.Expect(withinHomes([]string{"a", "b", "c"}, regions, nil)).To(HaveLen(3))
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,9 +11,10 @@
 	ID          string // name of the VM's daemon; unique in the deployment
 	Zone        string // availability zone
 	Region      string
-	PeerAddress string   // IP:port on which the other daemons reach this node
-	PeerListen  string   // IP:port on which the node listens for them; empty: PeerAddress
-	Founders    []string // peer addresses of the initial voters, through which a node finds the others
+	Zones       map[string]string // region of each availability zone
+	PeerAddress string            // IP:port on which the other daemons reach this node
+	PeerListen  string            // IP:port on which the node listens for them; empty: PeerAddress
+	Founders    []string          // peer addresses of the initial voters, through which a node finds the others
 
 	CallerAddress string          // address given to clients; empty if the node serves no clients
 	Capacity      member.Capacity // what the process may use
@@ -70,4 +71,7 @@
 	// confirmTimeout bounds the wait until the other daemons have recorded that an upstream
 	// is leaving or that a request crashes upstreams. A frozen daemon doesn't answer.
 	confirmTimeout = 600 * time.Millisecond
+	// homesRetryAfter is the delay that a caller is told whose batch job cannot be kept or run in its
+	// home regions. Upstreams and replicas join rarely.
+	homesRetryAfter = 2 * time.Second
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/duty"
 	"github.com/apricotstream/apricotstream/internal/evacuation"
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/member"
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/periodic"
@@ -49,12 +50,15 @@
 
 // Node is one process of a deployment.
 type Node struct {
-	cfg     Config
-	log     *log.Logger
-	started time.Time
-	client  *peer.Client
-	server  *peer.Server
-	replica *control.Replica // nil without a data folder
+	cfg Config
+	// ownRegion allows the region of this node only.
+	ownRegion      *homes.Homes
+	replicaRegions replicaRegions
+	log            *log.Logger
+	started        time.Time
+	client         *peer.Client
+	server         *peer.Server
+	replica        *control.Replica // nil without a data folder
 	// announced is replica for the gossip, which also runs while the node waits for the group.
 	announced atomic.Pointer[control.Replica]
 	// replicaError is why the replica has stopped. It may be read once Wait has returned.
@@ -97,7 +101,7 @@
 // until that group answers or ctx ends. Meanwhile the node listens on its peer address.
 func New(ctx context.Context, cfg Config, deps Dependencies, logger *log.Logger) (*Node, error) {
 	n := &Node{
-		cfg: cfg, log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
+		cfg: cfg, ownRegion: homes.Of([]string{cfg.Region}), log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
 		client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer(), versionTable: weights.NewVersionTable(), demand: map[string]float64{}, versionLag: map[string]uint64{},
 	}
 	n.server.Protect(deps.Peers)
@@ -105,6 +109,7 @@
 	n.weighting = newEntryWeighting(cfg.ID, logger.WithPrefix("weights"))
 	n.follower = control.NewFollower(n.sources, freshnessLease, logger.WithPrefix("follow"))
 	n.gossip = member.NewGossip(n.client, n.seeds, n.self)
+	n.gossip.KnowAllRegions()
 	n.gossip.OnRenew = func(known, renewed member.Daemon) { member.LogRenewal(n.log, known, renewed) }
 	n.gossip.Register(n.server)
 	if cfg.DataFolder != "" {
@@ -115,6 +120,7 @@
 	n.proposer = control.NewProposer(n.replica, n.client, n.replicaAddresses, n.health, logger.WithPrefix("control"))
 	n.start.gate = readiness.NewGate(logger.WithPrefix("ready"))
 	n.directory = upstream.NewDirectory(n.gossip)
+	n.directory.Zones = cfg.Zones
 	n.directory.OnFirst = func(string) { n.start.gate.Notify() }
 	n.directory.Register(n.server)
 	n.evacuations = evacuation.NewFilter(n.follower, n.directory, logger.WithPrefix("zones"))
@@ -133,7 +139,7 @@
 		Daemon: cfg.ID, Replicas: n.recordKeepers, Notify: n.client.Notify, Ask: takeup.AskOver(n.client), Current: n.directory.Get,
 	}, logger.WithPrefix("takeup"))
 	n.origins.Register(n.server)
-	deps.Links.Deploy(reach.Deployment{Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: func() []reach.Upstream { return reach.UpstreamsOf(n.directory.Known()) }}, n.server)
+	deps.Links.Deploy(reach.Deployment{Region: cfg.Region, Helpers: n.helpers, DialHelper: peer.DialFrom(cfg.PeerAddress), Upstreams: func() []reach.Upstream { return reach.UpstreamsOf(n.directory.Known()) }}, n.server)
 	n.proxy = proxy.New(logger.WithPrefix("proxy"), cfg.Zone, c, deps.Upstreams, n.counter, newCrashTracker(n))
 	n.proxy.KeepOrigins(n.origins)
 	n.proxy.RefreshUpstreamsBy(n.refreshUpstreams)
@@ -176,6 +182,7 @@
 	n.spawn(func() {
 		periodic.Every(ctx, expireInterval, func() {
 			n.directory.Expire()
+			n.noteReplicaRegions()
 			status.logChanges()
 		})
 	})
@@ -369,15 +376,6 @@
 // Log returns the node's logger.
 func (n *Node) Log() *log.Logger { return n.log }
 
-// Entries returns the caller addresses that a caller should use, see member.Answer.
-func (n *Node) Entries(c member.Caller) []string {
-	var out []string
-	for _, d := range member.Answer(n.gossip.Live(), c) {
-		out = append(out, d.CallerAddress)
-	}
-	return out
-}
-
 // Group returns the newest membership of the control group that this node knows.
 func (n *Node) Group() consensus.Membership { return n.follower.Members() }
 
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -78,6 +78,9 @@
 // or a newer one is committed. source is the text of the document.
 func (n *Node) PutRouting(ctx context.Context, c *routing.Configuration, source string) error {
 	began := time.Now()
+	if err := n.checkHomes(c); err != nil {
+		return err
+	}
 	if level := n.Level(); level < 1 {
 		n.dropColdBounds(c, level)
 	}
@@ -149,6 +152,9 @@
 // AcceptBatch commits a batch job. After a nil error a quorum of the replicas holds it.
 func (n *Node) AcceptBatch(ctx context.Context, b state.Batch) error {
 	began := time.Now()
+	if err := n.checkJobHomes(&b); err != nil {
+		return err
+	}
 	b.Retention = n.cfg.BatchRetention
 	_, err := n.proposeChange(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
 	n.log.Info("Submission of a batch job finished.", "batch", b.ID, "account", b.Account, "step", b.Step, "model", b.Model, "min_version", b.MinVersion, "items", len(b.Items), "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
--- a/internal/node/weighting.go
+++ b/internal/node/weighting.go
@@ -67,5 +67,5 @@
 	if n.dependencies.InFlight != nil {
 		inFlight = n.dependencies.InFlight()
 	}
-	n.weighting.observe(time.Now(), member.Entries(n.gossip.Live(), n.cfg.Zone), inFlight)
+	n.weighting.observe(time.Now(), member.Entries(member.Within(n.gossip.Live(), n.ownRegion), n.cfg.Zone), inFlight)
 }
--- a/internal/node/weighting_test.go
+++ b/internal/node/weighting_test.go
@@ -44,5 +44,5 @@
 	n, err := New(t.Context(), cfg, Dependencies{Links: reach.NewLinks(reach.Direct(""), logger)}, logger)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(n.gossip.Live()).To(ConsistOf(HaveField("Capacity", cfg.Capacity)))
-	g.Expect(n.Entries(member.Caller{})).To(Equal([]string{"127.0.0.1:2"}))
+	g.Expect(n.Entries(member.Caller{}, nil)).To(Equal([]string{"127.0.0.1:2"}))
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/origin"
 	"github.com/apricotstream/apricotstream/internal/upstream"
 )
@@ -24,17 +25,18 @@
 	// ConfirmsStart is set if the upstream is asked whether it is the start that was announced
 	// before it gets the request.
 	ConfirmsStart bool
-	Exclude       []string  // ids of upstreams that must not run it
-	Repeatable    bool      // may be resumed or run again, so cheap upstreams may run it
-	Prefix        string    // start of the prompt; empty if there is nothing to cache
-	Ends          time.Time // deadline; zero for none
-	ID            string    // of the request, for logs
-	Background    bool      // work that was handed in for later; no caller's connection waits
-	LeaveRoom     bool      // can wait: it must not queue at an upstream whose slots this entry has filled
-	Route         string    // name of the route, for the work that it needs
-	Account       string    // client account; empty if there is none
-	BodyBytes     int       // size of the body
-	Work          float64   // expected work, see Workload; 0 if the workloads of the candidates are not known
+	Homes         *homes.Homes // the regions that may run it; nil: any
+	Exclude       []string     // ids of upstreams that must not run it
+	Repeatable    bool         // may be resumed or run again, so cheap upstreams may run it
+	Prefix        string       // start of the prompt; empty if there is nothing to cache
+	Ends          time.Time    // deadline; zero for none
+	ID            string       // of the request, for logs
+	Background    bool         // work that was handed in for later; no caller's connection waits
+	LeaveRoom     bool         // can wait: it must not queue at an upstream whose slots this entry has filled
+	Route         string       // name of the route, for the work that it needs
+	Account       string       // client account; empty if there is none
+	BodyBytes     int          // size of the body
+	Work          float64      // expected work, see Workload; 0 if the workloads of the candidates are not known
 }
 
 // Candidate is an upstream with what this entry has observed of it.
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -152,14 +153,17 @@
 	}
 }
 
+// upstreams returns the view of the upstreams in the home regions of the request.
+func (e *execution) upstreams() chooser.View { return e.proxy.chooser.Within(e.request.Homes) }
+
 // waitForUpstream returns after what time an upstream may take the request. It returns false
 // if waiting is of no use.
 func (e *execution) waitForUpstream() (time.Duration, bool) {
-	if wait, ok := e.proxy.chooser.AtRate(e.request.Service); ok {
+	if wait, ok := e.upstreams().AtRate(e.request.Service); ok {
 		e.atRate = true
 		return wait, true
 	}
-	return roomPollInterval, e.request.Background && len(e.proxy.chooser.Upstreams(e.request.Service)) > 0
+	return roomPollInterval, e.request.Background && len(e.upstreams().Upstreams(e.request.Service)) > 0
 }
 
 // waitsUntil returns until when the request may wait for an upstream that is at its rate.
@@ -181,6 +185,10 @@
 	if e.atRate {
 		return ": all are at the rates that they name"
 	}
+	if h := e.request.Homes; h != nil && len(e.upstreams().Upstreams(e.request.Service)) == 0 {
+		outsideHomes.Inc()
+		return fmt.Sprintf(": none is in its home regions (%v)", h)
+	}
 	return ""
 }
 
@@ -193,7 +201,7 @@
 	choice, ok := e.proxy.chooser.Pick(ctx, picker.Request{
 		Service: e.request.Service, Zone: e.proxy.zone, Exclude: e.tried, Ends: e.request.Deadline,
 		Repeatable: e.maxAttempts > 1, ID: e.request.ID, Origin: e.origin, ConfirmsStart: e.request.ConfirmStart,
-		Background: e.request.Background, LeaveRoom: e.request.Background,
+		Homes: e.request.Homes, Background: e.request.Background, LeaveRoom: e.request.Background,
 		Route: e.routeName(), Account: e.request.Account, BodyBytes: len(e.request.Body),
 	})
 	if !ok {
@@ -337,10 +345,10 @@
 
 // retryAfter returns the delay after which an upstream may take the request.
 func (e *execution) retryAfter() time.Duration {
-	if len(e.proxy.chooser.Upstreams(e.request.Service)) == 0 {
+	if len(e.upstreams().Upstreams(e.request.Service)) == 0 {
 		return unlistedRetryAfter
 	}
-	if d, ok := e.proxy.chooser.ReturnDelay(e.request.Service); ok {
+	if d, ok := e.upstreams().ReturnDelay(e.request.Service); ok {
 		return d
 	}
 	return retryAfter
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -112,6 +112,9 @@
 	latency = metrics.NewHistogram("apricotstream_request_seconds")
 	hedges  = metrics.NewCounter("apricotstream_hedges_total")
 	retries = metrics.NewCounter("apricotstream_retries_total")
+	// outsideHomes counts requests that were rejected because their service has upstreams in none of
+	// their home regions.
+	outsideHomes = metrics.NewCounter("apricotstream_requests_outside_homes_total")
 )
 
 // Serve sends q to an upstream and returns the response, or an error whose code says
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/membudget"
 	"github.com/apricotstream/apricotstream/internal/routing"
 	"github.com/apricotstream/apricotstream/internal/upstream"
@@ -29,6 +30,8 @@
 	// time. After it the attempt is UpstreamBusy.
 	SendBy  time.Time
 	Routing uint64 // version of the routing configuration that was used
+	// Homes restricts the regions of the upstreams that the request is sent to; nil: any.
+	Homes *homes.Homes
 	// TakeUp is set if the request goes on with a stream that broke off.
 	TakeUp *TakeUp
 	// ConfirmStart is set if the request must only reach the start of its upstream that was
--- a/internal/proxy/take_up.go
+++ b/internal/proxy/take_up.go
@@ -44,7 +44,7 @@
 		return result.New(result.VersionGone, "the route does not lead to %s, which began the stream", found.Service)
 	}
 	q.Service, e.origin, q.ConfirmStart = found.Service, found, true
-	all := e.proxy.chooser.Upstreams(q.Service)
+	all := e.upstreams().Upstreams(q.Service)
 	if len(all) > 0 && !slices.ContainsFunc(all, e.origin.AllowsConfirmed) { // without any, it is rejected for want of upstreams
 		return result.NewRetryAfter(result.VersionGone, unlistedRetryAfter, "no upstream of %s with software version %q, which began the stream", q.Service, found.Software)
 	}
@@ -60,7 +60,7 @@
 	if err := e.proxy.refresh(ctx); err != nil {
 		return result.NewRetryAfter(result.OriginUnknown, refreshRetryAfter, "the caller does not name the request that began the stream, and it cannot be told which software versions serve: %v", err)
 	}
-	all := e.proxy.chooser.Upstreams(e.request.Service)
+	all := e.upstreams().Upstreams(e.request.Service)
 	if len(all) == 0 {
 		return nil // rejected for want of upstreams
 	}
--- a/internal/reach/dial_relayed.go
+++ b/internal/reach/dial_relayed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,22 +12,57 @@
 	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
-// helpers returns the helpers to ask now, best first.
-func (l *Links) helpers() []Helper {
+// knownHelpers returns the daemons of a region that may be asked.
+func (l *Links) knownHelpers(region string) []Helper {
 	if l.deployment.Helpers == nil {
 		return nil
 	}
-	all, now := l.deployment.Helpers(), time.Now()
+	all := l.deployment.Helpers()
+	elsewhere := func(h Helper) bool { return h.Region != region }
+	if !slices.ContainsFunc(all, elsewhere) {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), elsewhere)
+}
+
+// helpers returns the helpers of a region to ask now, best first.
+func (l *Links) helpers(region string) []Helper {
+	all, now := l.knownHelpers(region), time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return chooseHelpers(l.rnd, all, func(address string) bool { return now.Before(l.avoided[address]) })
 }
 
-// DialRelayed opens a connection through another daemon. Error: that of the last helper, or
-// errNoHelper.
+// DialRelayed opens a connection through another daemon of the own region. Error: that of the last
+// helper, or errNoHelper.
 func (l *Links) DialRelayed(ctx context.Context, _, address string) (net.Conn, error) {
+	return l.dialRelayed(ctx, address, l.deployment.Region)
+}
+
+// DialRelayedHome opens a connection through another daemon in the region of the upstream, which is
+// a home region of the requests that are sent on the connection. Without such a daemon it opens a
+// direct connection, for which it waits longer than Dial does.
+func (l *Links) DialRelayedHome(ctx context.Context, network, address string) (net.Conn, error) {
+	region := l.regionOf(address)
+	if region == "" || len(l.knownHelpers(region)) == 0 {
+		return l.dialOnce(ctx, network, address)
+	}
+	return l.dialRelayed(ctx, address, region)
+}
+
+// regionOf returns the region of the upstream at an address, empty if it is not known.
+func (l *Links) regionOf(address string) string {
+	for _, u := range l.upstreams() {
+		if u.Address == address {
+			return u.Region
+		}
+	}
+	return ""
+}
+
+func (l *Links) dialRelayed(ctx context.Context, address, region string) (net.Conn, error) {
 	began := time.Now()
-	c, helper, err := l.dialHelpers(ctx, address)
+	c, helper, err := l.dialHelpers(ctx, address, region)
 	if err != nil {
 		relayedConnections("failed").Inc()
 		if errors.Is(err, errUnreachable) {
@@ -49,9 +85,9 @@
 	return metrics.GetOrCreateCounter(`apricotstream_relayed_connections_total{outcome="` + outcome + `"}`)
 }
 
-// dialHelpers asks helpers for a connection, the next one when one has failed or is slow.
-func (l *Links) dialHelpers(ctx context.Context, address string) (net.Conn, Helper, error) {
-	all := l.helpers()
+// dialHelpers asks helpers of a region for a connection, the next one when one has failed or is slow.
+func (l *Links) dialHelpers(ctx context.Context, address, region string) (net.Conn, Helper, error) {
+	all := l.helpers(region)
 	if len(all) == 0 {
 		return nil, Helper{}, errNoHelper
 	}
--- a/internal/reach/helper.go
+++ b/internal/reach/helper.go
@@ -11,6 +11,7 @@
 type Helper struct {
 	Address string // peer address
 	Zone    string // availability zone
+	Region  string // of the zone
 	Replica bool   // has the control log to write as well
 	Severed bool   // has itself lost its links to upstreams
 }
@@ -20,7 +21,7 @@
 	var out []Helper
 	for _, d := range live {
 		if d.Relays && !d.Draining && d.PeerAddress != own {
-			out = append(out, Helper{Address: d.PeerAddress, Zone: d.Zone, Replica: d.Replica != "", Severed: d.Severed})
+			out = append(out, Helper{Address: d.PeerAddress, Zone: d.Zone, Region: d.Region, Replica: d.Replica != "", Severed: d.Severed})
 		}
 	}
 	return out
@@ -30,7 +31,7 @@
 func UpstreamsOf(known []upstream.Announcement) []Upstream {
 	var out []Upstream
 	for _, a := range known {
-		out = append(out, Upstream{a.Address, a.Zone})
+		out = append(out, Upstream{a.Address, a.Zone, a.Region})
 	}
 	return out
 }
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -47,6 +47,7 @@
 
 // Deployment is what a Links must know of the other daemons and of the upstreams.
 type Deployment struct {
+	Region     string                                                      // of this daemon
 	Helpers    func() []Helper                                             // the daemons that may be asked
 	DialHelper func(ctx context.Context, address string) (net.Conn, error) // connects to a peer address
 	Upstreams  func() []Upstream                                           // those that are known
@@ -56,6 +57,7 @@
 type Upstream struct {
 	Address string
 	Zone    string // availability zone
+	Region  string // of the zone; empty if it is not known
 }
 
 // Links opens connections to upstreams for one daemon, and passes connections on for others. It
@@ -122,7 +124,7 @@
 	}
 	switch {
 	case changed && severed:
-		l.log.Warn("Links to upstreams are lost: other daemons pass connections on.", "helpers", len(l.helpers()))
+		l.log.Warn("Links to upstreams are lost: other daemons pass connections on.", "helpers", len(l.helpers(l.deployment.Region)))
 	case changed:
 		l.log.Info("Links to upstreams are back.")
 	}
@@ -183,7 +185,7 @@
 
 // hasOthers reports whether other daemons are known, whether they can help or not.
 func (l *Links) hasOthers() bool {
-	return l.deployment.Helpers != nil && len(l.deployment.Helpers()) > 0
+	return len(l.knownHelpers(l.deployment.Region)) > 0
 }
 
 // Relayed reports whether connections to address should go through another daemon for now.
@@ -268,9 +270,18 @@
 
 // DialAny opens a connection directly or through another daemon, whichever works.
 func (l *Links) DialAny(ctx context.Context, network, address string) (net.Conn, error) {
-	first, second := l.Dial, l.DialRelayed
+	return l.dialAny(ctx, network, address, l.DialRelayed)
+}
+
+// DialAnyHome is DialAny with DialRelayedHome.
+func (l *Links) DialAnyHome(ctx context.Context, network, address string) (net.Conn, error) {
+	return l.dialAny(ctx, network, address, l.DialRelayedHome)
+}
+
+func (l *Links) dialAny(ctx context.Context, network, address string, relayed sockopt.Dial) (net.Conn, error) {
+	first, second := sockopt.Dial(l.Dial), relayed
 	if l.Relayed(address) {
-		first, second = l.DialRelayed, l.Dial
+		first, second = second, first
 	}
 	c, err := first(ctx, network, address)
 	if err == nil || ctx.Err() != nil {
@@ -290,7 +301,7 @@
 		c.Close()
 		return false
 	}
-	c, _, err = l.dialHelpers(context.Background(), address)
+	c, _, err = l.dialHelpers(context.Background(), address, l.deployment.Region)
 	if err == nil {
 		c.Close()
 		l.log.Warn("Another daemon reaches an upstream that this one does not: it has not crashed.", "address", address)
--- a/internal/reach/relay_test.go
+++ b/internal/reach/relay_test.go
@@ -41,7 +41,7 @@
 	d := &testDaemon{NewLinks(dial, log.New(io.Discard)), l.Addr().String(), peer.NewServer()}
 	d.Deploy(Deployment{Helpers: helpers, DialHelper: peer.DialFrom(""), Upstreams: func() (out []Upstream) {
 		for i, a := range upstreams {
-			out = append(out, Upstream{a, fmt.Sprint("z", i%3)})
+			out = append(out, Upstream{Address: a, Zone: fmt.Sprint("z", i%3)})
 		}
 		return out
 	}}, d.server)
@@ -248,7 +248,7 @@
 	d := startDaemon(t, Direct(""), func() []Helper { return []Helper{{Address: "127.0.0.1:3", Severed: true}} })
 	d.deployment.Upstreams = func() (out []Upstream) {
 		for address, zone := range zoneOf {
-			out = append(out, Upstream{address, zone})
+			out = append(out, Upstream{Address: address, Zone: zone})
 		}
 		return out
 	}
@@ -272,7 +272,9 @@
 	other := httptest.NewServer(http.NotFoundHandler())
 	defer other.Close()
 	d := startDaemon(t, Direct(""), helpedBy(&testDaemon{address: "127.0.0.1:3"}), "127.0.0.1:1", "127.0.0.1:2")
-	d.deployment.Upstreams = func() []Upstream { return []Upstream{{"127.0.0.1:1", "a"}, {"127.0.0.1:2", "a"}} }
+	d.deployment.Upstreams = func() []Upstream {
+		return []Upstream{{Address: "127.0.0.1:1", Zone: "a"}, {Address: "127.0.0.1:2", Zone: "a"}}
+	}
 	_, err := d.DialPlain(t.Context(), "tcp", "127.0.0.1:9")
 	g.Expect(err).To(HaveOccurred())
 	d.probe("127.0.0.1:1")
@@ -284,3 +286,42 @@
 	c.Close()
 	g.Expect(d.Severed()).To(BeTrue())
 }
+
+// Guards against the body of a request with home regions that passes through a daemon outside the
+// region of its upstream, and against a request that fails because no daemon there can help.
+func TestHomeRequestsAreRelayedInTheRegionOfTheUpstream(t *testing.T) {
+	g := NewWithT(t)
+	u := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer u.Close()
+	own, far := startDaemon(t, Direct(""), nil, addressOf(u)), startDaemon(t, Direct(""), nil, addressOf(u))
+	var helpers []Helper
+	cut := startDaemon(t, cutDial, func() []Helper { return helpers })
+	region := "far"
+	cut.deployment.Region = "r"
+	cut.deployment.Upstreams = func() []Upstream { return []Upstream{{Address: addressOf(u), Zone: "f0", Region: region}} }
+	dial := func(dial sockopt.Dial) (viaOwn, viaFar bool) {
+		c, err := dial(t.Context(), "tcp", addressOf(u))
+		if err != nil {
+			return false, false
+		}
+		defer c.Close()
+		g.Eventually(func() bool { viaOwn, viaFar = own.Busy(), far.Busy(); return viaOwn || viaFar }, time.Second).Should(BeTrue())
+		return viaOwn, viaFar
+	}
+	idle := func() { g.Eventually(func() bool { return own.Busy() || far.Busy() }, time.Second).Should(BeFalse()) }
+	all := []Helper{{Address: own.address, Zone: "z1", Region: "r"}, {Address: far.address, Zone: "f0", Region: "far"}}
+	helpers = all
+	for range 10 {
+		_, viaFar := dial(cut.DialAnyHome)
+		g.Expect(viaFar).To(BeTrue())
+		idle()
+		viaOwn, _ := dial(cut.DialAny)
+		g.Expect(viaOwn).To(BeTrue())
+		idle()
+	}
+	region = "" // not known
+	for _, helpers = range [][]Helper{all, all[:1]} {
+		viaOwn, viaFar := dial(cut.DialRelayedHome)
+		g.Expect(viaOwn || viaFar).To(BeFalse())
+	}
+}
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -31,6 +31,9 @@
 	KeyHashes []string `json:"key_hashes,omitempty"`
 	// Priority overrides the priority of the route if it is set; 0 is the highest.
 	Priority *int `json:"priority,omitempty"`
+	// Homes names the only regions that may serve the requests of the account; empty: any. It
+	// needs member.Level 2.
+	Homes []string `json:"homes,omitempty"`
 }
 
 // Service is a group of interchangeable upstreams.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -12,13 +12,16 @@
 // Table is a Configuration compiled for lookups. It is immutable.
 type Table struct {
 	Config *Configuration
-	hosts  map[string][]*Route // by lower-case host, longest prefix first
-	keys   map[string]*Account // by key hash
+	// HasHomes is set if a route or an account has home regions.
+	HasHomes bool
+
+	hosts map[string][]*Route // by lower-case host, longest prefix first
+	keys  map[string]*Account // by key hash
 }
 
 // NewTable compiles c, which must not be changed afterwards.
 func NewTable(c *Configuration) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[string]*Account{}}
+	t := &Table{Config: c, HasHomes: c.HasHomes(), hosts: map[string][]*Route{}, keys: map[string]*Account{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -90,6 +90,7 @@
 	if r.MaxAttempts < 0 {
 		p.add(at.Field("max_attempts"), "attempts-negative", "route %s: the maximum number of attempts is negative", r.Name)
 	}
+	p.homes(at, "route "+r.Name, r.Homes)
 	p.splits(at.Field("splits"), r, services)
 }
 
@@ -117,6 +118,7 @@
 			p.add(at.Field("name"), "account-name-invalid", "client account %q is unnamed or listed twice", a.Name)
 		}
 		names[a.Name] = true
+		p.homes(at, "client account "+a.Name, a.Homes)
 		for j, k := range a.KeyHashes {
 			if other, ok := keys[k]; ok && other != a.Name {
 				p.add(at.Field("key_hashes").Index(j), "key-shared", "client accounts %s and %s have the same key", other, a.Name)
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotstream/apricotstream/internal/homes"
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
@@ -26,6 +27,9 @@
 	Retention     time.Duration `json:"keep"`         // nanoseconds after Accepted
 	Accepted      time.Time     `json:"accepted"`     // time of the control group
 	Items         []BatchItem   `json:"items"`
+	// Homes holds the regions that may serve the job, as they were when it was submitted; nil: any.
+	// It needs member.Level 2.
+	Homes *homes.Homes `json:"homes,omitempty"`
 
 	Ended   bool          `json:"ended,omitempty"`
 	Results []BatchResult `json:"results,omitempty"` // in final order
--- a/internal/strictini/decode.go
+++ b/internal/strictini/decode.go
@@ -68,6 +68,12 @@
 func (d *decoder) key(section string, k *ini.Key, spec *Section) {
 	at := location{section: section, key: k.Name()}
 	i := slices.IndexFunc(spec.Keys, func(x Key) bool { return x.Name == k.Name() })
+	if i < 0 && spec.Other != nil {
+		if err := spec.Other(k.Name(), k.Value()); err != nil {
+			d.report(at, result.SettingInvalid, "[%s] %s = %s: %v", section, k.Name(), k.Value(), err)
+		}
+		return
+	}
 	if i < 0 {
 		d.report(at, result.SettingUnknown, "unknown key in section [%s]: %s", section, k.Name())
 		return
--- a/internal/strictini/spec.go
+++ b/internal/strictini/spec.go
@@ -12,6 +12,8 @@
 // Section describes the keys of a section.
 type Section struct {
 	Keys []Key
+	// Other stores a key that is not one of Keys. Nil: there are no others.
+	Other func(name, value string) error
 }
 
 // Resolver returns the description of the named section, nil for an unknown section, or an
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -31,6 +31,7 @@
 	Software      string  `json:"software,omitempty"`       // version of the program
 	Silent        bool    `json:"-"`                        // its newest announcement has expired
 	Evacuated     bool    `json:"-"`                        // its availability zone is evacuated; set in lists only
+	Region        string  `json:"-"`                        // of its zone, empty if it is not known; set in lists only
 }
 
 // SoftwareUnknown is the software version of an upstream whose announcements contradict each
@@ -84,5 +85,6 @@
 	if d := a.ColdUntil - b.ColdUntil; a.ColdUntil != 0 && b.ColdUntil != 0 && max(d, -d) <= coldTolerance.Milliseconds() {
 		b.ColdUntil = a.ColdUntil
 	}
+	b.Region = a.Region // set in lists only
 	return a == b
 }
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -38,6 +38,10 @@
 	// block. It may be nil and must be set before the first announcement.
 	OnFirst func(service string)
 
+	// Zones holds the region of each availability zone. It must be set before the first
+	// announcement and not be changed afterwards.
+	Zones map[string]string
+
 	group Group
 
 	mu        sync.Mutex
@@ -186,6 +190,7 @@
 	l := &lists{listed: d.registry.Known(time.Now())}
 	for i := range l.listed {
 		a := &l.listed[i]
+		a.Region = d.Zones[a.Zone]
 		if a.Evacuated = d.InEvacuatedZone(*a); !a.Evacuated {
 			l.known = append(l.known, *a)
 		}
@@ -218,6 +223,9 @@
 // evacuated.
 func (d *Directory) InEvacuatedZone(a Announcement) bool { return (*d.evacuated.Load())[a.Zone] }
 
+// RegionOf returns the region of a, empty if it is not known.
+func (d *Directory) RegionOf(a Announcement) string { return d.Zones[a.Zone] }
+
 // Listed returns the upstreams that Known returns and those of evacuated zones, which are
 // marked. It is for observing upstreams; nothing may be sent to the marked ones. The slice must
 // not be changed.
