--- a/internal/reach/reachability.go
+++ b/internal/reach/reachability.go
@@ -31,7 +31,7 @@
 		c.Close()
 		return Reachable
 	}
-	c, _, err = l.dialHelpers(context.Background(), address)
+	c, _, err = l.dialHelpers(context.Background(), address, l.deployment.Region)
 	switch {
 	case err == nil:
 		c.Close()
