--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -49,8 +49,8 @@
 		t.token, t.since = l.Term, now
 		changed = true
 	}
-	delayed := now.Sub(t.since) < t.takeoverDelay && !(t.actsAfterRestart && l.PredecessorLed >= t.takeoverDelay)
-	return Fence{Holder: t.holder, Token: l.Term}, changed, !delayed
+	restarted := t.actsAfterRestart && l.PredecessorLed >= t.takeoverDelay
+	return Fence{Holder: t.holder, Token: l.Term}, changed, restarted || now.Sub(t.since) >= t.takeoverDelay
 }
 
 // call returns the context of one order or report under f. It returns false if this process no
