--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -137,11 +137,12 @@
 // are closed, so that those in use are left.
 func (l *Links) Busy() bool { return l.relay.busy() }
 
-// Drain makes the daemon pass on no further connections. Run closes those that are idle.
+// Drain makes the daemon pass on no further connections. Run closes those that become idle.
 func (l *Links) Drain() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.draining = true
+	l.mu.Unlock()
+	l.relay.drain(time.Now())
 }
 
 // Severed reports whether this daemon believes that it has lost its links to upstreams: several
--- a/internal/reach/relay_test.go
+++ b/internal/reach/relay_test.go
@@ -196,6 +196,11 @@
 		return r, nil
 	}
 	var conns []net.Conn
+	defer func() { // without a later use, the garbage collector closes them during the test
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
 	for range maxRelayed {
 		c, err := open()
 		g.Expect(err).NotTo(HaveOccurred())
@@ -213,6 +218,8 @@
 	}, time.Second).Should(Succeed())
 
 	helper.Drain()
+	_, err = open()
+	g.Expect(err).To(MatchError(ContainSubstring("this daemon stops")), "at once")
 	g.Eventually(func() int {
 		helper.relay.mu.Lock()
 		defer helper.relay.mu.Unlock()
