Take a zombie for ended in the test of daemons that outlive a panic

Cause: an orphan that has ended stays a zombie until process 1 waits for it, and that of this machine does so only every few seconds; signal 0 succeeds for a zombie. Evidence: an orphaned sleep that had ended was listed in state Z a second later.

The test now reads the state from /proc: a zombie runs nothing and holds no memory, which is what the test guards. Just as strict: without Pdeathsig the process is in state S and the test fails.

--- a/internal/systest/kill_with_parent_test.go
+++ b/internal/systest/kill_with_parent_test.go
@@ -1,7 +1,10 @@
 package systest
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"strconv"
@@ -42,5 +45,20 @@
 	g.Expect(ok).To(BeTrue(), string(out))
 	id, err := strconv.Atoi(strings.Fields(pid)[0])
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(func() error { return syscall.Kill(id, 0) }, "2s", "10ms").Should(MatchError(syscall.ESRCH))
+	g.Eventually(func() (bool, error) { return hasEnded(id) }, "2s", "10ms").Should(BeTrue())
+}
+
+// hasEnded reports whether a process has ended. The process of an orphan that has ended stays
+// listed as a zombie until process 1 waits for it, which takes seconds on some machines.
+func hasEnded(pid int) (bool, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	// The state follows the name of the program, which is in parentheses and may hold any character.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	return len(fields) > 0 && (fields[0] == "Z" || fields[0] == "X"), nil
 }
