Retain the output of carried runs for the next leader

Output that is not committed yet exists only at the leader and at its carriers. Carriers drop what the leader has acknowledged, and all of a run when it ends, so a change of leader loses it.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -55,7 +55,7 @@
 		ID: it.spec.ID, Host: b.Host, Path: it.spec.Path, Account: b.Account, Header: it.spec.Header, Body: it.spec.Body, Homes: b.Homes,
 		LastEventID: it.lastEventID, Priority: batchPriority, Deadline: it.job.expiresAt(),
 		ReadPause: func() time.Duration { return readPause(int(budget.attempts.Load())) }, MaxEventBytes: budget.maxEventBytes,
-		Term: term, MaxEvents: a.limit.events - a.earlier, MaxBytes: a.limit.bytes - a.bytes,
+		Term: term, Job: b.ID, Text: textDigest(it.events), MaxEvents: a.limit.events - a.earlier, MaxBytes: a.limit.bytes - a.bytes,
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	return a
--- a/internal/batch/carrier.go
+++ b/internal/batch/carrier.go
@@ -37,12 +37,17 @@
 	permits  *runPermits
 	runs     map[string]*carriedRun
 	draining bool
+
+	retainedMu sync.Mutex
+	retained   *retention
 }
 
 // carriedRun is one attempt on a carrier.
 type carriedRun struct {
 	leader string
+	term   uint64
 	cancel context.CancelCauseFunc
+	done   chan struct{} // closed when the run has ended
 
 	mu       sync.Mutex
 	events   []Event // those that the leader is not known to have
@@ -52,9 +57,9 @@
 }
 
 // NewCarrier returns a carrier. address is the peer address of its daemon, and incarnation
-// identifies its process.
-func NewCarrier(client *peer.Client, address string, incarnation int64, e Engines, s Scorer, logger *log.Logger) *Carrier {
-	return &Carrier{client: client, address: address, engines: e, scorer: s, log: logger, permits: newRunPermits(incarnation), runs: map[string]*carriedRun{}}
+// identifies its process. It retains output of up to retained bytes for the next leader.
+func NewCarrier(client *peer.Client, address string, incarnation int64, retained int, e Engines, s Scorer, logger *log.Logger) *Carrier {
+	return &Carrier{client: client, address: address, engines: e, scorer: s, log: logger, permits: newRunPermits(incarnation), runs: map[string]*carriedRun{}, retained: newRetention(retained)}
 }
 
 // Register adds the handlers of the carrier to s.
@@ -62,6 +67,7 @@
 	peer.Handle(s, MethodGreet, func(context.Context, struct{}) (CarrierClock, error) { return c.clock(), nil })
 	peer.Handle(s, MethodRun, c.run)
 	peer.HandleNotice(s, MethodHold, c.hold)
+	peer.Handle(s, MethodCollect, c.collect)
 	peer.Handle(s, MethodScore, func(ctx context.Context, q ScoreRequest) (ScoreReply, error) {
 		ctx, cancel := context.WithTimeout(ctx, q.Left)
 		defer cancel()
@@ -86,9 +92,11 @@
 func (c *Carrier) Run(ctx context.Context) {
 	go periodic.Every(ctx, progressInterval, c.report)
 	periodic.Every(ctx, permitCheckInterval, func() {
+		now := clock.Now()
+		c.retain(func(r *retention) { r.expire(now) })
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.cancelRuns(c.permits.expire(clock.Now()), "its permit ran out")
+		c.cancelRuns(c.permits.expire(now), "its permit ran out")
 	})
 }
 
@@ -127,7 +135,7 @@
 func (c *Carrier) run(ctx context.Context, q RunRequest) (RunReply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &carriedRun{leader: q.Leader, cancel: cancel}
+	r := &carriedRun{leader: q.Leader, term: q.Term, cancel: cancel, done: make(chan struct{})}
 	if err := c.begin(q, r); err != nil {
 		return RunReply{}, err
 	}
@@ -138,14 +146,23 @@
 	if q.StartUntil > 0 {
 		g.StartBy = time.Now().Add(q.StartUntil - clock.Now())
 	}
-	err := c.engines.Generate(ctx, q.Upstream, g, func(e Event) { r.append(e, q.MaxEvents, q.MaxBytes) })
+	err := c.engines.Generate(ctx, q.Upstream, g, func(e Event) {
+		if r.append(e, q.MaxEvents, q.MaxBytes) {
+			c.retain(func(x *retention) { x.append(q.Run, e) })
+		} else {
+			c.retain(func(x *retention) { x.drop(q.Run) })
+		}
+	})
+	complete := err == nil
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
+	c.retain(func(x *retention) { x.end(clock.Now(), q.Run, complete) })
 	c.mu.Lock()
 	c.permits.end(q.Run)
 	delete(c.runs, q.Run)
 	c.mu.Unlock()
+	close(r.done)
 	return r.reply(err), nil
 }
 
@@ -165,6 +182,9 @@
 		return result.New(result.Stopped, "the permit has run out")
 	}
 	c.runs[q.Run] = r
+	if q.Job != "" {
+		c.retain(func(x *retention) { x.begin(q.Run, outputOf(q)) })
+	}
 	return nil
 }
 
@@ -187,21 +207,23 @@
 	}
 }
 
-// append keeps an event. A run whose output exceeds its bounds is cancelled without events.
-func (r *carriedRun) append(e Event, maxEvents, maxBytes int) {
+// append keeps an event. It returns false for a run whose output exceeds its bounds, which is cancelled
+// without events.
+func (r *carriedRun) append(e Event, maxEvents, maxBytes int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.overlong != nil {
-		return
+		return false
 	}
 	r.bytes += len(e.Data) + 1
 	if r.dropped+len(r.events) >= maxEvents || r.bytes > maxBytes {
 		r.overlong = overlong.Cut(overlong.ItemBytes, "the output of the attempt exceeds %d events or %d bytes", maxEvents, maxBytes)
 		r.events = nil
 		r.cancel(r.overlong)
-		return
+		return false
 	}
 	r.events = append(r.events, e)
+	return true
 }
 
 // acknowledge forgets the first n events of the run, which the leader has.
--- a/internal/batch/carrier_messages.go
+++ b/internal/batch/carrier_messages.go
@@ -40,7 +40,9 @@
 	Permit
 	Run           string                `json:"run"` // unique for the leader's process
 	Upstream      upstream.Announcement `json:"upstream"`
-	ID            string                `json:"id"` // of the item
+	ID            string                `json:"id"`             // of the item
+	Job           string                `json:"job,omitempty"`  // its batch job; empty from older builds, then the output is not retained
+	Text          string                `json:"text,omitempty"` // see textDigest, of the events up to LastEventID
 	Host          string                `json:"host"`
 	Path          string                `json:"path"`
 	Account       string                `json:"account"`
--- a/internal/batch/carriers.go
+++ b/internal/batch/carriers.go
@@ -34,6 +34,9 @@
 	CarrierOf(u upstream.Announcement, h *homes.Homes) string
 	// ScorerFor returns the peer address of the carrier for a reward request, like CarrierOf.
 	ScorerFor(reward string, h *homes.Homes) string
+	// Carriers returns the peer addresses of all daemons that may have carried runs for another leader,
+	// this one included. There are none in a deployment whose leader runs all items itself.
+	Carriers() []string
 	// Unresponsive records that a carrier does not answer. It is not chosen for a while.
 	Unresponsive(address string)
 }
@@ -297,7 +300,7 @@
 	}
 	return r, RunRequest{
 		StartUntil: startUntil,
-		Permit:     v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body, Homes: g.Homes,
+		Permit:     v.offset.permit(now, g.Term, c.self), Run: r.id, Upstream: to, ID: g.ID, Job: g.Job, Text: g.Text, Host: g.Host, Path: g.Path, Account: g.Account, Header: g.Header, Body: g.Body, Homes: g.Homes,
 		LastEventID: g.LastEventID, Priority: g.Priority, Left: time.Until(g.Deadline), MaxEventBytes: g.maxEventBytes(), MaxEvents: g.MaxEvents, MaxBytes: g.MaxBytes,
 	}
 }
--- a/internal/batch/carriers_test.go
+++ b/internal/batch/carriers_test.go
@@ -57,6 +57,13 @@
 	return p.address
 }
 
+func (p *oneCarrier) Carriers() []string {
+	if a := p.ScorerFor("", nil); a != "" {
+		return []string{a}
+	}
+	return nil
+}
+
 func (p *oneCarrier) Unresponsive(string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,7 +93,7 @@
 	t.Cleanup(cancel)
 	x := &carried{engines: engines}
 	l, client, server := listen()
-	x.carrier = NewCarrier(client, l.Addr().String(), 7, engines, stubFailingScorer{}, logger)
+	x.carrier = NewCarrier(client, l.Addr().String(), 7, maxRetainedBytes, engines, stubFailingScorer{}, logger)
 	x.carrier.Register(server)
 	go server.Serve(ctx, l)
 	go x.carrier.Run(ctx)
@@ -254,6 +261,38 @@
 	g.Expect(n).To(Equal(3))
 }
 
+// Guards against output that a new leader misses because runs of the earlier one are still at work, and
+// against a deposed leader that ends runs or goes on with them.
+func TestCollectionEndsTheRunsOfEarlierTerms(t *testing.T) {
+	g := NewWithT(t)
+	x := newCarried(t, &scriptedEngines{events: 10000, pace: 10 * time.Millisecond})
+	run := func(term uint64) error {
+		q := GenerateRequest{ID: "i", Job: "j", Term: term, Deadline: time.Now().Add(time.Minute), MaxEvents: 1000, MaxBytes: 1 << 20}
+		return x.leader.Generate(t.Context(), upstream.Announcement{ID: "u", Service: "s", Software: "v1"}, q, func(Event) {})
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- run(1) }()
+	time.Sleep(600 * time.Millisecond) // events are acknowledged meanwhile
+	got := x.leader.Collect(t.Context(), 2, []string{"j"})
+	g.Expect(x.engines.ended.Load()).To(Equal(int32(1)))
+	g.Expect(result.CodeOf(<-ended)).To(Equal(result.SampleMoved))
+	g.Expect(got.Answered).To(Equal(1))
+	g.Expect(got.Outputs).To(HaveLen(1))
+	o := got.Outputs[0]
+	g.Expect(o.Item).To(Equal("i"))
+	g.Expect(o.Upstream.Software).To(Equal("v1"))
+	g.Expect(o.Complete).To(BeFalse())
+	g.Expect(len(o.Events)).To(BeNumerically(">", 30))
+	g.Expect(o.contiguous()).To(BeTrue(), "from the first event on")
+	g.Expect(x.leader.Collect(t.Context(), 2, []string{"k"}).Outputs).To(BeEmpty())
+
+	old := x.leader.Collect(t.Context(), 1, []string{"j"})
+	g.Expect(old.Answered).To(BeZero())
+	g.Expect(old.Missing).To(HaveLen(1))
+	g.Expect(result.CodeOf(run(1))).To(Equal(result.SampleMoved))
+	g.Expect(x.engines.started.Load()).To(Equal(int32(1)))
+}
+
 func TestCarriedRewardRequestKeepsItsFailure(t *testing.T) {
 	g := NewWithT(t)
 	x := newCarried(t, &scriptedEngines{})
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -33,6 +33,8 @@
 	MaxEventBytes func() int
 	// What an attempt on a carrier needs besides.
 	Term      uint64 // of the leader
+	Job       string // batch job of the item
+	Text      string // see textDigest, of the events up to LastEventID
 	MaxEvents int    // bounds of the output of this attempt
 	MaxBytes  int
 	Progress  func(events int) // takes the number of events so far, some of which may come later
--- a/internal/batch/run_permits.go
+++ b/internal/batch/run_permits.go
@@ -32,14 +32,23 @@
 // admits reports whether a permit counts: it is for this process, has not run out, and no
 // leader of a later term is known. ended are the runs of earlier terms, which end.
 func (p *runPermits) admits(now time.Duration, q Permit) (ok bool, ended []string) {
-	if q.Incarnation != p.incarnation || q.Term < p.term || q.Until <= now {
+	if q.Incarnation != p.incarnation || q.Until <= now {
 		return false, nil
 	}
-	if q.Term > p.term {
+	return p.learn(q.Term)
+}
+
+// learn takes the term of a leader. It returns false if a later one is known. ended are the runs
+// of earlier terms, which end.
+func (p *runPermits) learn(term uint64) (ok bool, ended []string) {
+	if term < p.term {
+		return false, nil
+	}
+	if term > p.term {
 		for run := range p.until {
 			ended = append(ended, run)
 		}
-		p.term, p.until = q.Term, map[string]time.Duration{}
+		p.term, p.until = term, map[string]time.Duration{}
 	}
 	return true, ended
 }
--- a/internal/node/carrier_placement.go
+++ b/internal/node/carrier_placement.go
@@ -68,6 +68,21 @@
 	return slices.DeleteFunc(slices.Clone(carriers), func(address string) bool { return !h.Allows(regions[address]) })
 }
 
+// Carriers implements batch.Placement. Another leader may have chosen any daemon with a data folder, also
+// one that this leader would not choose now.
+func (p *carrierPlacement) Carriers() []string {
+	if p.n.engineSlots() < minCarriedSlots {
+		return nil
+	}
+	var out []string
+	for _, d := range p.n.gossip.Live() {
+		if d.Replica != "" {
+			out = append(out, d.PeerAddress)
+		}
+	}
+	return out
+}
+
 // Unresponsive implements batch.Placement.
 func (p *carrierPlacement) Unresponsive(address string) {
 	p.mu.Lock()
