Take over the output of carried runs when a leader's term begins

After a change of leader in the middle of a step, items whose text was complete, but had no score yet, and all that was not committed were generated again: the new leader knew only what was committed.

--- a/internal/batch/session.go
+++ b/internal/batch/session.go
@@ -80,6 +80,7 @@
 	if !s.reconcileJobs(ctx) {
 		return
 	}
+	s.takeOver(ctx)
 	ticker := time.NewTicker(scheduleInterval)
 	defer ticker.Stop()
 	lastMaintenance := time.Now()
@@ -344,7 +345,11 @@
 // announcesOtherSoftware reports whether an engine announces another software version than it
 // did when the attempt was sent there.
 func (s *session) announcesOtherSoftware(engine upstream.Announcement) bool {
-	return slices.ContainsFunc(s.pool.Known(), func(u upstream.Announcement) bool {
+	return announceOtherSoftware(s.pool.Known(), engine)
+}
+
+func announceOtherSoftware(known []upstream.Announcement, engine upstream.Announcement) bool {
+	return slices.ContainsFunc(known, func(u upstream.Announcement) bool {
 		return u.ID == engine.ID && u.Incarnation >= engine.Incarnation && u.Software != engine.Software
 	})
 }
