Drop the bytes of an order 200 ms after its first retransmission

Cause: orders shared the connections of other requests, whose unacknowledged bytes the kernel retransmits for 2 s. A leader that is frozen right after it has written an order, with its link cut, cannot close the connection, so the order may arrive up to 2 s later. A new leader that orders loads 1 s after its takeover would act before that.

Change: orders use connections of their own (Links.DialOrders) with a user timeout of 200 ms. They are direct, so the context key DirectOnly goes.

TestConnectionsNoticeSilence checks the option.

--- a/internal/reach/dial_test.go
+++ b/internal/reach/dial_test.go
@@ -1,9 +1,11 @@
 package reach
 
 import (
+	"io"
 	"net"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
 
@@ -25,6 +27,7 @@
 	}
 	upstream := dialled(Direct("")(t.Context(), "tcp", l.Addr().String()))
 	helper := dialled(l.Accept())
+	order := dialled(NewLinks(Direct(""), log.New(io.Discard)).DialOrders(t.Context(), "tcp", l.Addr().String())).(*directConn)
 	noticeSilence(helper)
 	daemon := dialled(peer.DialFrom("")(t.Context(), l.Addr().String()))
 	type options struct{ idleS, intervalS, userTimeoutMS int }
@@ -33,6 +36,7 @@
 		want options
 	}{
 		"to an upstream":                       {upstream, options{2, 1, 2000}},
+		"to an upstream, for orders":           {order.Conn, options{2, 1, 200}},
 		"of a daemon, for which it passes on":  {helper, options{2, 1, 1500}},
 		"to another daemon (rounded interval)": {daemon, options{2, 1, 1500}},
 	} {
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -236,9 +236,9 @@
 
 // Dial opens a direct connection, but gives up early if another daemon can be asked instead. The
 // attempt goes on in the background, to learn about the path. A daemon that has lost its links tries
-// rarely: probes tell it when they are back. DirectOnly in ctx prevents both.
+// rarely: probes tell it when they are back.
 func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if isDirectOnly(ctx) || !l.hasOthers() {
+	if !l.hasOthers() {
 		return l.dialOnce(ctx, network, address)
 	}
 	if l.skips(address) {
