Bound the frames of proposals at a replica and refuse those without memory

Cause: TestCrowdOfBatchJobs used 54 to 65 MB of 64. 20 MB are pages of the program. Heap profiles near the peak had 25 to 33 MB, 12 to 19 MB of which were frames of proposals: they could take all of the budget.

Change: large calls of control.propose share half of the budget for frames until their handlers return; a single one may have all of it. All of a frame is reserved before it is read, in the order of arrival. After 500 ms without a reservation, the frame is discarded as it arrives and the call is refused by its first 4 KB: a job as one that has no memory (204, 409 if it may be on its way, 401 at a replica that does not lead), another command with 401 and a retry time.

TestLargestJobOfAnEntryFitsIntoAnIdleLeader and all TestCrowd* tests pass; new tests cover the reservations, a refusal on a connection that stays, and the job in the beginning of a call. go test -race passes on the packages changed.

--- a/internal/control/proposal_memory.go
+++ b/internal/control/proposal_memory.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -189,18 +190,89 @@
 	if hold != nil {
 		return hold, false, nil
 	}
+	accepted, err = r.rejectJob(ctx, job, size, waiting)
+	return nil, accepted, err
+}
+
+// rejectJob returns the error for a job that does not fit now, or that it has been accepted before. waiting
+// reports whether this replica holds memory for the same job.
+func (r *Replica) rejectJob(ctx context.Context, job jobKey, size int, waiting bool) (accepted bool, err error) {
 	if r.Status().Role != consensus.Leader {
 		r.jobRejected(job, size, reasonFull)
-		return nil, false, result.NewRetryAfter(result.NotLeader, proposalRetryAfter, "the memory for batch jobs is in use, and this replica does not lead")
+		return false, result.NewRetryAfter(result.NotLeader, proposalRetryAfter, "the memory for batch jobs is in use, and this replica does not lead")
 	}
 	if accepted, err = r.hasAccepted(ctx, job); accepted {
-		return nil, true, nil
+		return true, nil
 	}
 	r.jobRejected(job, size, reasonFull)
 	if waiting || err != nil {
-		return nil, false, result.NewRetryAfter(result.CommitUnknown, proposalRetryAfter, "an earlier submission of the batch job may still be committed")
+		return false, result.NewRetryAfter(result.CommitUnknown, proposalRetryAfter, "an earlier submission of the batch job may still be committed")
+	}
+	return false, result.NewRetryAfter(result.Overloaded, proposalRetryAfter, "the memory for batch jobs is in use: a job of %d bytes does not fit now", size)
+}
+
+// refuseProposal answers a command of another daemon that was not kept, because the memory for frames
+// is in use. head is the beginning of its parameters, in which a batch job is found by its ID, and size that
+// of its frame. Any other command gets NotLeader, after which a daemon of any build asks again.
+func (r *Replica) refuseProposal(ctx context.Context, head []byte, size int64) (state.Outcome, error) {
+	m := r.proposalMemory
+	job, cluster, ok := jobInHead(head)
+	if err := r.checkCluster(cluster); err != nil {
+		return state.Outcome{}, err
+	}
+	if !ok {
+		metrics.GetOrCreateCounter(`apricotstream_large_commands_refused_total`).Inc()
+		if m.logLimit.Allow() {
+			r.log.Warn("Large command refused to protect the process.", "bytes", size, "buffered", m.budget.Used(), "limit", m.budget.Limit())
+		}
+		return state.Outcome{}, result.NewRetryAfter(result.NotLeader, proposalRetryAfter, "the memory for commands is in use")
+	}
+	m.mu.Lock()
+	waiting := m.waiting[job] > 0
+	m.mu.Unlock()
+	_, err := r.rejectJob(ctx, job, int(size), waiting)
+	return state.Outcome{}, err
+}
+
+// jobInHead is jobOf for the beginning of the parameters, as daemons write them.
+func jobInHead(head []byte) (job jobKey, cluster string, ok bool) {
+	d := json.NewDecoder(bytes.NewReader(head))
+	var path []string // names of the objects that are open
+	for name := ""; ; {
+		t, err := d.Token()
+		if err != nil {
+			return job, cluster, false
+		}
+		if t == json.Delim('{') {
+			path, name = append(path, name), ""
+			continue
+		}
+		if _, isDelim := t.(json.Delim); isDelim {
+			if job.ID != "" {
+				return job, cluster, true // what follows is not needed
+			}
+			if len(path) == 0 {
+				return job, cluster, false
+			}
+			path, name = path[:len(path)-1], ""
+			continue
+		}
+		text, _ := t.(string)
+		if name == "" {
+			name = text
+			continue
+		}
+		switch strings.Join(append(path, name), ".") {
+		case ".cluster":
+			cluster = text
+		case ".command.batch_accept.batch.id":
+			job.ID = text
+		case ".command.batch_accept.batch.account":
+			job.Account = text
+			return job, cluster, job.ID != ""
+		}
+		name = ""
 	}
-	return nil, false, result.NewRetryAfter(result.Overloaded, proposalRetryAfter, "the memory for batch jobs is in use: a job of %d bytes does not fit now", size)
 }
 
 // hasAccepted reports whether a batch job was committed before the call.
--- a/internal/control/proposal_memory_test.go
+++ b/internal/control/proposal_memory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/apricotstream/apricotstream/internal/membudget"
 	"github.com/apricotstream/apricotstream/internal/peer"
@@ -85,3 +86,28 @@
 		})
 	}
 }
+
+// Guards against a refused job that is taken for another one or for none, whose refusal would then say
+// "not run" although an earlier submission waits for its commit.
+func TestBeginningOfParametersHasTheJob(t *testing.T) {
+	text := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"", `"id":"`, "command", "account"}))
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		q := ProposeRequest{Cluster: text.Draw(rt, "cluster"), Command: state.Command{Op: text.Draw(rt, "op"), At: time.Unix(1e9, 0)}}
+		if rapid.Bool().Draw(rt, "job") {
+			q.Command.BatchAccept = &state.BatchAccept{Batch: state.Batch{ID: "j" + text.Draw(rt, "id"), Account: text.Draw(rt, "account"), Items: make([]state.BatchItem, 100)}}
+		} else {
+			q.Command.BatchRecord = &state.BatchRecord{Results: []state.BatchResult{{Batch: "b", Item: text.Draw(rt, "item")}}}
+		}
+		raw, err := json.Marshal(q)
+		g.Expect(err).NotTo(HaveOccurred())
+		want, cluster, ok := jobOf(raw)
+		got, gotCluster, found := jobInHead(raw[:min(len(raw), 4<<10)])
+		g.Expect([]any{got, found}).To(Equal([]any{want, ok}))
+		if ok {
+			g.Expect(gotCluster).To(Equal(cluster))
+		}
+		_, _, found = jobInHead(raw[:rapid.IntRange(0, len(raw)).Draw(rt, "cut")])
+		g.Expect(found && !ok).To(BeFalse())
+	})
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -19,6 +19,7 @@
 func (r *Replica) Register(s *peer.Server) {
 	peer.HandleRawNotice(s, MethodStep, r.receiveStep)
 	peer.HandleRaw(s, MethodPropose, r.receiveProposal)
+	peer.ShareFrames(s, MethodPropose, r.refuseProposal)
 	peer.Handle(s, MethodReadIndex, r.readIndex)
 	peer.Handle(s, MethodSync, r.Sync)
 	peer.Handle(s, MethodQuery, r.Query)
--- a/internal/peer/guard.go
+++ b/internal/peer/guard.go
@@ -27,6 +27,13 @@
 	// may hold. With all that large buffers may use, a replica of 64 MB took 58 MB: buffers of
 	// connections that are closed are garbage for a while.
 	firstShare = 4
+	// sharedShare is the part of the budget, as a divisor, that the large calls of the methods of
+	// ShareFrames may hold together. With all of the budget, frames of batch jobs were 12 to 19 MB
+	// of the heap of a leader of 64 MB.
+	sharedShare = 2
+	// shareWait is how long such a call waits for that memory. Callers give a call up after a second, and
+	// a connection on which nothing is read after userTimeout.
+	shareWait = 500 * time.Millisecond
 )
 
 // Reasons for which connections are closed, the values of the label of the counter.
@@ -167,8 +174,41 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	held := g.table.resize(c, 0)
-	return func() { g.budget.Return(held) }
+	held, reserved := g.table.detach(c)
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.table.reserved -= reserved
+		g.budget.Return(held)
+	}
+}
+
+// reserve reserves n bytes of the part of the budget for calls of methods of ShareFrames, in which the frame
+// that begins on a connection then grows. It waits for bytes that are not free, and returns false if there
+// are none within shareWait.
+func (g *Guard) reserve(c net.Conn, n int64) bool {
+	for start := time.Now(); ; time.Sleep(roomPollInterval) {
+		g.mu.Lock()
+		done := g.table.reserve(c, n, g.budget.Limit()/sharedShare)
+		late := !done && time.Since(start) >= shareWait
+		if late {
+			g.table.leave(c)
+		}
+		g.mu.Unlock()
+		if done || late {
+			return done
+		}
+	}
+}
+
+// unreserve gives the reservation of a connection back.
+func (g *Guard) unreserve(c net.Conn) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.unreserve(c)
 }
 
 // attempt is the outcome of tryResize.
--- a/internal/peer/guard_test.go
+++ b/internal/peer/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/membudget"
+	"github.com/apricotstream/apricotstream/internal/result"
 )
 
 // serveGuarded serves the call echo under a guard.
@@ -139,3 +141,65 @@
 	_, err := b.read(zeros{}, 1<<20, func(n int64) bool { return n < 100<<10 })
 	NewWithT(t).Expect(errors.Is(err, errNoRoom)).To(BeTrue())
 }
+
+// Guards against large calls that wait unread until their senders take the connection for lost, and against
+// refusals without the beginning of the parameters, while a call holds the memory that they share.
+func TestCallsThatDoNotFitAreRefusedOnTheirConnection(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s := NewServer()
+	running, finish := make(chan struct{}, 2), make(chan struct{})
+	HandleRaw(s, "job", func(context.Context, json.RawMessage) (echo, error) {
+		running <- struct{}{}
+		<-finish
+		return echo{"done"}, nil
+	})
+	ShareFrames(s, "job", func(_ context.Context, head []byte, bytes int64) (echo, error) {
+		g.Expect(bytes).To(BeNumerically(">", 2<<20))
+		return echo{}, result.New(result.Overloaded, "%s", head[:len(`{"text":"2`)])
+	})
+	Handle(s, "echo", func(_ context.Context, e echo) (echo, error) { return e, nil })
+	budget := membudget.New(8 << 20)
+	guard := NewGuard(8, budget, log.New(io.Discard))
+	s.Protect(guard)
+	go s.Serve(t.Context(), l)
+	t.Cleanup(func() { l.Close(); s.Close() })
+	first, second := NewClient(DialFrom("")), NewClient(DialFrom(""))
+	t.Cleanup(first.Close)
+	t.Cleanup(second.Close)
+	job := func(c *Client, text string) (echo, error) {
+		return Call[echo](t.Context(), c, l.Addr().String(), "job", echo{text + strings.Repeat("x", 2<<20)})
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := job(first, "1")
+		ended <- err
+	}()
+	g.Eventually(running).Should(Receive())
+	dials := 0
+	second.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		dials++
+		return DialFrom("")(ctx, address)
+	}
+	for range 2 {
+		began := time.Now()
+		_, err = job(second, "2")
+		g.Expect(result.CodeOf(err)).To(Equal(result.Overloaded))
+		g.Expect(result.From(err).Message).To(Equal(`{"text":"2`))
+		g.Expect(time.Since(began)).To(BeNumerically(">=", shareWait))
+	}
+	large := echo{strings.Repeat("y", 2<<20)}
+	r, err := Call[echo](t.Context(), second, l.Addr().String(), "echo", large)
+	g.Expect(err).NotTo(HaveOccurred(), "other calls use the rest of the memory")
+	g.Expect(r == large).To(BeTrue())
+	close(finish)
+	g.Eventually(ended, 10*time.Second).Should(Receive(BeNil()))
+	_, err = job(second, "2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(dials).To(Equal(1))
+	g.Eventually(budget.Used, 10*time.Second).Should(BeZero())
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	g.Expect(guard.table.reserved).To(BeZero())
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,8 @@
 
 type callHandler func(ctx context.Context, params json.RawMessage) (any, error)
 
+type refuser func(ctx context.Context, c largeCall) (any, error)
+
 type noticeHandler func(params json.RawMessage)
 
 // EncodedResult is a result that many callers get at the same time. It encodes itself, so
@@ -35,7 +37,8 @@
 	otherPrefix string
 	other       OtherHandler
 
-	guard *Guard // nil: no bounds
+	guard    *Guard             // nil: no bounds
+	refusals map[string]refuser // of the methods of ShareFrames
 
 	mu      sync.Mutex
 	conns   map[*jsonrpc2.Conn]*stream
@@ -46,10 +49,11 @@
 // NewServer returns a server without handlers.
 func NewServer() *Server {
 	return &Server{
-		calls:   map[string]callHandler{},
-		notices: map[string]noticeHandler{},
-		conns:   map[*jsonrpc2.Conn]*stream{},
-		opening: map[net.Conn]bool{},
+		calls:    map[string]callHandler{},
+		notices:  map[string]noticeHandler{},
+		refusals: map[string]refuser{},
+		conns:    map[*jsonrpc2.Conn]*stream{},
+		opening:  map[net.Conn]bool{},
 	}
 }
 
@@ -137,7 +141,7 @@
 // serveOpening serves a connection according to its first bytes.
 func (s *Server) serveOpening(ctx context.Context, c net.Conn) {
 	st := newStream(c, s.handleNotice)
-	st.guard = s.guard
+	st.guard, st.sharing = s.guard, s.refusals
 	st.onCall = func(c largeCall) { go s.handleLargeCall(ctx, st, c) }
 	if s.other != nil {
 		first, err := st.in.Peek(len(s.otherPrefix))
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -50,6 +51,10 @@
 	frames *frameReader // what in reads from
 	frame  frameBuffer
 	guard  *Guard // nil: no bounds
+	// sharing holds the methods of ShareFrames. reserved is set while the frame has a reservation for
+	// one of them.
+	sharing  map[string]refuser
+	reserved bool
 
 	mu  sync.Mutex
 	out *bufio.Writer
@@ -122,6 +127,9 @@
 func (s *stream) ReadObject(v any) error {
 	for {
 		b, err := s.readFrame()
+		if errors.Is(err, errDiscarded) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -145,13 +153,18 @@
 	}
 }
 
-// readFrame returns the contents of the next frame, which are valid until the next call.
+// readFrame returns the contents of the next frame, which are valid until the next call. Error:
+// errDiscarded for a frame that was discarded because there is no memory for it.
 func (s *stream) readFrame() ([]byte, error) {
 	if s.guard != nil && s.in.Buffered() == 0 {
 		s.frame.drop(0, s.resize) // a connection that waits holds no memory
 	} else {
 		s.frame.drop(maxReusedBytes, s.resize)
 	}
+	if s.reserved { // the frame before was no call after all
+		s.guard.unreserve(s.conn)
+		s.reserved = false
+	}
 	if _, err := s.in.Peek(1); err != nil {
 		return nil, err
 	}
@@ -187,6 +200,9 @@
 	if !s.guard.fits(s.conn, largestHold(length)) {
 		return nil, fmt.Errorf("frame has %d bytes, more than this daemon may buffer", length)
 	}
+	if err := s.reserve(length); err != nil {
+		return nil, err
+	}
 	return s.frame.read(s.in, length, s.resize)
 }
 
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -1,6 +1,9 @@
 package peer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxIdleTime is how long a connection must have carried no message to be closed for a new one.
@@ -18,6 +21,9 @@
 	relayed bool      // it is passed on to an upstream
 	closing bool      // it has been closed, and its goroutine has not ended
 	held    int64     // bytes of memory held for its frame
+	// reserved is the most that its frame will hold if it is a call of a method of
+	// ShareFrames, else 0.
+	reserved int64
 }
 
 // table decides which connections of the peer listener are closed when there are too many of them,
@@ -31,6 +37,8 @@
 	closing     int
 	freeing     int64 // bytes held for connections that are closing
 	first       int64 // bytes held for first messages of connections
+	reserved    int64 // bytes reserved for calls of methods of ShareFrames, until their handlers return
+	waiting     []waiter[C]
 }
 
 func newTable[C comparable](max int) *table[C] {
@@ -73,6 +81,8 @@
 		return 0
 	}
 	held := t.resize(c, 0)
+	t.unreserve(c)
+	t.leave(c)
 	if s.closing {
 		t.closing--
 	}
@@ -125,6 +135,65 @@
 	return before
 }
 
+// waiter is a connection whose frame waits for a reservation.
+type waiter[C comparable] struct {
+	c C
+	n int64
+}
+
+// reserve reserves n bytes of limit for the frame that begins on a connection. It returns false if they
+// are not free; the connection then waits in the order of the first calls, so that large frames are not
+// passed by small ones for ever. A single frame may have more than limit. All of a frame is reserved
+// before it is read: frames that have arrived in part would otherwise wait for each other. First messages
+// need no reservation, because they have a share of their own.
+func (t *table[C]) reserve(c C, n, limit int64) bool {
+	s := t.connections[c]
+	if s == nil || s.closing || !s.used {
+		t.leave(c)
+		return true
+	}
+	ahead := t.reserved
+	at := slices.IndexFunc(t.waiting, func(w waiter[C]) bool { return w.c == c })
+	if at < 0 {
+		at = len(t.waiting)
+		t.waiting = append(t.waiting, waiter[C]{c, n})
+	}
+	for _, w := range t.waiting[:at] {
+		ahead += w.n
+	}
+	if ahead > 0 && ahead+n > limit {
+		return false
+	}
+	t.leave(c)
+	s.reserved = n
+	t.reserved += n
+	return true
+}
+
+// leave ends the wait of a connection for a reservation.
+func (t *table[C]) leave(c C) {
+	t.waiting = slices.DeleteFunc(t.waiting, func(w waiter[C]) bool { return w.c == c })
+}
+
+// unreserve gives the reservation of a connection back.
+func (t *table[C]) unreserve(c C) {
+	if s := t.connections[c]; s != nil {
+		t.reserved -= s.reserved
+		s.reserved = 0
+	}
+}
+
+// detach makes the memory held and reserved for the frame of a connection independent of the
+// connection, and returns both. reserved must be subtracted from that of the table in the end.
+func (t *table[C]) detach(c C) (held, reserved int64) {
+	s := t.connections[c]
+	if s == nil {
+		return 0, 0
+	}
+	reserved, s.reserved = s.reserved, 0
+	return t.resize(c, 0), reserved
+}
+
 // crowded reports whether first messages may not hold n more bytes for a connection because they hold
 // limit bytes together then. A single one may hold more.
 func (t *table[C]) crowded(c C, n, limit int64) bool {
--- a/internal/peer/table_test.go
+++ b/internal/peer/table_test.go
@@ -136,3 +136,62 @@
 		}
 	})
 }
+
+// Guards against frames of calls that share memory and together exceed it, wait for each other, are passed
+// by others for ever, or leave memory reserved.
+func TestReservationsAreGivenInOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		const limit = 100
+		x := newTable[int](100)
+		sizes := rapid.SliceOfN(rapid.Int64Range(1, 150), 1, 20).Draw(rt, "sizes")
+		var waiting, running []int
+		for c := range sizes {
+			x.open(time.Unix(int64(c), 0), c)
+			x.complete(time.Unix(int64(c), 0), c)
+			if !x.reserve(c, sizes[c], limit) {
+				waiting = append(waiting, c)
+				continue
+			}
+			g.Expect(waiting).To(BeEmpty(), "%d passes others", c)
+			running = append(running, c)
+		}
+		for len(running) > 0 {
+			var sum int64
+			for _, c := range running {
+				sum += sizes[c]
+			}
+			g.Expect(x.reserved).To(Equal(sum))
+			g.Expect(sum <= limit || len(running) == 1).To(BeTrue(), "%d bytes for %d frames", sum, len(running))
+			end := rapid.IntRange(0, len(running)-1).Draw(rt, "end")
+			c := running[end]
+			running = append(running[:end:end], running[end+1:]...)
+			switch rapid.IntRange(0, 2).Draw(rt, "way") {
+			case 0:
+				x.ended(c)
+			case 1:
+				x.unreserve(c)
+			default:
+				_, reserved := x.detach(c)
+				x.ended(c)
+				x.reserved -= reserved
+			}
+			var left []int
+			for _, c := range rapid.Permutation(waiting).Draw(rt, "asking") {
+				if x.reserve(c, sizes[c], limit) {
+					running = append(running, c)
+				} else {
+					left = append(left, c)
+				}
+			}
+			for _, c := range running {
+				for _, other := range left {
+					g.Expect(c).To(BeNumerically("<", other), "one passes another")
+				}
+			}
+			waiting = left
+		}
+		g.Expect(waiting).To(BeEmpty())
+		g.Expect(x.reserved).To(BeZero())
+	})
+}
