Have runs carried from 256 slots of engines on again

Deployments below 256 slots are served by the leader alone as before, and only larger ones collect retained output.

--- a/internal/node/carrier_placement.go
+++ b/internal/node/carrier_placement.go
@@ -17,9 +17,8 @@
 const (
 	// minCarriedSlots is the number of concurrency slots of all engines from which on the
 	// leader has its runs carried by other daemons. It serves fewer itself, which saves the
-	// way through another daemon. A leader with half a core that runs 216 slots itself starts
-	// items late, and its successor has to generate all output that is not committed again.
-	minCarriedSlots = 192
+	// way through another daemon.
+	minCarriedSlots = 256
 	// carrierListTTL is how long a list of carriers is used.
 	carrierListTTL = 250 * time.Millisecond
 	// unresponsiveCarrierFor is how long a carrier that did not answer is not chosen.
