Review case 7: reads of unknown batch jobs are never forgotten

Cause: a read of a batch job leaves a channel under the job's id in the replica before it is known whether there is such a job, also for callers without a key.

Change: a script has 24 callers without a key ask for unknown jobs, each time for another one, with heads below the limit of the manifest.

--- a/review/stand-ins-2/unknown_jobs.go
+++ b/review/stand-ins-2/unknown_jobs.go
@@ -18,7 +18,7 @@
 
 const (
 	strangers     = 24
-	strangersTime = 85 * time.Second
+	strangersTime = 95 * time.Second
 	calmTime      = 40 * time.Second
 	// headBytes keeps the whole head of a request below maxHeaderBytes, 16384.
 	headBytes = 16_000
