--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/stand-ins-2"
 mkdir -p ../../target
-go build -o ../../target/review-2 .
+go build -buildvcs=false -o ../../target/review-2 .
