Review case 10: a server crashes once

Cause: a stand-in that ran two copies of the crashing request recorded two crashes.

Change: it records and announces one.

--- a/review/stand-ins-2/crash_bursts.go
+++ b/review/stand-ins-2/crash_bursts.go
@@ -37,6 +37,7 @@
 	*server
 	fleet *crashFleet
 	n     int
+	once  sync.Once
 }
 
 // begin starts the server, or starts it again.
@@ -53,8 +54,11 @@
 	return err
 }
 
-// crash resets all connections and refuses new ones until the server is back.
-func (v *crashServer) crash() {
+// crash resets all connections and refuses new ones until the server is back. A server that runs the request
+// more than once crashes once.
+func (v *crashServer) crash() { v.once.Do(v.crashOnce) }
+
+func (v *crashServer) crashOnce() {
 	v.fleet.mu.Lock()
 	v.fleet.crashed = append(v.fleet.crashed, time.Now())
 	v.fleet.mu.Unlock()
