Report a reset to the reader although a write met it first

What callers saw: a part of an answer as a whole one, when an upstream answered a long upload at once without a length and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the system call that comes first. If that is a write, the next read returns 0 bytes, as at an orderly end. An answer without a length then looks complete. The same holds for a connection that has timed out.

Evidence: a stand-in that answers at once and resets its connection 0 to 150 ms later, under uploads of 8 MB.

Each write system call and the record of its error are under one lock, and a read that returns the end takes that lock before it reports it. Fenced connections do the same in their own writes; SendNonblocking and WriteAll moved to sockopt.

Why it works: a read can only return the end because of a write once that write's system call has taken the error, so it then waits for the record. EPIPE is not recorded: the kernel uses it for a reset that follows an orderly end, so an answer that has ended in order stays complete.

--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -1,9 +1,12 @@
 package cli
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,4 +34,18 @@
 		Expect(heap).To(BeNumerically("<", 4*maxResponseBytes))
 		Expect(result.CodeOf(err)).To(Equal(result.CommitUnknown))
 	})
+
+	It("does not take an answer that is reset under a large document for complete", func() {
+		s := testkit.ServeRaw(GinkgoTB(), func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{}")
+			time.Sleep(5 * time.Millisecond)
+			_ = c.SetLinger(0)
+			c.Close()
+		})
+		c := entryClient{Entry: []string{s.Address}}
+		for range 20 {
+			err := c.do(http.MethodPut, "/", make([]byte, 8<<20), nil)
+			Expect(result.CodeOf(err)).To(Equal(result.CommitUnknown))
+		}
+	})
 })
--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -47,6 +47,8 @@
 	lease Lease
 	term  uint64
 	send  func(fd int, b []byte) (int, error)
+	// broken tells the reader of a reset that was reported to a write.
+	broken *sockopt.BrokenMark
 }
 
 // newFencedConn configures c so that the kernel drops its unacknowledged bytes when the
@@ -67,24 +69,19 @@
 	if err := sockopt.SetUserTimeout(raw, tcpUserTimeout); err != nil {
 		return nil, err
 	}
-	return fencedConn{Conn: c, raw: raw, lease: lease, term: term, send: writeNonblocking}, nil
+	return fencedConn{Conn: c, raw: raw, lease: lease, term: term, send: sockopt.SendNonblocking, broken: &sockopt.BrokenMark{}}, nil
+}
+
+// Read implements net.Conn.
+func (c fencedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	return n, c.broken.ReadError(c.Conn, err)
 }
 
 // Write implements net.Conn. It returns Fenced if the lease has ended or too little of it
 // remains.
 func (c fencedConn) Write(b []byte) (int, error) {
-	written := 0
-	var failed error
-	err := c.raw.Write(func(fd uintptr) bool {
-		var n int
-		n, failed = c.writeOnce(int(fd), b[written:])
-		written += n
-		return failed != nil || written == len(b)
-	})
-	if failed == nil {
-		failed = err
-	}
-	return written, failed
+	return sockopt.WriteAll(c.raw, b, c.writeOnce)
 }
 
 // writeOnce makes one write system call under a watchdog. It returns the number of bytes
@@ -103,7 +100,7 @@
 		return 0, err
 	}
 	defer w.disarm()
-	return c.send(fd, b)
+	return c.broken.Mark(func() (int, error) { return c.send(fd, b) })
 }
 
 // newClient returns an HTTP client whose connections all belong to one term. It sends a request
--- a/internal/fenced/fenced_test.go
+++ b/internal/fenced/fenced_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,8 @@
 
 	"github.com/apricotstream/apricotstream/internal/control"
 	"github.com/apricotstream/apricotstream/internal/result"
+	"github.com/apricotstream/apricotstream/internal/sockopt"
+	"github.com/apricotstream/apricotstream/internal/testkit"
 )
 
 // leaseDuration is the duration of the lease in the tests.
@@ -50,7 +53,7 @@
 	send := func(fd int, b []byte) (int, error) {
 		_, _ = os.Stdout.WriteString("checked\n")
 		time.Sleep(leaseDuration / 4) // the test stops the process here
-		return writeNonblocking(fd, b)
+		return sockopt.SendNonblocking(fd, b)
 	}
 	t := s.client.Transport.(*http.Transport)
 	dial := t.DialContext
@@ -123,6 +126,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = f.Write(make([]byte, 64<<20))
 	g.Expect(err).To(MatchError(syscall.ETIMEDOUT))
+	_, err = f.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(syscall.ETIMEDOUT), "the connection has not ended in order")
+}
+
+// Guards against a part of a response that is taken for the whole, because the receiver resets the
+// connection while the request is being written.
+func TestResponseThatIsResetUnderARequestIsNoSuccess(t *testing.T) {
+	g := NewWithT(t)
+	r := testkit.ServeRaw(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{}")
+		time.Sleep(5 * time.Millisecond)
+		_ = c.SetLinger(0)
+		c.Close()
+	})
+	order := VMOrder{Fence: 1, ID: strings.Repeat("x", 8<<20)}
+	for range 20 {
+		var reply VMOrderReply
+		err := NewSender(dialTCP, fixedLease(1, time.Minute), 1).Post(t.Context(), "http://"+r.Address, order, &reply)
+		g.Expect(result.CodeOf(err)).To(Equal(result.UpstreamFailed))
+	}
 }
 
 // Guards against an order that goes where its response sends it: net/http would repeat it at
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -32,7 +32,7 @@
 	if a := net.ParseIP(ip); a != nil {
 		d.LocalAddr = &net.TCPAddr{IP: a}
 	}
-	return counted(sockopt.DropOnClose(d.DialContext))
+	return counted(sockopt.ReportResets(sockopt.DropOnClose(d.DialContext)))
 }
 
 // counted counts the outcomes of dial.
--- a/internal/reach/dial_orders.go
+++ b/internal/reach/dial_orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/sockopt"
@@ -24,7 +25,7 @@
 	if !ok {
 		return c, nil
 	}
-	t, ok := d.Conn.(*net.TCPConn)
+	t, ok := d.Conn.(syscall.Conn)
 	if !ok {
 		return c, nil
 	}
--- a/internal/reach/dial_test.go
+++ b/internal/reach/dial_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -40,7 +41,7 @@
 		"of a daemon, for which it passes on":  {helper, options{2, 1, 1500}},
 		"to another daemon (rounded interval)": {daemon, options{2, 1, 1500}},
 	} {
-		raw, err := x.c.(*net.TCPConn).SyscallConn()
+		raw, err := x.c.(syscall.Conn).SyscallConn()
 		g.Expect(err).NotTo(HaveOccurred())
 		var got options
 		g.Expect(raw.Control(func(fd uintptr) {
