Refuse responses whose status HTTP does not allow

What callers saw: their connection closed without an answer, when an upstream answered with the status 000, 001 or 099. No other upstream was tried. The command line and the leader's requests took such a status for a success.

Cause: net/http takes any three digits for a status, and its server panics when it has to write one below 100. Everything below 300 counted as a success in internal/cli and internal/fenced.

Evidence: a stand-in that answers with such statuses. Items, orders and reports of engines, the platform and the configuration of a replica compare with the statuses that they know, so they refused them before.

Change: httpclient.Transport returns an error for a response whose status is not between 200 and 599, closes its connection and is what all clients of the product use. 101 is refused too, since no request asks for an upgrade.

Why it works: there is one place that all responses pass before anything reads them. The error is that of a failed round trip, so the request may have run: one that may be repeated goes to another upstream, another one is answered 502.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -86,7 +86,7 @@
 		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(key)))
 	}
 	req.Header.Set("Operation-Id", op)
-	client := &http.Client{Timeout: requestTimeout, Transport: httpclient.Default}
+	client := &http.Client{Timeout: requestTimeout, Transport: httpclient.DefaultTransport}
 	resp, err := client.Do(req)
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -35,6 +35,14 @@
 		Expect(result.CodeOf(err)).To(Equal(result.CommitUnknown))
 	})
 
+	It("does not take an answer with an invalid status for a success", func() {
+		s := testkit.ServeRaw(GinkgoTB(), func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}")
+		})
+		c := entryClient{Entry: []string{s.Address}}
+		Expect(result.CodeOf(c.do(http.MethodPut, "/", nil, nil))).To(Equal(result.CommitUnknown))
+	})
+
 	It("does not take an answer that is reset under a large document for complete", func() {
 		s := testkit.ServeRaw(GinkgoTB(), func(c *net.TCPConn, _ *http.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{}")
--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/httpclient"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
@@ -106,7 +107,7 @@
 // newClient returns an HTTP client whose connections all belong to one term. It sends a request
 // once: it keeps no connections, and does not go where a response points.
 func newClient(dial Dial, lease Lease, term uint64, timeout time.Duration) *http.Client {
-	t := &http.Transport{
+	t := &httpclient.Transport{Transport: &http.Transport{
 		DisableKeepAlives:      true,
 		WriteBufferSize:        writeBufferBytes,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -121,7 +122,7 @@
 			}
 			return f, err
 		},
-	}
+	}}
 	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: t, Timeout: timeout, CheckRedirect: stay}
 }
--- a/internal/fenced/fenced_test.go
+++ b/internal/fenced/fenced_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/apricotstream/apricotstream/internal/control"
+	"github.com/apricotstream/apricotstream/internal/httpclient"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/sockopt"
 	"github.com/apricotstream/apricotstream/internal/testkit"
@@ -55,7 +56,7 @@
 		time.Sleep(leaseDuration / 4) // the test stops the process here
 		return sockopt.SendNonblocking(fd, b)
 	}
-	t := s.client.Transport.(*http.Transport)
+	t := s.client.Transport.(*httpclient.Transport)
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -130,6 +131,16 @@
 	g.Expect(err).To(MatchError(syscall.ETIMEDOUT), "the connection has not ended in order")
 }
 
+// Guards against a response with an invalid status that is taken for a success.
+func TestResponseWithAnInvalidStatusIsNoSuccess(t *testing.T) {
+	g := NewWithT(t)
+	r := testkit.ServeRaw(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}")
+	})
+	err := NewSender(dialTCP, fixedLease(1, time.Minute), 1).Post(t.Context(), "http://"+r.Address, VMOrder{Fence: 1}, nil)
+	g.Expect(result.CodeOf(err)).To(Equal(result.UpstreamFailed))
+}
+
 // Guards against a part of a response that is taken for the whole, because the receiver resets the
 // connection while the request is being written.
 func TestResponseThatIsResetUnderARequestIsNoSuccess(t *testing.T) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/apricotstream/apricotstream/internal/httpclient"
 	"github.com/apricotstream/apricotstream/internal/reach"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/sockopt"
@@ -90,7 +91,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Forwarder{pooled: pooled, unpooled: unpooled}
+	return &Forwarder{pooled: &httpclient.Transport{Transport: pooled}, unpooled: &httpclient.Transport{Transport: unpooled}}
 }
 
 // Send sends o to address and returns the response after its correlation id was checked.
