Refuse responses with a blank in the name of a field

What callers saw: an answer with the line passed on ("A Name: x"), or, with "Content-Length : 3" or "Transfer-Encoding : chunked", with another body than the upstream's: the bytes up to the end of the connection, the sizes of chunks among them.

Cause: net/http accepts a blank in the name of a field of a response and keeps the field under that name, so nothing finds it under its own.

Evidence: a stand-in that answers with such heads.

Change: httpclient.Transport refuses a response with a name that is no token, by golang.org/x/net/http/httpguts, which was linked already. Folded values are joined by a blank as before, which RFC 9112 allows.

Why it works: net/http hands on each name that it accepts, and all responses pass this place before anything reads them.

--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptrace"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/apricotstream/apricotstream/internal/sockopt"
 )
 
@@ -52,5 +54,11 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
 		return fmt.Errorf("%w: its status is %03d", ErrInvalidHead, resp.StatusCode)
 	}
+	// net/http keeps a name that contains a blank as it is, also that of a length or a coding.
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: a field has the name %.64q", ErrInvalidHead, name)
+		}
+	}
 	return nil
 }
