Pass a request on after its upstream has ended its side

What callers saw: an early answer was lost when it came through another daemon: the upstream answered an upload at once, ended its side in order and read the upload on. The caller got 502, or another upstream was tried. Found while checking that whole answers stay whole.

The daemon was still writing the upload, so the kernel answered with a reset, and net/http gives the response up when a write fails.

Evidence: the case "/half" of TestAnswerThatIsResetUnderAnUploadIsNoSuccess.

--- a/internal/reach/passed_conn.go
+++ b/internal/reach/passed_conn.go
@@ -50,10 +50,12 @@
 	_ = t.SetKeepAliveConfig(keepAlive)
 }
 
-// pass copies in both directions until one side ends. The other one is closed then, with a reset
-// unless the upstream ended properly.
+// pass copies in both directions until the daemon ends its side, or the upstream fails. An upstream
+// that has ended its side in order may still read the request.
 func (c *passedConn) pass(in *bufio.Reader) {
+	requestEnded := make(chan struct{})
 	go func() {
+		defer close(requestEnded)
 		buf := make([]byte, maxFrameBytes)
 		for {
 			n, err := in.Read(buf)
@@ -81,6 +83,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			_, _ = c.daemon.Write([]byte{0, 0}) // fails only if the daemon is gone
+			<-requestEnded
 			return
 		}
 		if err != nil {
