Name the record of resets for what it holds

Cause: the name of the type said neither that it is for the reader nor what is recorded.

Change: ResetRecord with Send, and comments that say when EPIPE is ignored.

Result: no behaviour changed; the tests of sockopt and fenced pass.

--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -48,8 +48,8 @@
 	lease Lease
 	term  uint64
 	send  func(fd int, b []byte) (int, error)
-	// broken tells the reader of a reset that was reported to a write.
-	broken *sockopt.BrokenMark
+	// resets tells the reader of a reset that the kernel reported to a write.
+	resets *sockopt.ResetRecord
 }
 
 // newFencedConn configures c so that the kernel drops its unacknowledged bytes when the
@@ -70,13 +70,13 @@
 	if err := sockopt.SetUserTimeout(raw, tcpUserTimeout); err != nil {
 		return nil, err
 	}
-	return fencedConn{Conn: c, raw: raw, lease: lease, term: term, send: sockopt.SendNonblocking, broken: &sockopt.BrokenMark{}}, nil
+	return fencedConn{Conn: c, raw: raw, lease: lease, term: term, send: sockopt.SendNonblocking, resets: &sockopt.ResetRecord{}}, nil
 }
 
 // Read implements net.Conn.
 func (c fencedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	return n, c.broken.ReadError(c.Conn, err)
+	return n, c.resets.ReadError(c.Conn, err)
 }
 
 // Write implements net.Conn. It returns Fenced if the lease has ended or too little of it
@@ -101,7 +101,7 @@
 		return 0, err
 	}
 	defer w.disarm()
-	return c.broken.Mark(func() (int, error) { return c.send(fd, b) })
+	return c.resets.Send(func() (int, error) { return c.send(fd, b) })
 }
 
 // newClient returns an HTTP client whose connections all belong to one term. It sends a request
--- a/internal/sockopt/reset.go
+++ b/internal/sockopt/reset.go
@@ -35,7 +35,7 @@
 type reportingConn struct {
 	net.Conn
 	raw    syscall.RawConn
-	broken BrokenMark
+	resets ResetRecord
 }
 
 // SyscallConn implements syscall.Conn.
@@ -44,13 +44,13 @@
 // Read implements net.Conn.
 func (c *reportingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	return n, c.broken.ReadError(c.Conn, err)
+	return n, c.resets.ReadError(c.Conn, err)
 }
 
 // Write implements net.Conn.
 func (c *reportingConn) Write(b []byte) (int, error) {
 	n, err := WriteAll(c.raw, b, func(fd int, b []byte) (int, error) {
-		return c.broken.Mark(func() (int, error) { return SendNonblocking(fd, b) })
+		return c.resets.Send(func() (int, error) { return SendNonblocking(fd, b) })
 	})
 	if errno, ok := err.(syscall.Errno); ok {
 		err = opError("write", c.Conn, os.NewSyscallError("write", errno))
@@ -63,39 +63,38 @@
 	return &net.OpError{Op: op, Net: c.RemoteAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
-// BrokenMark records that a write was told that its connection is broken. The kernel reports a
-// reset once, to the call that comes first. If that is a write, the next read returns io.EOF, as
-// if the peer had ended the connection in order. The zero value is ready for use, by one reader and
-// any number of writers.
-type BrokenMark struct {
+// ResetRecord tells the reader of a connection what the kernel told a writer. The kernel reports a
+// reset, or that the connection has timed out, once, to the call that comes first. If that is a write,
+// the next read returns io.EOF, as if the peer had ended the connection in order. The zero value is
+// ready for use, by one reader and any number of writers.
+type ResetRecord struct {
 	mu    sync.Mutex
 	cause error
 }
 
-// Mark calls send, which makes a write system call without blocking, and records its error. A
-// read that returns because of the same call waits in ReadError until the error is recorded.
-func (m *BrokenMark) Mark(send func() (int, error)) (int, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// Send calls send, which makes a write system call that does not block, and records its error. A read
+// that returned io.EOF because of that system call waits in ReadError until the error is recorded.
+func (r *ResetRecord) Send(send func() (int, error)) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	n, err := send()
-	// EPIPE is the error of a reset that comes after the orderly end, or after the reader was told
-	// of it. It says nothing about what was received.
-	if err != nil && err != syscall.EPIPE && m.cause == nil {
-		m.cause = err
+	// EPIPE is the error of a write after a reset that followed an orderly end, or that the reader
+	// was told of. What was received before it is whole, or the reader knows that it is not.
+	if err != nil && err != syscall.EPIPE && r.cause == nil {
+		r.cause = err
 	}
 	return n, err
 }
 
-// ReadError returns the error of a read from c that has returned err: the recorded error instead
-// of io.EOF.
-func (m *BrokenMark) ReadError(c net.Conn, err error) error {
+// ReadError returns err, the error of a read from c, or the recorded error instead of io.EOF.
+func (r *ResetRecord) ReadError(c net.Conn, err error) error {
 	if err != io.EOF {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cause != nil {
-		return opError("read", c, m.cause)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cause != nil {
+		return opError("read", c, r.cause)
 	}
 	return err
 }
