Keep processes running when the receiver of their logs has gone

What callers saw: on a deployment of real processes whose standard output was a pipe, all six processes ended when its reader closed it, with their first log line, and again after each start. Everything accepted is unavailable meanwhile.

Cause: the Go runtime ends a process with SIGPIPE when a write to standard output or standard error meets a closed pipe, unless SIGPIPE is ignored or caught. The logger was built to run on without a receiver, but only a stalled one was tested.

Change: StartLogger ignores SIGPIPE. A line that can't be written is counted in apricotstream_log_lines_dropped_total.

Why it works: the write then returns EPIPE, which the sink drops. Sockets never raised the signal in Go programs, so nothing else changes.

Result: TestProcessOutlivesReceiverOfItsLogs passes. Failed before: it, with "signal: broken pipe".

--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -4,6 +4,8 @@
 
 import (
 	"io"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,8 +20,12 @@
 const closeTimeout = 200 * time.Millisecond
 
 // StartLogger returns a logger that never blocks on out, and a function to call before the
-// process ends, which writes the queued lines for at most closeTimeout.
+// process ends, which writes the queued lines for at most closeTimeout. Afterwards SIGPIPE is
+// ignored in the whole process.
 func StartLogger(out io.Writer, level string) (*log.Logger, func()) {
+	// Otherwise the first line after the receiver of the logs has closed the pipe of standard
+	// output ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	sink := NewSink(out)
 	return NewLogger(sink, level), func() { sink.Close(closeTimeout) }
 }
--- a/internal/telemetry/logger_test.go
+++ b/internal/telemetry/logger_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +25,33 @@
 	g.Expect(timestamp).To(HaveSuffix("Z"))
 }
 
+// closedOutput is set in the environment of a process that logs to a closed pipe.
+const closedOutput = "TEST_CLOSED_OUTPUT"
+
+// Guards against processes that end, and with them their replicas, once the receiver of their
+// logs has closed its end of the pipe.
+func TestProcessOutlivesReceiverOfItsLogs(t *testing.T) {
+	if os.Getenv(closedOutput) != "" {
+		logger, flush := StartLogger(os.Stdout, "info")
+		before := linesDropped.Get()
+		logger.Info("Daemon started.")
+		flush()
+		if linesDropped.Get() == before {
+			os.Exit(3) // the pipe was open
+		}
+		os.Exit(0)
+	}
+	g := NewWithT(t)
+	r, w, err := os.Pipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Close()).To(Succeed())
+	defer w.Close()
+	c := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	c.Env = append(os.Environ(), closedOutput+"=1")
+	c.Stdout = w
+	g.Expect(c.Run()).To(Succeed())
+}
+
 // BenchmarkLogLine measures the cost of a log line for the goroutine that logs it.
 func BenchmarkLogLine(b *testing.B) {
 	l, flush := StartLogger(io.Discard, "info")
--- a/internal/telemetry/sink.go
+++ b/internal/telemetry/sink.go
@@ -65,7 +65,9 @@
 		if line == nil {
 			return
 		}
-		_, _ = s.out.Write(line) // the service must keep running without a receiver of logs
+		if _, err := s.out.Write(line); err != nil {
+			linesDropped.Inc() // the service must keep running without a receiver of logs
+		}
 		if n := s.dropped.Load(); n > 0 && time.Since(reported) >= dropReportInterval {
 			reported = time.Now()
 			s.dropped.Add(-n)
