Log what opening a data folder finds and changes

Operators could not tell from the logs whether a start had cut off a record or removed files, nor which entries made a folder without an identity count as not empty. An opening now has one line: the entries that are not the replica's, the files that were removed, and file, offset and size of a torn record. What a name stands for is decided in one place, for now only for this line; the logic of opening and creating a folder is unchanged.

--- a/internal/control/data_folder.go
+++ b/internal/control/data_folder.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -37,6 +39,19 @@
 	checkWritable: storage.CheckWritable,
 }
 
+// logOpening logs what opening a data folder found and changed.
+func logOpening(logger *log.Logger, dir string, f storage.Findings, err error) {
+	fields := []any{"dir", dir, "foreign", f.Foreign.Names, "foreign_count", f.Foreign.Count, "removed", f.Removed.Names, "removed_count", f.Removed.Count}
+	if f.Torn.Bytes > 0 {
+		fields = append(fields, "torn_file", f.Torn.File, "torn_at", f.Torn.Offset, "torn_bytes", f.Torn.Bytes)
+	}
+	if err != nil {
+		logger.Warn("Data folder could not be opened.", append(fields, "code", int(result.CodeOf(err)), "err", result.From(err).Message)...)
+		return
+	}
+	logger.Info("Data folder opened.", fields...)
+}
+
 // mayHeal reports whether a data folder that failed with err may work again by itself. A
 // damaged or missing folder must be replaced.
 func mayHeal(err error) bool {
--- a/internal/control/folder_recovery.go
+++ b/internal/control/folder_recovery.go
@@ -101,6 +101,7 @@
 		}
 		disk, l, err := r.folders.open(r.dir)
 		if err == nil || !mayHeal(err) {
+			logOpening(r.log, r.dir, l.Findings, err)
 			return reopenedFolder{disk, l, err}
 		}
 		if text := err.Error(); text != reported {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -129,6 +129,7 @@
 func openReplica(folders folderAccess, dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
 	openedAt := clock.Now()
 	disk, l, err := folders.open(dir)
+	logOpening(logger, dir, l.Findings, err)
 	if err != nil && (!mayHeal(err) || l.Identity.ID == "") {
 		return nil, l.Identity, err
 	}
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -29,6 +29,7 @@
 	Hard     consensus.HardState
 	Snapshot consensus.Snapshot
 	Entries  []consensus.Entry // log entries after the snapshot, without gaps
+	Findings Findings          // also set if Open fails
 }
 
 // Open reads a data folder. It returns DataMissing if the folder was not initialised and
@@ -41,7 +42,9 @@
 func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
 	var l LoadedState
 	var err error
-	if l.Identity, err = readIdentity(fs, dir); err != nil {
+	l.Identity, err = readIdentity(fs, dir)
+	l.Findings.Foreign = foreign(fs, dir, err == nil)
+	if err != nil {
 		return nil, l, err
 	}
 	// A process may have been killed between a rename and the sync of the folder. A log must
@@ -49,7 +52,7 @@
 	if err := fs.syncDir(dir); err != nil {
 		return nil, l, err
 	}
-	if err := removeTemporaryFiles(fs, dir); err != nil {
+	if err := removeTemporaryFiles(fs, dir, &l.Findings.Removed); err != nil {
 		return nil, l, err
 	}
 	snaps, err := listFiles(fs, dir, snapshotPrefix, snapshotSuffix)
@@ -63,7 +66,7 @@
 		return nil, l, err
 	}
 	l.Hard = consensus.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
-	logs, err := listFiles(fs, dir, "log-", ".wal")
+	logs, err := listFiles(fs, dir, logPrefix, logSuffix)
 	if err != nil {
 		return nil, l, err
 	}
@@ -81,12 +84,13 @@
 			return nil, l, err
 		}
 	}
-	return d, l, d.removeObsoleteFiles()
+	err = d.removeObsoleteFiles(&l.Findings.Removed)
+	return d, l, err
 }
 
-// removeTemporaryFiles removes the files that an interrupted process has not completed.
-// On a full disk they would take the space that the log needs.
-func removeTemporaryFiles(fs fileSystem, dir string) error {
+// removeTemporaryFiles removes the files that an interrupted process has not completed, and adds
+// their names to removed. On a full disk they would take the space that the log needs.
+func removeTemporaryFiles(fs fileSystem, dir string, removed *NameList) error {
 	paths, err := listFiles(fs, dir, "", temporarySuffix)
 	if err != nil {
 		return err
@@ -95,6 +99,7 @@
 		if err := fs.remove(p); err != nil {
 			return err
 		}
+		removed.add(filepath.Base(p))
 	}
 	return nil
 }
@@ -117,7 +122,7 @@
 }
 
 func logPath(dir string, index uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("log-%020d.wal", index))
+	return filepath.Join(dir, fmt.Sprintf("%s%0*d%s", logPrefix, indexDigits, index, logSuffix))
 }
 
 func (d *Disk) logPath() string { return logPath(d.dir, d.snapshotMeta.Index) }
@@ -229,23 +234,24 @@
 	if err := d.append(&hs, tail); err != nil {
 		return err
 	}
-	return d.removeObsoleteFiles()
+	return d.removeObsoleteFiles(&NameList{})
 }
 
 // removeObsoleteFiles removes the snapshots and logs that are older than the newest active
-// snapshot.
-func (d *Disk) removeObsoleteFiles() error {
-	for _, kind := range [][2]string{{snapshotPrefix, snapshotSuffix}, {"log-", ".wal"}} {
+// snapshot, and adds their names to removed.
+func (d *Disk) removeObsoleteFiles(removed *NameList) error {
+	for _, kind := range [][2]string{{snapshotPrefix, snapshotSuffix}, {logPrefix, logSuffix}} {
 		paths, err := listFiles(d.fs, d.dir, kind[0], kind[1])
 		if err != nil {
 			return err
 		}
-		oldestKept := fmt.Sprintf("%s%020d%s", kind[0], d.snapshotMeta.Index, kind[1])
+		oldestKept := fmt.Sprintf("%s%0*d%s", kind[0], indexDigits, d.snapshotMeta.Index, kind[1])
 		for _, p := range paths {
 			if filepath.Base(p) < oldestKept {
 				if err := d.fs.remove(p); err != nil {
 					return err
 				}
+				removed.add(filepath.Base(p))
 			}
 		}
 	}
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -57,6 +57,7 @@
 	for offset := 0; offset < len(b); {
 		r, size, status := decodeRecord(b, offset)
 		if status == recordTorn && f.newest {
+			f.state.Findings.Torn = TornRecord{File: f.path, Offset: offset, Bytes: len(b) - offset}
 			return truncateFile(f.fs, f.path, int64(offset))
 		}
 		if status != recordIntact {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -25,7 +25,7 @@
 )
 
 func snapshotPath(dir string, index uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("%s%020d%s", snapshotPrefix, index, snapshotSuffix))
+	return filepath.Join(dir, fmt.Sprintf("%s%0*d%s", snapshotPrefix, indexDigits, index, snapshotSuffix))
 }
 
 // writeSnapshot writes s as JSON, preceded by its CRC-32C. The data is encoded while it is
