Let one process own a data folder

What callers would see: accepted jobs and configurations that are gone after a restart, on machines on which a successor starts while the process before it drains, hangs or was frozen.

Cause: nobody owned the folder. A second process opened it, and only then found its address in use.

Evidence: entry 3, acknowledged by the running process after the second one had opened the folder, is gone at the next opening: the folder ends with entry 2. With two real processes the second one read the folder and ended instead of waiting (no line within 30 s).

Change: storage.Folder is a folder that this process owns, by an advisory lock on the folder itself, taken before anything is read or changed and held until the process ends. A successor waits, listens on nothing, says so once, and ends on SIGTERM. init and join fail with the new code 509. A lock that is refused for any reason but another owner is logged once, and the replica runs without it.

Why it works: the system grants the lock to one process and takes it back when that process ends, however it ends. A lock on the folder needs no file: none to make the folder look used, to fail on a full disk, or to vanish with the content of the folder. A suspended replica opens its folder again under the same lock.

The others only pass the owned folder.

--- a/internal/control/absence_test.go
+++ b/internal/control/absence_test.go
@@ -45,8 +45,7 @@
 	newAbsence := func(dir string) *Absence { return NewAbsence(dir, here, client, log.New(io.Discard)) }
 
 	old := filepath.Join(t.TempDir(), "data")
-	_, err = InitFounder(old, here, []string{here})
-	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(createFounder(old, here, []string{here})).To(Succeed())
 	disk, _, err := storage.Open(old)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(disk.Close()).To(Succeed())
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -45,10 +45,15 @@
 
 // InitLearner writes an empty data folder for a learner. The leader sends the state.
 func InitLearner(dir, cluster string, self consensus.ID) error {
-	data, err := state.New().Encode()
+	s, err := learnerSnapshot()
 	if err != nil {
 		return err
 	}
-	s := consensus.Snapshot{Meta: consensus.SnapshotMeta{Members: consensus.Membership{}}, Data: data}
 	return storage.Create(dir, storage.Identity{Cluster: cluster, ID: self}, s)
 }
+
+// learnerSnapshot returns the first snapshot of a learner: no members and the empty state.
+func learnerSnapshot() (consensus.Snapshot, error) {
+	data, err := state.New().Encode()
+	return consensus.Snapshot{Meta: consensus.SnapshotMeta{Members: consensus.Membership{}}, Data: data}, err
+}
--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -30,7 +30,7 @@
 // derives the same cluster ID and membership from the same founders. A founder that
 // restarts before its folder was synced derives the same replica ID again. InitFounder
 // fails with SettingInvalid if self is not among the founders.
-func InitFounder(dir, self string, founders []string) (storage.Identity, error) {
+func InitFounder(folder *storage.Folder, self string, founders []string) (storage.Identity, error) {
 	founders = slices.Clone(founders)
 	slices.Sort(founders)
 	members := consensus.Membership{}
@@ -48,7 +48,7 @@
 	sum := sha256.Sum256(members.Encode())
 	id := storage.Identity{Cluster: hex.EncodeToString(sum[:8]), ID: founderID(self)}
 	meta := consensus.SnapshotMeta{Index: InitialIndex, Term: 1, Members: members}
-	return id, storage.Create(dir, id, consensus.Snapshot{Meta: meta, Data: data})
+	return id, folder.Create(id, consensus.Snapshot{Meta: meta, Data: data})
 }
 
 func founderID(address string) consensus.ID { return consensus.ID("f." + address) }
@@ -56,7 +56,7 @@
 // JoinCluster writes the data folder of a learner of the running control group. It asks
 // the replicas at the addresses that addresses returns for the cluster ID, until one of
 // them replies or ctx ends.
-func JoinCluster(ctx context.Context, dir, daemon string, client *peer.Client, addresses func() []string, logger *log.Logger) (storage.Identity, error) {
+func JoinCluster(ctx context.Context, folder *storage.Folder, daemon string, client *peer.Client, addresses func() []string, logger *log.Logger) (storage.Identity, error) {
 	for tries := 0; ; tries++ {
 		for _, a := range addresses() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -69,7 +69,11 @@
 				continue
 			}
 			id := storage.Identity{Cluster: reply.Cluster, ID: NewIdentity(daemon)}
-			return id, InitLearner(dir, id.Cluster, id.ID)
+			s, err := learnerSnapshot()
+			if err != nil {
+				return id, err
+			}
+			return id, folder.Create(id, s)
 		}
 		if !periodic.Pause(ctx, joinRetryInterval) {
 			return storage.Identity{}, ctx.Err()
--- a/internal/control/data_folder.go
+++ b/internal/control/data_folder.go
@@ -28,15 +28,18 @@
 	checkWritable func(dir string) error
 }
 
-var osFolders = folderAccess{
-	open: func(dir string) (dataFolder, storage.LoadedState, error) {
-		d, l, err := storage.Open(dir)
-		if err != nil {
-			return nil, l, err // not d, which would be a dataFolder that is not nil
-		}
-		return d, l, nil
-	},
-	checkWritable: storage.CheckWritable,
+// accessTo opens a folder that this process owns.
+func accessTo(folder *storage.Folder) folderAccess {
+	return folderAccess{
+		open: func(string) (dataFolder, storage.LoadedState, error) {
+			d, l, err := folder.Open()
+			if err != nil {
+				return nil, l, err // not d, which would be a dataFolder that is not nil
+			}
+			return d, l, nil
+		},
+		checkWritable: storage.CheckWritable,
+	}
 }
 
 // logOpening logs what opening a data folder found and changed.
--- a/internal/control/faulty_folder_test.go
+++ b/internal/control/faulty_folder_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,31 @@
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
 
+// osFolders owns a folder while it is open.
+var osFolders = folderAccess{
+	open: func(dir string) (dataFolder, storage.LoadedState, error) {
+		d, l, err := storage.Open(dir)
+		if err != nil {
+			return nil, l, err
+		}
+		return d, l, nil
+	},
+	checkWritable: storage.CheckWritable,
+}
+
+// createFounder is InitFounder for a folder that this process does not own afterwards.
+func createFounder(dir, address string, founders []string) error {
+	if err := storage.MakeFolder(dir); err != nil {
+		return err
+	}
+	folder, err := storage.Acquire(dir)
+	if err != nil {
+		return err
+	}
+	_, err = InitFounder(folder, address, founders)
+	return errors.Join(err, folder.Release())
+}
+
 // faultyFolder gives access to a data folder whose disk refuses writes or hangs.
 type faultyFolder struct {
 	full atomic.Bool
--- a/internal/control/folder_failure_test.go
+++ b/internal/control/folder_failure_test.go
@@ -191,8 +191,7 @@
 		founders = []string{address}
 	}
 	dir := filepath.Join(t.TempDir(), "data")
-	_, err := InitFounder(dir, address, founders)
-	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(createFounder(dir, address, founders)).To(Succeed())
 	client := peer.NewClient(peer.DialFrom(""))
 	t.Cleanup(client.Close)
 	folder := &faultyFolder{}
--- a/internal/control/group_clock_test.go
+++ b/internal/control/group_clock_test.go
@@ -57,7 +57,7 @@
 	_, err := Init(dir, "a", consensus.Membership{"a": {ID: "a", Address: address, Voter: true}}, "key")
 	g.Expect(err).NotTo(HaveOccurred())
 	client := peer.NewClient(peer.DialFrom(address))
-	r, _, err := Open(dir, address, client, log.New(io.Discard))
+	r, _, err := openReplica(osFolders, dir, address, client, log.New(io.Discard))
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = r.Run(ctx) }()
@@ -116,17 +116,21 @@
 	openLearner := func(dir string) *Replica {
 		client := peer.NewClient(peer.DialFrom("127.0.0.1:1"))
 		t.Cleanup(client.Close)
-		r, _, err := Open(dir, "127.0.0.1:1", client, log.New(io.Discard))
+		r, _, err := openReplica(osFolders, dir, "127.0.0.1:1", client, log.New(io.Discard))
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(func() { r.disk.Close() })
 		return r
 	}
+	restart := func(r *Replica, dir string) *Replica {
+		g.Expect(r.disk.Close()).To(Succeed()) // what ends the ownership of a killed process
+		return openLearner(dir)
+	}
 
 	dir := t.TempDir()
 	g.Expect(InitLearner(dir, "cluster", "l")).To(Succeed())
 	r := openLearner(dir)
 	g.Expect(r.disk.Append(nil, []consensus.Entry{{Index: 1, Term: 1, Data: b}, {Index: 2, Term: 1, Kind: consensus.EntryNoop}})).To(Succeed())
-	expectTime(openLearner(dir))
+	expectTime(restart(r, dir))
 
 	st := state.New()
 	st.Ledger.Time = at
@@ -137,5 +141,5 @@
 	r = openLearner(dir)
 	g.Expect(r.installSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 5, Term: 1, Members: consensus.Membership{}}, Data: data})).To(Succeed())
 	expectTime(r)
-	expectTime(openLearner(dir))
+	expectTime(restart(r, dir))
 }
--- a/internal/control/open_bench_test.go
+++ b/internal/control/open_bench_test.go
@@ -107,7 +107,7 @@
 	logger := log.New(io.Discard)
 	started := processorTime()
 	for b.Loop() {
-		r, _, err := Open(dir, "", nil, logger)
+		r, _, err := openReplica(osFolders, dir, "", nil, logger)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -120,10 +120,11 @@
 	ready chan struct{}
 }
 
-// Open loads a replica from its data folder. The caller must then call Run. address is
-// the replica's own peer address. If the disk refuses the folder for now, Run tries again.
-func Open(dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
-	return openReplica(osFolders, dir, address, client, logger)
+// Open loads a replica from its data folder, which must not be released before Run has returned.
+// The caller must then call Run. address is the replica's own peer address. If the disk refuses
+// the folder for now, Run tries again.
+func Open(folder *storage.Folder, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
+	return openReplica(accessTo(folder), folder.Dir(), address, client, logger)
 }
 
 func openReplica(folders folderAccess, dir, address string, client *peer.Client, logger *log.Logger) (*Replica, storage.Identity, error) {
--- a/internal/control/term_times_test.go
+++ b/internal/control/term_times_test.go
@@ -173,7 +173,7 @@
 	run := func(use func(*Replica)) Leadership {
 		client := peer.NewClient(peer.DialFrom(address))
 		defer client.Close()
-		r, _, err := Open(dir, address, client, log.New(io.Discard))
+		r, _, err := openReplica(osFolders, dir, address, client, log.New(io.Discard))
 		g.Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = r.Run(ctx) }()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 
 	client      *peer.Client
 	server      *peer.Server
+	folder      *storage.Folder  // nil without a data folder
 	replica     *control.Replica // nil without a data folder
 	identity    storage.Identity
 	follower    *control.Follower
@@ -68,7 +69,8 @@
 	wg sync.WaitGroup
 }
 
-// New returns a daemon with the given settings. Run serves.
+// New returns a daemon with the given settings. Run serves. While another process uses the data
+// folder, New waits until ctx ends. The data folder belongs to this process until it ends.
 func New(ctx context.Context, cfg *settings.Settings, logger *log.Logger) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: logger, started: time.Now(), health: control.NewHealth(), client: peer.NewClient(peer.DialFrom(cfg.PeerAddress)), server: peer.NewServer()}
 	d.incarnation = fmt.Sprintf("%s:%d", cfg.ID, d.started.UnixNano())
@@ -77,7 +79,10 @@
 		return nil, err
 	}
 	if cfg.DataFolder != "" {
-		d.replica, d.identity, err = control.Open(cfg.DataFolder, cfg.PeerAddress, d.client, logger.WithPrefix("control"))
+		if d.folder, err = control.OwnFolder(ctx, cfg.DataFolder, logger.WithPrefix("control")); err != nil {
+			return nil, err
+		}
+		d.replica, d.identity, err = control.Open(d.folder, cfg.PeerAddress, d.client, logger.WithPrefix("control"))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	started        time.Time
 	client         *peer.Client
 	server         *peer.Server
+	folder         *storage.Folder  // data folder, owned until Wait returns; nil without one
 	replica        *control.Replica // nil without a data folder
 	// announced is replica for the gossip, which also runs while the node waits for the group.
 	announced atomic.Pointer[control.Replica]
@@ -100,7 +101,8 @@
 // New returns a node; Start runs it. A replica with an empty data folder forms the control
 // group together with the other founders on the first start of the deployment, once it knows
 // that they are new, too. Otherwise it joins the running group as a learner, which blocks
-// until that group answers or ctx ends. Meanwhile the node listens on its peer address.
+// until that group answers or ctx ends. Meanwhile the node listens on its peer address. While
+// another process uses the data folder, New waits and does not listen.
 func New(ctx context.Context, cfg Config, deps Dependencies, logger *log.Logger) (*Node, error) {
 	n := &Node{
 		cfg: cfg, ownRegion: homes.Of([]string{cfg.Region}), log: logger, started: time.Now(), dependencies: deps, health: control.NewHealth(),
@@ -116,6 +118,7 @@
 	n.gossip.Register(n.server)
 	if cfg.DataFolder != "" {
 		if err := n.openReplica(ctx); err != nil {
+			n.releaseFolder()
 			return nil, err
 		}
 	}
@@ -263,23 +266,12 @@
 
 func (n *Node) spawn(f func()) { n.wg.Go(f) }
 
-// Wait blocks until all goroutines of Start have ended, then closes the peer client.
+// Wait blocks until all goroutines of Start have ended, then closes the peer client and lets
+// another process use the data folder. By then no listener of this node is open.
 func (n *Node) Wait() {
 	n.wg.Wait()
 	n.client.Close()
-}
-
-// statusFields returns the sizes that grow with the deployment and its work.
-func (n *Node) statusFields(ctx context.Context) []any {
-	fields := []any{"daemons", len(n.gossip.Live()), "upstreams", len(n.directory.Listed()), "peer_connections", n.client.Connections()}
-	if n.replica == nil {
-		return fields
-	}
-	size, err := n.replica.Size(ctx)
-	if err != nil {
-		return fields // the loop does not run; its own lines say why
-	}
-	return append(fields, "log_entries", size.LogEntries, "log_kb", size.LogBytes>>10, "snapshot_kb", size.SnapshotBytes>>10, "batches", size.Batches, "text_kb", size.TextBytes>>10)
+	n.releaseFolder()
 }
 
 // self returns the heartbeat of this node.
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -13,17 +13,44 @@
 	"github.com/apricotstream/apricotstream/internal/storage"
 )
 
-// openReplica opens the data folder. It first creates its contents if it is empty. While the
-// disk has no space for them, it tries again until ctx ends.
+// openReplica opens the data folder, once no other process uses it: the one before may still be
+// draining. It first creates its contents if it is empty. While the disk has no space for them,
+// it tries again until ctx ends.
 func (n *Node) openReplica(ctx context.Context) error {
+	if err := n.ownFolder(ctx); err != nil {
+		return err
+	}
 	err := n.openFolder()
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
 	absence := control.NewAbsence(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	if err := n.retryWithoutSpace(ctx, func() error { return n.createFolder(ctx, absence) }); err != nil {
+		return err
+	}
+	return n.openFolder()
+}
+
+// ownFolder makes this process the owner of the data folder, which it creates if it is missing.
+func (n *Node) ownFolder(ctx context.Context) (err error) {
+	logger := n.log.WithPrefix("control")
+	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, logger)
+	if result.CodeOf(err) != result.DataMissing {
+		return err
+	}
+	if err = n.retryWithoutSpace(ctx, func() error { return storage.MakeFolder(n.cfg.DataFolder) }); err != nil {
+		return err
+	}
+	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, logger)
+	return err
+}
+
+// retryWithoutSpace calls f until it fails for another reason than a lack of space, or ctx ends.
+func (n *Node) retryWithoutSpace(ctx context.Context, f func() error) error {
 	for reported := false; ; {
-		if err = n.createFolder(ctx, absence); !storage.LacksSpace(err) {
-			break
+		err := f()
+		if !storage.LacksSpace(err) {
+			return err
 		}
 		if !reported {
 			n.log.Error("Data folder has no space for its first files; trying again.", "err", err.Error())
@@ -33,10 +60,6 @@
 			return err
 		}
 	}
-	if err != nil {
-		return err
-	}
-	return n.openFolder()
 }
 
 // createFolder creates the contents of an empty data folder, as a founder on the first start
@@ -59,19 +82,19 @@
 			}
 		}
 		absence.Begin()
-		id, err = control.JoinCluster(ctx, n.cfg.DataFolder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
+		id, err = control.JoinCluster(ctx, n.folder, n.cfg.ID, n.client, n.replicaAddresses, n.log.WithPrefix("control"))
 		n.log.Info("Data folder created as a learner.", "identity", id.ID, "cluster", id.Cluster, "err", err)
 		return err
 	})
 	if form && err == nil {
-		_, err = control.InitFounder(n.cfg.DataFolder, n.cfg.PeerAddress, n.cfg.Founders)
+		_, err = control.InitFounder(n.folder, n.cfg.PeerAddress, n.cfg.Founders)
 		n.log.Info("Data folder created as a founder.", "founders", n.cfg.Founders, "err", err)
 	}
 	return err
 }
 
 func (n *Node) openFolder() error {
-	replica, id, err := control.Open(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
+	replica, id, err := control.Open(n.folder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
 	n.replica = replica
 	n.identity.Store(&id)
 	n.announced.Store(replica)
@@ -102,4 +125,15 @@
 	return err
 }
 
+// releaseFolder lets another process use the data folder. Nothing may run that uses it.
+func (n *Node) releaseFolder() {
+	if n.folder == nil {
+		return
+	}
+	if err := n.folder.Release(); err != nil {
+		n.log.Warn("Data folder could not be released.", "dir", n.cfg.DataFolder, "err", err.Error())
+	}
+	n.folder = nil
+}
+
 func (n *Node) isFounder() bool { return slices.Contains(n.cfg.Founders, n.cfg.PeerAddress) }
--- a/internal/node/status_logger.go
+++ b/internal/node/status_logger.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/apricotstream/apricotstream/internal/clock"
@@ -62,3 +63,16 @@
 	l.n.log.Info(message, "upstream", a.ID, "service", a.Service, "address", a.Address, "incarnation", a.Incarnation, "seq", a.Seq, "models", a.Models, "software", a.Software,
 		"up_s", int(time.Since(time.UnixMilli(a.Incarnation)).Seconds()))
 }
+
+// statusFields returns the sizes that grow with the deployment and its work.
+func (n *Node) statusFields(ctx context.Context) []any {
+	fields := []any{"daemons", len(n.gossip.Live()), "upstreams", len(n.directory.Listed()), "peer_connections", n.client.Connections()}
+	if n.replica == nil {
+		return fields
+	}
+	size, err := n.replica.Size(ctx)
+	if err != nil {
+		return fields // the loop does not run; its own lines say why
+	}
+	return append(fields, "log_entries", size.LogEntries, "log_kb", size.LogBytes>>10, "snapshot_kb", size.SnapshotBytes>>10, "batches", size.Batches, "text_kb", size.TextBytes>>10)
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -78,5 +78,6 @@
 	DataCorrupt     Code = 506
 	DataMissing     Code = 507
 	DataNewer       Code = 508
+	FolderInUse     Code = 509
 	Internal        Code = 599
 )
--- a/internal/result/info.go
+++ b/internal/result/info.go
@@ -85,6 +85,7 @@
 	{DataCorrupt, "data-corrupt", NotRun, http.StatusInternalServerError, "A file of the data folder is damaged.", "Replace the replica; see OPERATIONS."},
 	{DataMissing, "data-missing", NotRun, http.StatusInternalServerError, "The data folder was not initialised.", "Run apricotstream init or join; see OPERATIONS."},
 	{DataNewer, "data-newer", NotRun, http.StatusInternalServerError, "A log entry or snapshot was written by a newer build.", "Start the newer build; see OPERATIONS."},
+	{FolderInUse, "folder-in-use", NotRun, http.StatusInternalServerError, "Another process uses the data folder.", "Stop that process; see OPERATIONS."},
 	{Internal, "internal", Unknown, http.StatusInternalServerError, "An unexpected failure.", "Report it with the request id."},
 }
 
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -20,7 +21,8 @@
 	snapshotMeta  consensus.SnapshotMeta // of the newest active snapshot
 	snapshotBytes int                    // size of that snapshot's data
 	hardState     consensus.HardState
-	failed        error // first write error; every later write returns it
+	failed        error   // first write error; every later write returns it
+	owned         *Folder // released by Close; nil if another owns the folder for longer
 }
 
 // LoadedState is the durable state that Open found in a data folder.
@@ -36,8 +38,20 @@
 // DataCorrupt if a file is damaged. It truncates a torn record at the end of the newest
 // log, and activates the newest stored snapshot if it isn't active yet. The state that it
 // returns is synced to disk, even if the process that wrote it was killed before its sync.
-// Open removes incomplete files.
-func Open(dir string) (*Disk, LoadedState, error) { return open(osFiles{}, dir) }
+// Open removes incomplete files. This process owns the folder until the Disk is closed; see
+// Acquire.
+func Open(dir string) (*Disk, LoadedState, error) {
+	folder, err := Acquire(dir)
+	if err != nil {
+		return nil, LoadedState{}, err
+	}
+	d, l, err := folder.Open()
+	if err != nil {
+		return nil, l, errors.Join(err, folder.Release())
+	}
+	d.owned = folder
+	return d, l, nil
+}
 
 func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
 	var l LoadedState
@@ -268,5 +282,12 @@
 	return d.fs.open(snapshotPath(d.dir, d.snapshotMeta.Index))
 }
 
-// Close closes the log file.
-func (d *Disk) Close() error { return d.log.Close() }
+// Close closes the log file. Other processes may then own the folder, unless a Folder has opened
+// it.
+func (d *Disk) Close() error {
+	err := d.log.Close()
+	if d.owned != nil {
+		err = errors.Join(err, d.owned.Release())
+	}
+	return err
+}
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"hash/crc32"
 	"os"
 	"path/filepath"
@@ -26,9 +27,17 @@
 }
 
 // Create initialises a data folder with an identity and a first snapshot. It replaces what
-// an interrupted Create has left, and returns AlreadyExists if the folder has other files.
+// an interrupted Create has left, and returns AlreadyExists if the folder has other files and
+// FolderInUse if another process owns it.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
-	return create(osFiles{}, dir, id, s)
+	if err := MakeFolder(dir); err != nil {
+		return err
+	}
+	folder, err := Acquire(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Create(id, s), folder.Release())
 }
 
 func create(fs fileSystem, dir string, id Identity, s consensus.Snapshot) error {
@@ -92,11 +101,15 @@
 	return names, nil
 }
 
+func missing(dir string) error {
+	return result.New(result.DataMissing, "data folder %s has no %s: run `apricotstream init` for the first start of the system; if this VM was a replica before, its disk is lost: run `apricotstream join`, then replace it with `apricotstream member`", dir, identityFile)
+}
+
 func readIdentity(fs fileSystem, dir string) (Identity, error) {
 	var id Identity
 	b, err := fs.readFile(filepath.Join(dir, identityFile))
 	if os.IsNotExist(err) {
-		return id, result.New(result.DataMissing, "data folder %s has no %s: run `apricotstream init` for the first start of the system; if this VM was a replica before, its disk is lost: run `apricotstream join`, then replace it with `apricotstream member`", dir, identityFile)
+		return id, missing(dir)
 	}
 	if err != nil {
 		return id, err
