Let a replica join with a folder that is not empty

What operators would see: a replica that ends at each start with 404 after its disk was wiped, while its vote is never replaced; the next lost disk takes the quorum for good, and with it jobs and configuration.

A process that outlives the removal of its files by a moment leaves a log, a crash in a check of the disk leaves writable.tmp, and a new file system has lost+found.

Evidence: with a log, and with lost+found, the start of a wiped replica failed with '404 already-exists: data folder ... is not empty'.

Change: the identity decides, and what is a replica's is told by its whole name. Create, and so init and a founder, still refuses a folder with a log, and a founder with one joins instead of forming a group. A process with such a log still does not answer for an absent voter.

Why it works: the folder is owned, so nobody writes these files, and without the identity nobody can open them. The new replica has a new identity and learns first, as after a lost disk. The removals are durable before the identity is.

Existing tests: TestCreateKeepsFilesOfOthers demanded that Create refuse a folder with notes.txt. It now demands that the replica is created and opened, and that this and three more files of others, among them with prefix or suffix of a replica's, stay as they are; the refusals of a log and of an identity stay.

Result: go test ./internal/storage ./internal/control ./internal/node passes.

--- a/internal/control/absence.go
+++ b/internal/control/absence.go
@@ -28,7 +28,7 @@
 	address string // own peer address
 	run     uint32 // random; identifies this run of the process
 	log     *log.Logger
-	vacant  bool        // the data folder has been found empty
+	vacant  bool        // the data folder had neither an identity nor a log
 	joins   atomic.Bool // the process will not create the replica for which it answers
 
 	mu     sync.Mutex
@@ -36,7 +36,7 @@
 }
 
 // NewAbsence looks at the data folder dir, and returns an Absence that answers only if the
-// folder holds nothing of a replica, and only after Begin. It must be created once in a
+// folder has neither an identity nor a log, and only after Begin. It must be created once in a
 // process, before which no replica has run.
 func NewAbsence(dir, address string, client *peer.Client, logger *log.Logger) *Absence {
 	return &Absence{
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	return storage.Create(dir, storage.Identity{Cluster: cluster, ID: self}, s)
+	return storage.CreateAnew(dir, storage.Identity{Cluster: cluster, ID: self}, s)
 }
 
 // learnerSnapshot returns the first snapshot of a learner: no members and the empty state.
--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -73,7 +73,7 @@
 			if err != nil {
 				return id, err
 			}
-			return id, folder.Create(id, s)
+			return id, folder.CreateAnew(id, s)
 		}
 		if !periodic.Pause(ctx, joinRetryInterval) {
 			return storage.Identity{}, ctx.Err()
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -24,6 +24,9 @@
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
+	if !n.folder.Vacant() {
+		n.log.Warn("Data folder has a log without an identity: only joining a running group replaces it.", "dir", n.cfg.DataFolder)
+	}
 	absence := control.NewAbsence(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
 	if err := n.retryWithoutSpace(ctx, func() error { return n.createFolder(ctx, absence) }); err != nil {
 		return err
@@ -64,12 +67,13 @@
 
 // createFolder creates the contents of an empty data folder, as a founder on the first start
 // of the deployment, otherwise as a learner of the running group. A founder that is to join
-// once stays with it, because it may have answered that the voter that has run here is absent.
+// once stays with it, because it may have answered that the voter that has run here is absent. A
+// folder with a log is that of a replica of a group that was formed, so its founder joins, too.
 // The node listens all the time, so that no vote request of an early election is lost.
 func (n *Node) createFolder(ctx context.Context, absence *control.Absence) error {
 	form, register := false, absence.Register
 	var founding *control.Founding
-	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() {
+	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() && n.folder.Vacant() {
 		founding = control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders, absence)
 		register = founding.Register
 	}
--- a/internal/storage/create_test.go
+++ b/internal/storage/create_test.go
@@ -39,22 +39,83 @@
 	}
 }
 
-// A folder that a replica has opened has a log. Create must leave it alone even if its
-// identity is missing, and also a folder with files of another kind.
+// Guards against a founder that forms a group although its folder has the log of a replica, and
+// against one that replaces a replica. What is not a replica's must not be touched, and must not keep
+// a replica from being created: a new file system has lost+found.
 func TestCreateKeepsFilesOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	first := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}, Data: []byte("first")}
+	complete := filepath.Join(t.TempDir(), "complete")
+	g.Expect(Create(complete, Identity{Cluster: "c", ID: "a"}, first)).To(Succeed())
 	used := filepath.Join(t.TempDir(), "used")
 	g.Expect(Create(used, Identity{Cluster: "c", ID: "a"}, first)).To(Succeed())
 	_, err := openState(used)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(os.Remove(filepath.Join(used, identityFile))).To(Succeed())
-	foreign := filepath.Join(t.TempDir(), "foreign")
-	writeFiles(g, foreign, map[string][]byte{"notes.txt": []byte("x"), identityFile + temporarySuffix: nil})
-	for _, dir := range []string{used, foreign} {
-		before := readFiles(g, dir)
-		err := Create(dir, Identity{Cluster: "c", ID: "b"}, first)
-		g.Expect(result.CodeOf(err)).To(Equal(result.AlreadyExists))
-		g.Expect(readFiles(g, dir)).To(Equal(before))
+	for _, refused := range []error{
+		unchanged(g, used, func() error { return Create(used, Identity{Cluster: "c", ID: "b"}, first) }),
+		unchanged(g, complete, func() error { return Create(complete, Identity{Cluster: "c", ID: "b"}, first) }),
+		unchanged(g, complete, func() error { return CreateAnew(complete, Identity{Cluster: "c", ID: "b"}, first) }),
+	} {
+		g.Expect(result.CodeOf(refused)).To(Equal(result.AlreadyExists))
+	}
+
+	foreign := map[string][]byte{"notes.txt": []byte("x"), "notes.tmp": []byte("y"), "snapshot-notes.json": []byte("z"), "log-1.wal": nil}
+	for _, create := range []func(string, Identity, consensus.Snapshot) error{Create, CreateAnew} {
+		dir := filepath.Join(t.TempDir(), "data")
+		writeFiles(g, dir, foreign)
+		g.Expect(os.Mkdir(filepath.Join(dir, "lost+found"), 0)).To(Succeed())
+		g.Expect(CheckVacant(dir)).To(Succeed())
+		g.Expect(create(dir, Identity{Cluster: "c", ID: "b"}, first)).To(Succeed())
+		got, err := openState(dir)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.snapshot).To(Equal(first))
+		g.Expect(os.Remove(filepath.Join(dir, "lost+found"))).To(Succeed())
+		kept := readFiles(g, dir)
+		for name, content := range foreign {
+			g.Expect(kept).To(HaveKeyWithValue(name, append([]byte{}, content...)))
+		}
+	}
+}
+
+// unchanged returns the error of f, which must leave dir as it is.
+func unchanged(g *WithT, dir string, f func() error) error {
+	before := readFiles(g, dir)
+	err := f()
+	g.Expect(readFiles(g, dir)).To(Equal(before))
+	return err
+}
+
+// A replica that joins again replaces the files that a process left after the identity was removed.
+// Guards against old entries in the log of the new replica, whenever the creation is interrupted.
+func TestCreateAnewReplacesFilesWithoutIdentity(t *testing.T) {
+	g := NewWithT(t)
+	learner := consensus.Snapshot{Data: []byte("learner")}
+	for n := range maxCallsToKill {
+		for seed := range uint64(20) {
+			disk := newSimulatedDisk(seed)
+			g.Expect(create(disk, "data", Identity{Cluster: "c", ID: "a"}, firstState().snapshot)).To(Succeed())
+			d, _, err := open(disk, "data")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+			g.Expect(disk.remove(filepath.Join("data", identityFile))).To(Succeed())
+			g.Expect(disk.syncDir("data")).To(Succeed())
+			disk.killAfter(n)
+			if err := createAnew(disk, "data", Identity{Cluster: "c", ID: "b"}, learner); err != nil {
+				g.Expect(err).To(MatchError(errKilled))
+			}
+			disk.loseRandomly()
+			_, l, err := open(disk, "data")
+			if err != nil {
+				g.Expect(result.CodeOf(err)).To(Equal(result.DataMissing), "%v", err)
+				g.Expect(createAnew(disk, "data", Identity{Cluster: "c", ID: "b"}, learner)).To(Succeed())
+				disk.losePower(noName, allMissing)
+				_, l, err = open(disk, "data")
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			g.Expect(l.Snapshot).To(Equal(learner))
+			g.Expect(l.Entries).To(BeEmpty())
+			g.Expect(l.Identity.ID).To(Equal(consensus.ID("b")))
+		}
 	}
 }
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -6,7 +6,6 @@
 	"io"
 	"path/filepath"
 	"slices"
-	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -69,7 +68,7 @@
 	if err := removeTemporaryFiles(fs, dir, &l.Findings.Removed); err != nil {
 		return nil, l, err
 	}
-	snaps, err := listFiles(fs, dir, snapshotPrefix, snapshotSuffix)
+	snaps, err := listFiles(fs, dir, snapshotKind)
 	if err != nil {
 		return nil, l, err
 	}
@@ -80,7 +79,7 @@
 		return nil, l, err
 	}
 	l.Hard = consensus.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
-	logs, err := listFiles(fs, dir, logPrefix, logSuffix)
+	logs, err := listFiles(fs, dir, logKind)
 	if err != nil {
 		return nil, l, err
 	}
@@ -105,7 +104,7 @@
 // removeTemporaryFiles removes the files that an interrupted process has not completed, and adds
 // their names to removed. On a full disk they would take the space that the log needs.
 func removeTemporaryFiles(fs fileSystem, dir string, removed *NameList) error {
-	paths, err := listFiles(fs, dir, "", temporarySuffix)
+	paths, err := listFiles(fs, dir, temporaryKind)
 	if err != nil {
 		return err
 	}
@@ -118,16 +117,15 @@
 	return nil
 }
 
-// listFiles returns the paths of the files in dir whose name has the prefix and the
-// suffix, in ascending order.
-func listFiles(fs fileSystem, dir, prefix, suffix string) ([]string, error) {
+// listFiles returns the paths of the files of a kind in dir, in ascending order.
+func listFiles(fs fileSystem, dir string, kind fileKind) ([]string, error) {
 	names, err := fs.readDir(dir)
 	if err != nil {
 		return nil, err
 	}
 	var out []string
 	for _, n := range names {
-		if strings.HasPrefix(n, prefix) && strings.HasSuffix(n, suffix) {
+		if kindOf(n) == kind {
 			out = append(out, filepath.Join(dir, n))
 		}
 	}
@@ -254,14 +252,14 @@
 // removeObsoleteFiles removes the snapshots and logs that are older than the newest active
 // snapshot, and adds their names to removed.
 func (d *Disk) removeObsoleteFiles(removed *NameList) error {
-	for _, kind := range [][2]string{{snapshotPrefix, snapshotSuffix}, {logPrefix, logSuffix}} {
-		paths, err := listFiles(d.fs, d.dir, kind[0], kind[1])
+	oldestKept := map[fileKind]string{snapshotKind: snapshotPath(d.dir, d.snapshotMeta.Index), logKind: d.logPath()}
+	for _, kind := range []fileKind{snapshotKind, logKind} {
+		paths, err := listFiles(d.fs, d.dir, kind)
 		if err != nil {
 			return err
 		}
-		oldestKept := fmt.Sprintf("%s%0*d%s", kind[0], indexDigits, d.snapshotMeta.Index, kind[1])
 		for _, p := range paths {
-			if filepath.Base(p) < oldestKept {
+			if p < oldestKept[kind] {
 				if err := d.fs.remove(p); err != nil {
 					return err
 				}
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -62,5 +62,13 @@
 	return create(osFiles{}, f.dir, id, s)
 }
 
+// CreateAnew initialises the folder, also if it has a log without an identity; see CreateAnew.
+func (f *Folder) CreateAnew(id Identity, s consensus.Snapshot) error {
+	return createAnew(osFiles{}, f.dir, id, s)
+}
+
+// Vacant reports whether the folder can be read and no replica has run there; see CheckVacant.
+func (f *Folder) Vacant() bool { return CheckVacant(f.dir) == nil }
+
 // Release lets another process own the folder. Nothing in this process may use it any more.
 func (f *Folder) Release() error { return f.handle.Close() }
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -7,7 +7,6 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -26,10 +25,22 @@
 	return crc32.Checksum([]byte(i.Cluster+" "+string(i.ID)), castagnoliTable)
 }
 
-// Create initialises a data folder with an identity and a first snapshot. It replaces what
-// an interrupted Create has left, and returns AlreadyExists if the folder has other files and
-// FolderInUse if another process owns it.
+// Create initialises a data folder with an identity and a first snapshot. It replaces what an
+// interrupted Create has left, and leaves files that are not a replica's alone. Errors:
+// FolderInUse if another process owns the folder, AlreadyExists if it has an identity, or a log: a
+// replica has run there.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
+	return inOwnedFolder(dir, func(f *Folder) error { return f.Create(id, s) })
+}
+
+// CreateAnew is Create for a replica that joins a group under a new identity. It also replaces logs
+// that have no identity: no process can continue them.
+func CreateAnew(dir string, id Identity, s consensus.Snapshot) error {
+	return inOwnedFolder(dir, func(f *Folder) error { return f.CreateAnew(id, s) })
+}
+
+// inOwnedFolder creates dir if needed and calls f with it while this process owns it.
+func inOwnedFolder(dir string, f func(*Folder) error) error {
 	if err := MakeFolder(dir); err != nil {
 		return err
 	}
@@ -37,14 +48,23 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(folder.Create(id, s), folder.Release())
+	return errors.Join(f(folder), folder.Release())
 }
 
 func create(fs fileSystem, dir string, id Identity, s consensus.Snapshot) error {
+	return initialise(fs, dir, id, s, false)
+}
+
+func createAnew(fs fileSystem, dir string, id Identity, s consensus.Snapshot) error {
+	return initialise(fs, dir, id, s, true)
+}
+
+// initialise initialises a data folder. replaceLogs tells whether it may have a log.
+func initialise(fs fileSystem, dir string, id Identity, s consensus.Snapshot, replaceLogs bool) error {
 	if err := createDir(fs, dir); err != nil {
 		return err
 	}
-	if err := removeInterruptedCreate(fs, dir); err != nil {
+	if err := removeWithoutIdentity(fs, dir, replaceLogs); err != nil {
 		return err
 	}
 	if _, err := writeSnapshot(fs, dir, s.Meta, dataOf(s)); err != nil {
@@ -56,18 +76,21 @@
 		return err
 	}
 	// The identity is written last: without it the folder is incomplete and Open
-	// returns DataMissing.
+	// returns DataMissing. writeSnapshot has made the removals durable.
 	return writeFile(fs, filepath.Join(dir, identityFile), b)
 }
 
-// removeInterruptedCreate removes the snapshots of a Create that was interrupted before it
-// wrote the identity. They may be of another Create than the next one. Once Open has
-// returned, the folder also has a log.
-func removeInterruptedCreate(fs fileSystem, dir string) error {
-	names, err := vacantFiles(fs, dir)
+// removeWithoutIdentity removes the files of a replica that has no identity: a Create was
+// interrupted before it wrote one, the identity is lost, or a process outlived the removal of its
+// files. replaceLogs tells whether the folder may have a log.
+func removeWithoutIdentity(fs fileSystem, dir string, replaceLogs bool) error {
+	names, hasLog, err := withoutIdentity(fs, dir)
 	if err != nil {
 		return err
 	}
+	if hasLog && !replaceLogs {
+		return errHasLog(dir)
+	}
 	for _, name := range names {
 		if err := fs.remove(filepath.Join(dir, name)); err != nil {
 			return err
@@ -76,29 +99,42 @@
 	return nil
 }
 
-// CheckVacant returns nil if the folder does not exist, or holds nothing but what an
-// interrupted Create has left, so that it holds no replica.
+func errHasLog(dir string) error {
+	return result.New(result.AlreadyExists, "data folder %s is not empty: it has a log but no %s, so a replica has run there that must join its group again", dir, identityFile)
+}
+
+// CheckVacant returns nil if the folder does not exist, or holds neither an identity nor a log, so
+// that no replica has run there.
 func CheckVacant(dir string) error {
-	_, err := vacantFiles(osFiles{}, dir)
-	if os.IsNotExist(err) {
+	_, hasLog, err := withoutIdentity(osFiles{}, dir)
+	switch {
+	case os.IsNotExist(err):
 		return nil
+	case err == nil && hasLog:
+		return errHasLog(dir)
 	}
 	return err
 }
 
-// vacantFiles returns the files that an interrupted Create has left in the folder, or
-// AlreadyExists if there are others.
-func vacantFiles(fs fileSystem, dir string) ([]string, error) {
-	names, err := fs.readDir(dir)
+// withoutIdentity returns the names of the files of a replica in a folder that has no identity, or
+// AlreadyExists if it has one.
+func withoutIdentity(fs fileSystem, dir string) (names []string, hasLog bool, err error) {
+	all, err := fs.readDir(dir)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	for _, name := range names {
-		if !strings.HasPrefix(name, snapshotPrefix) && name != identityFile+temporarySuffix {
-			return nil, result.New(result.AlreadyExists, "data folder %s is not empty", dir)
+	for _, name := range all {
+		switch kindOf(name) {
+		case foreignFile:
+			continue
+		case identityKind:
+			return nil, false, result.New(result.AlreadyExists, "data folder %s is not empty: it holds a replica", dir)
+		case logKind:
+			hasLog = true
 		}
+		names = append(names, name)
 	}
-	return names, nil
+	return names, hasLog, nil
 }
 
 func missing(dir string) error {
