Do not read a data folder while its peer address is in use

What callers would see: acknowledged entries that are lost during the first update to a build that locks its folder, or on a file system without locks.

Cause: the lock keeps out only processes that ask for it. Beside one that does not, a second process still repaired the folder before it found the address in use.

Evidence: with a listener on the peer address, a start cut 3 bytes off a log whose last record was not complete (170 bytes instead of 173), and then ended with 'address already in use'.

Change: once a process owns the folder, it checks that it can listen on its peer address, and ends with the same error as before if it cannot.

Why it works: a process listens on its peer address from before it creates or runs its replica until it has ended.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	if cfg.DataFolder != "" {
-		if d.folder, err = control.OwnFolder(ctx, cfg.DataFolder, logger.WithPrefix("control")); err != nil {
+		if d.folder, err = control.OwnFolder(ctx, cfg.DataFolder, cfg.PeerListen, logger.WithPrefix("control")); err != nil {
 			return nil, err
 		}
 		d.replica, d.identity, err = control.Open(d.folder, cfg.PeerAddress, d.client, logger.WithPrefix("control"))
--- a/internal/node/leftover_test.go
+++ b/internal/node/leftover_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,3 +53,26 @@
 	g.Consistently(started, time.Second).ShouldNot(Receive()) // a single founder forms its group at once
 	g.Expect(os.ReadDir(f.cfg.DataFolder)).To(HaveLen(len(before)))
 }
+
+// A process of a build that does not lock its folder, or on a file system without locks, is known by
+// its address only. Guards against a second process that repairs the folder of a running one before it
+// finds the address in use.
+func TestFolderIsNotOpenedWhileAddressIsInUse(t *testing.T) {
+	g := NewWithT(t)
+	f := newFoundingNodes(t, 1)[0]
+	g.Expect(f.start(t)).To(Succeed())
+	f.stop()
+	logs, err := filepath.Glob(filepath.Join(f.cfg.DataFolder, "log-*.wal"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(logs).To(HaveLen(1))
+	content, err := os.ReadFile(logs[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	content = append(content, 1, 2, 3) // the running process is in the middle of a write
+	g.Expect(os.WriteFile(logs[0], content, 0o600)).To(Succeed())
+	running, err := net.Listen("tcp", f.cfg.PeerAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.start(t)).To(MatchError(syscall.EADDRINUSE))
+	g.Expect(os.ReadFile(logs[0])).To(Equal(content))
+	g.Expect(running.Close()).To(Succeed())
+	g.Expect(f.start(t)).To(Succeed())
+}
--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -37,14 +37,14 @@
 // ownFolder makes this process the owner of the data folder, which it creates if it is missing.
 func (n *Node) ownFolder(ctx context.Context) (err error) {
 	logger := n.log.WithPrefix("control")
-	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, logger)
+	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, n.cfg.listenAddress(), logger)
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
 	if err = n.retryWithoutSpace(ctx, func() error { return storage.MakeFolder(n.cfg.DataFolder) }); err != nil {
 		return err
 	}
-	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, logger)
+	n.folder, err = control.OwnFolder(ctx, n.cfg.DataFolder, n.cfg.listenAddress(), logger)
 	return err
 }
 
