--- a/internal/control/data_folder.go
+++ b/internal/control/data_folder.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -26,15 +28,31 @@
 	checkWritable func(dir string) error
 }
 
-var osFolders = folderAccess{
-	open: func(dir string) (dataFolder, storage.LoadedState, error) {
-		d, l, err := storage.Open(dir)
-		if err != nil {
-			return nil, l, err // not d, which would be a dataFolder that is not nil
-		}
-		return d, l, nil
-	},
-	checkWritable: storage.CheckWritable,
+// accessTo opens a folder that this process owns.
+func accessTo(folder *storage.Folder) folderAccess {
+	return folderAccess{
+		open: func(string) (dataFolder, storage.LoadedState, error) {
+			d, l, err := folder.Open()
+			if err != nil {
+				return nil, l, err // not d, which would be a dataFolder that is not nil
+			}
+			return d, l, nil
+		},
+		checkWritable: storage.CheckWritable,
+	}
+}
+
+// logOpening logs what opening a data folder found and changed.
+func logOpening(logger *log.Logger, dir string, f storage.Findings, err error) {
+	fields := []any{"dir", dir, "foreign", f.Foreign.Names, "foreign_count", f.Foreign.Count, "removed", f.Removed.Names, "removed_count", f.Removed.Count}
+	if f.Torn.Bytes > 0 {
+		fields = append(fields, "torn_file", f.Torn.File, "torn_at", f.Torn.Offset, "torn_bytes", f.Torn.Bytes)
+	}
+	if err != nil {
+		logger.Warn("Data folder could not be opened.", append(fields, "code", int(result.CodeOf(err)), "err", result.From(err).Message)...)
+		return
+	}
+	logger.Info("Data folder opened.", fields...)
 }
 
 // mayHeal reports whether a data folder that failed with err may work again by itself. A
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -1,11 +1,11 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
 	"slices"
-	"strings"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -20,7 +20,8 @@
 	snapshotMeta  consensus.SnapshotMeta // of the newest active snapshot
 	snapshotBytes int                    // size of that snapshot's data
 	hardState     consensus.HardState
-	failed        error // first write error; every later write returns it
+	failed        error   // first write error; every later write returns it
+	owned         *Folder // released by Close; nil if another owns the folder for longer
 }
 
 // LoadedState is the durable state that Open found in a data folder.
@@ -29,19 +30,34 @@
 	Hard     consensus.HardState
 	Snapshot consensus.Snapshot
 	Entries  []consensus.Entry // log entries after the snapshot, without gaps
+	Findings Findings          // also set if Open fails
 }
 
 // Open reads a data folder. It returns DataMissing if the folder was not initialised and
 // DataCorrupt if a file is damaged. It truncates a torn record at the end of the newest
 // log, and activates the newest stored snapshot if it isn't active yet. The state that it
 // returns is synced to disk, even if the process that wrote it was killed before its sync.
-// Open removes incomplete files.
-func Open(dir string) (*Disk, LoadedState, error) { return open(osFiles{}, dir) }
+// Open removes incomplete files. This process owns the folder until the Disk is closed; see
+// Acquire.
+func Open(dir string) (*Disk, LoadedState, error) {
+	folder, err := Acquire(dir)
+	if err != nil {
+		return nil, LoadedState{}, err
+	}
+	d, l, err := folder.Open()
+	if err != nil {
+		return nil, l, errors.Join(err, folder.Release())
+	}
+	d.owned = folder
+	return d, l, nil
+}
 
 func open(fs fileSystem, dir string) (*Disk, LoadedState, error) {
 	var l LoadedState
 	var err error
-	if l.Identity, err = readIdentity(fs, dir); err != nil {
+	l.Identity, err = readIdentity(fs, dir)
+	l.Findings.Foreign = foreign(fs, dir, err == nil)
+	if err != nil {
 		return nil, l, err
 	}
 	// A process may have been killed between a rename and the sync of the folder. A log must
@@ -49,10 +65,10 @@
 	if err := fs.syncDir(dir); err != nil {
 		return nil, l, err
 	}
-	if err := removeTemporaryFiles(fs, dir); err != nil {
+	if err := removeTemporaryFiles(fs, dir, &l.Findings.Removed); err != nil {
 		return nil, l, err
 	}
-	snaps, err := listFiles(fs, dir, snapshotPrefix, snapshotSuffix)
+	snaps, err := listFiles(fs, dir, snapshotKind)
 	if err != nil {
 		return nil, l, err
 	}
@@ -63,7 +79,7 @@
 		return nil, l, err
 	}
 	l.Hard = consensus.HardState{Term: l.Snapshot.Meta.Term, Commit: l.Snapshot.Meta.Index}
-	logs, err := listFiles(fs, dir, "log-", ".wal")
+	logs, err := listFiles(fs, dir, logKind)
 	if err != nil {
 		return nil, l, err
 	}
@@ -81,13 +97,14 @@
 			return nil, l, err
 		}
 	}
-	return d, l, d.removeObsoleteFiles()
+	err = d.removeObsoleteFiles(&l.Findings.Removed)
+	return d, l, err
 }
 
-// removeTemporaryFiles removes the files that an interrupted process has not completed.
-// On a full disk they would take the space that the log needs.
-func removeTemporaryFiles(fs fileSystem, dir string) error {
-	paths, err := listFiles(fs, dir, "", temporarySuffix)
+// removeTemporaryFiles removes the files that an interrupted process has not completed, and adds
+// their names to removed. On a full disk they would take the space that the log needs.
+func removeTemporaryFiles(fs fileSystem, dir string, removed *NameList) error {
+	paths, err := listFiles(fs, dir, temporaryKind)
 	if err != nil {
 		return err
 	}
@@ -95,20 +112,20 @@
 		if err := fs.remove(p); err != nil {
 			return err
 		}
+		removed.add(filepath.Base(p))
 	}
 	return nil
 }
 
-// listFiles returns the paths of the files in dir whose name has the prefix and the
-// suffix, in ascending order.
-func listFiles(fs fileSystem, dir, prefix, suffix string) ([]string, error) {
+// listFiles returns the paths of the files of a kind in dir, in ascending order.
+func listFiles(fs fileSystem, dir string, kind fileKind) ([]string, error) {
 	names, err := fs.readDir(dir)
 	if err != nil {
 		return nil, err
 	}
 	var out []string
 	for _, n := range names {
-		if strings.HasPrefix(n, prefix) && strings.HasSuffix(n, suffix) {
+		if kindOf(n) == kind {
 			out = append(out, filepath.Join(dir, n))
 		}
 	}
@@ -117,7 +134,7 @@
 }
 
 func logPath(dir string, index uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("log-%020d.wal", index))
+	return filepath.Join(dir, fmt.Sprintf("%s%0*d%s", logPrefix, indexDigits, index, logSuffix))
 }
 
 func (d *Disk) logPath() string { return logPath(d.dir, d.snapshotMeta.Index) }
@@ -229,23 +246,24 @@
 	if err := d.append(&hs, tail); err != nil {
 		return err
 	}
-	return d.removeObsoleteFiles()
+	return d.removeObsoleteFiles(&NameList{})
 }
 
 // removeObsoleteFiles removes the snapshots and logs that are older than the newest active
-// snapshot.
-func (d *Disk) removeObsoleteFiles() error {
-	for _, kind := range [][2]string{{snapshotPrefix, snapshotSuffix}, {"log-", ".wal"}} {
-		paths, err := listFiles(d.fs, d.dir, kind[0], kind[1])
+// snapshot, and adds their names to removed.
+func (d *Disk) removeObsoleteFiles(removed *NameList) error {
+	oldestKept := map[fileKind]string{snapshotKind: snapshotPath(d.dir, d.snapshotMeta.Index), logKind: d.logPath()}
+	for _, kind := range []fileKind{snapshotKind, logKind} {
+		paths, err := listFiles(d.fs, d.dir, kind)
 		if err != nil {
 			return err
 		}
-		oldestKept := fmt.Sprintf("%s%020d%s", kind[0], d.snapshotMeta.Index, kind[1])
 		for _, p := range paths {
-			if filepath.Base(p) < oldestKept {
+			if p < oldestKept[kind] {
 				if err := d.fs.remove(p); err != nil {
 					return err
 				}
+				removed.add(filepath.Base(p))
 			}
 		}
 	}
@@ -262,5 +280,12 @@
 	return d.fs.open(snapshotPath(d.dir, d.snapshotMeta.Index))
 }
 
-// Close closes the log file.
-func (d *Disk) Close() error { return d.log.Close() }
+// Close closes the log file. Other processes may then own the folder, unless a Folder has opened
+// it.
+func (d *Disk) Close() error {
+	err := d.log.Close()
+	if d.owned != nil {
+		err = errors.Join(err, d.owned.Release())
+	}
+	return err
+}
