Say which batch jobs are discarded, and why a read finds none

What callers saw: a read of a batch job that the group has discarded gets the same 404 as one of a job that was never accepted, and nothing in the logs or metrics tells the two, or a lost state, apart.

Cause: pruneBatches discards jobs in silence.

Change: the state reports what the newest command discarded.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -39,6 +39,7 @@
 		o = r.state.Apply(c)
 		r.groupClock = r.groupClock.advanceTo(c.Time(), clock.Now())
 		r.termTimes.command(c)
+		r.noteDiscarded(r.state.Discarded())
 		r.notifyBatchReaders(c)
 		if c.RetireMark != nil {
 			r.publishRetiring()
--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -71,7 +71,7 @@
 		changed := r.batchChangedChan(q.ID)
 		var reply BatchReadReply
 		var err error
-		if loopErr := r.runInLoop(ctx, func() { reply, err = readBatch(r.state.Ledger, q) }); loopErr != nil {
+		if loopErr := r.runInLoop(ctx, func() { reply, err = r.readBatch(q) }); loopErr != nil {
 			return BatchReadReply{}, loopErr
 		}
 		remaining := time.Until(deadline)
@@ -88,10 +88,11 @@
 	}
 }
 
-func readBatch(l *state.Ledger, q BatchReadRequest) (BatchReadReply, error) {
-	b := l.Batches[q.ID]
+// readBatch reads the state. It runs in the loop.
+func (r *Replica) readBatch(q BatchReadRequest) (BatchReadReply, error) {
+	b := r.state.Ledger.Batches[q.ID]
 	if b == nil || b.Account != q.Account && !q.AnyOwner {
-		return BatchReadReply{}, result.New(result.NotFound, "no batch job %s", q.ID)
+		return BatchReadReply{}, r.batchNotFound(q)
 	}
 	reply := BatchReadReply{Total: len(b.Items), Account: b.Account, Done: !b.Open()}
 	if q.Item != "" {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -87,6 +87,7 @@
 
 	batchChanged       map[string]chan struct{} // by batch job ID; closed when the batch job changes
 	openBatchesChanged chan struct{}            // closed when the set of open batch jobs changes
+	discardedJobs      *discardedJobs           // used by the loop only
 	batchChangedMu     sync.Mutex
 
 	mu            sync.Mutex
@@ -142,7 +143,7 @@
 		pendingProposals: map[uint64]*proposal{}, proposalMemory: newProposalMemory(),
 		senderAddresses: map[consensus.ID]string{},
 		configChanged:   make(chan struct{}),
-		batchChanged:    map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}),
+		batchChanged:    map[string]chan struct{}{}, openBatchesChanged: make(chan struct{}), discardedJobs: newDiscardedJobs(),
 		sendingSnapshotTo: map[consensus.ID]bool{}, snapshotTransfers: map[uint64]chan SnapshotAck{}, receivedSnapshots: map[consensus.ID]receivedSnapshot{},
 		done: make(chan struct{}),
 	}
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -198,16 +198,6 @@
 	return Outcome{}
 }
 
-// pruneBatches discards batch jobs that callers may no longer read. at is the command's
-// time, so that every replica discards the same jobs.
-func (l *Ledger) pruneBatches(at time.Time) {
-	for id, b := range l.Batches {
-		if at.Sub(b.Accepted) > b.Retention && (!b.Open() || at.Sub(b.Accepted) > b.Retention+b.ItemTTL) {
-			delete(l.Batches, id)
-		}
-	}
-}
-
 func (s *State) batchRecord(c *BatchRecord) Outcome {
 	for _, r := range c.Results {
 		b := s.Ledger.Batches[r.Batch]
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -22,6 +22,8 @@
 	Intervals  map[uint64]Interval
 	Source     RoutingSource
 	Retired    map[string]bool // replicas being retired, by replica ID
+
+	discarded []DiscardedBatch // by the newest command; not encoded
 }
 
 // Edit is one accepted edit of a service document.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -55,6 +55,7 @@
 // Apply executes c. A command with a known operation ID is not executed again: it gets
 // the outcome of the first execution, or is rejected if it is a different command.
 func (s *State) Apply(c Command) Outcome {
+	s.Ledger.discarded = nil
 	if t := c.Time(); t.After(s.Ledger.Time) {
 		s.Ledger.Time = t
 	}
