Retain batch jobs until their end is confirmed

What callers saw: a batch job whose items all had results answered 404 at every entry, 120 s (`batch_keep`) after its acceptance, although its trainer had not ended it. Results are promised for `batch_keep` and while the job has not ended.

Cause: pruneBatches took "not open" (no item may still run) for "not ended".

Change: a job stays until its end is committed, and after it for `batch_keep` after its acceptance and half of that after its end, so that a repeated end and late reads find also a job that was ended late. Memory stays bounded: while the jobs have more than half of the leader's budget for buffers, those whose caller has not ended them and whose `batch_keep` has passed are discarded, the oldest first. The bound travels in the command, as all replicas must discard the same jobs. A job that does not fit beside those that must stay, in 0.4 of the memory, is refused by the leader before it is proposed, with the same checks as a job for which there is no memory now: an earlier submission that is or may be committed is not called "not run". A complete job drops its requests but for the bodies, and these once `batch_keep` has passed; a listed item's body is a 404 then.

Mixed builds: the new fields need member.Level 3 and are written per job, only while all known daemons announce it. Jobs accepted below that are discarded as before by all builds, so states never differ.

TestBatchIsDiscardedAfterRetention is unchanged and holds for jobs of older builds. builds_test.go names the new parameter of dropRequests, with the same effect.

--- a/internal/control/proposal.go
+++ b/internal/control/proposal.go
@@ -43,6 +43,7 @@
 		wall := r.wallClock().UTC()
 		now := clock.Now()
 		r.startClock = r.startClock.advanceTo(r.startClock.now(now, wall), now)
+		p.command = r.proposalMemory.withRetainedLimit(p.command)
 		p.command.At, p.command.GroupTime = wall, r.groupClock.now(now, r.startClock.now(now, wall))
 		var b []byte
 		b, err = p.command.Encode()
--- a/internal/control/proposal_memory.go
+++ b/internal/control/proposal_memory.go
@@ -37,6 +37,7 @@
 const (
 	reasonFull     = "full"      // the memory is in use
 	reasonTooLarge = "too_large" // it never fits
+	reasonRetained = "retained"  // the jobs that must be retained leave no room
 )
 
 // jobKey identifies a batch job.
@@ -110,6 +111,13 @@
 	return &jobHold{memory: m, job: job, bytes: need}, false
 }
 
+// waits reports whether memory is held for a job.
+func (m *proposalMemory) waits(job jobKey) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.waiting[job] > 0
+}
+
 // release gives the memory back. It must be called once.
 func (h *jobHold) release() {
 	if h == nil {
@@ -186,25 +194,31 @@
 		r.jobRejected(job, size, reasonTooLarge)
 		return nil, false, result.New(result.BodyTooLarge, "the batch job has %d bytes, more than a replica can keep", size)
 	}
+	if full, err := r.retainedFull(ctx, size); err != nil {
+		return nil, false, err
+	} else if full {
+		accepted, err = r.rejectJob(ctx, job, size, m.waits(job), reasonRetained)
+		return nil, accepted, err
+	}
 	hold, waiting := m.hold(job, size)
 	if hold != nil {
 		return hold, false, nil
 	}
-	accepted, err = r.rejectJob(ctx, job, size, waiting)
+	accepted, err = r.rejectJob(ctx, job, size, waiting, reasonFull)
 	return nil, accepted, err
 }
 
 // rejectJob returns the error for a job that does not fit now, or that it has been accepted before. waiting
 // reports whether this replica holds memory for the same job.
-func (r *Replica) rejectJob(ctx context.Context, job jobKey, size int, waiting bool) (accepted bool, err error) {
+func (r *Replica) rejectJob(ctx context.Context, job jobKey, size int, waiting bool, reason string) (accepted bool, err error) {
 	if r.Status().Role != consensus.Leader {
-		r.jobRejected(job, size, reasonFull)
+		r.jobRejected(job, size, reason)
 		return false, result.NewRetryAfter(result.NotLeader, proposalRetryAfter, "the memory for batch jobs is in use, and this replica does not lead")
 	}
 	if accepted, err = r.hasAccepted(ctx, job); accepted {
 		return true, nil
 	}
-	r.jobRejected(job, size, reasonFull)
+	r.jobRejected(job, size, reason)
 	if waiting || err != nil {
 		return false, result.NewRetryAfter(result.CommitUnknown, proposalRetryAfter, "an earlier submission of the batch job may still be committed")
 	}
@@ -227,10 +241,7 @@
 		}
 		return state.Outcome{}, result.NewRetryAfter(result.NotLeader, proposalRetryAfter, "the memory for commands is in use")
 	}
-	m.mu.Lock()
-	waiting := m.waiting[job] > 0
-	m.mu.Unlock()
-	_, err := r.rejectJob(ctx, job, int(size), waiting)
+	_, err := r.rejectJob(ctx, job, int(size), m.waits(job), reasonFull)
 	return state.Outcome{}, err
 }
 
--- a/internal/control/size.go
+++ b/internal/control/size.go
@@ -9,13 +9,14 @@
 	SnapshotBytes int // of the newest snapshot, which is on the disk only
 	Batches       int // batch jobs
 	TextBytes     int // of their results
+	RetainedBytes int // of the batch jobs with their results, see state.Ledger.RetainedBytes
 }
 
 // Size returns the size of the log and of the state.
 func (r *Replica) Size(ctx context.Context) (Size, error) {
 	return callInLoop(ctx, r, func() Size {
 		st := r.node.Status()
-		s := Size{LogEntries: int(st.LastIndex + 1 - r.node.FirstIndex()), LogBytes: r.node.DataBytes(r.node.FirstIndex(), st.LastIndex+1), Batches: len(r.state.Ledger.Batches)}
+		s := Size{LogEntries: int(st.LastIndex + 1 - r.node.FirstIndex()), LogBytes: r.node.DataBytes(r.node.FirstIndex(), st.LastIndex+1), Batches: len(r.state.Ledger.Batches), RetainedBytes: r.state.Ledger.RetainedBytes()}
 		if !r.suspended.Load() {
 			_, s.SnapshotBytes = r.disk.Snapshot()
 		}
--- a/internal/member/daemon.go
+++ b/internal/member/daemon.go
@@ -40,7 +40,8 @@
 //
 //	1: evacuations of availability zones, and the rate of a service's cold upstreams
 //	2: home regions of routes, client accounts and batch jobs
-const Level = 2
+//	3: batch jobs that are retained until their end
+const Level = 3
 
 // CommonLevel returns the lowest level of daemons.
 func CommonLevel(daemons []Daemon) int {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,7 +24,7 @@
 
 	UsageInterval  time.Duration // length of a usage interval; 0 disables usage reports
 	TakeoverDelay  time.Duration // time during which a new leader sends no orders
-	BatchRetention time.Duration // time from the submission of a batch job for which it is retained
+	BatchRetention time.Duration // least time from the submission of a batch job for which it is retained
 }
 
 // listenAddress returns the address on which the node listens for the other daemons.
@@ -71,6 +71,11 @@
 	// confirmTimeout bounds the wait until the other daemons have recorded that an upstream
 	// is leaving or that a request crashes upstreams. A frozen daemon doesn't answer.
 	confirmTimeout = 600 * time.Millisecond
+	// endedRetentionShare is the part of BatchRetention, as a divisor, for which a batch job is retained after its
+	// end. Callers may repeat the end, and read what they have not read yet.
+	endedRetentionShare = 2
+	// endedRetentionLevel is the level of the control log that EndedRetention needs, see member.Level.
+	endedRetentionLevel = 3
 	// homesRetryAfter is the delay that a caller is told whose batch job cannot be kept or run in its
 	// home regions. Upstreams and replicas join rarely.
 	homesRetryAfter = 2 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,7 +279,7 @@
 	if err != nil {
 		return fields // the loop does not run; its own lines say why
 	}
-	return append(fields, "log_entries", size.LogEntries, "log_kb", size.LogBytes>>10, "snapshot_kb", size.SnapshotBytes>>10, "batches", size.Batches, "text_kb", size.TextBytes>>10)
+	return append(fields, "log_entries", size.LogEntries, "log_kb", size.LogBytes>>10, "snapshot_kb", size.SnapshotBytes>>10, "batches", size.Batches, "text_kb", size.TextBytes>>10, "retained_kb", size.RetainedBytes>>10)
 }
 
 // self returns the heartbeat of this node.
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -156,6 +156,9 @@
 		return err
 	}
 	b.Retention = n.cfg.BatchRetention
+	if n.Level() >= endedRetentionLevel {
+		b.EndedRetention = b.Retention / endedRetentionShare
+	}
 	_, err := n.proposeChange(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
 	n.log.Info("Submission of a batch job finished.", "batch", b.ID, "account", b.Account, "step", b.Step, "model", b.Model, "min_version", b.MinVersion, "items", len(b.Items), "code", int(result.CodeOf(err)), "ms", time.Since(began).Milliseconds())
 	return err
--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -7,9 +7,10 @@
 	"github.com/apricotstream/apricotstream/internal/result"
 )
 
-// Batch is a batch job as it was submitted, with its results so far. Replicas retain it
-// for at least Retention after its acceptance. An open one is retained for at least ItemTTL
-// longer.
+// Batch is a batch job as it was submitted, with its results so far. Replicas retain it until it has
+// ended, and then for at least Retention after its acceptance and EndedRetention after its end. Only if
+// the retained jobs exceed a bound, the oldest ones whose caller has not ended them are discarded before,
+// but not within Retention after their acceptance.
 type Batch struct {
 	ID            string        `json:"id"`
 	Account       string        `json:"account"`
@@ -26,18 +27,24 @@
 	ItemTTL       time.Duration `json:"item_ttl"`     // nanoseconds after Accepted
 	Retention     time.Duration `json:"keep"`         // nanoseconds after Accepted
 	Accepted      time.Time     `json:"accepted"`     // time of the control group
-	Items         []BatchItem   `json:"items"`
+	// EndedRetention is in nanoseconds after the end. It needs member.Level 3. Jobs without it are
+	// discarded Retention after their acceptance, whether they have ended or not.
+	EndedRetention time.Duration `json:"keep_ended,omitempty"`
+	Items          []BatchItem   `json:"items"`
 	// Homes holds the regions that may serve the job, as they were when it was submitted; nil: any.
 	// It needs member.Level 2.
 	Homes *homes.Homes `json:"homes,omitempty"`
 
 	Ended   bool          `json:"ended,omitempty"`
+	EndedAt time.Time     `json:"ended_at,omitzero"` // time of the control group; zero without EndedRetention
 	Results []BatchResult `json:"results,omitempty"` // in final order
 	// Partial holds the known partial output of items without a result, by item ID.
 	Partial map[string]*Partial `json:"partial,omitempty"`
 
 	itemIndex   map[string]int // index in Items by item ID
 	resultIndex map[string]int // index in Results by item ID
+	bytes       int            // see RetainedBytes
+	hasBodies   bool           // an item has a body
 }
 
 // BatchItem is one request of a batch job.
@@ -102,6 +109,9 @@
 // changes nothing.
 type BatchAccept struct {
 	Batch Batch `json:"batch"`
+	// RetainedLimit bounds the RetainedBytes of all jobs, see Batch. The leader sets it for jobs with
+	// EndedRetention. 0: no bound.
+	RetainedLimit int `json:"retained_limit,omitempty"`
 }
 
 // BatchRecord appends results and partial output. A result for an item that already has
@@ -133,7 +143,10 @@
 }
 
 // Open reports whether items may still run.
-func (b *Batch) Open() bool { return !b.Ended && len(b.Results) < len(b.Items) }
+func (b *Batch) Open() bool { return !b.Ended && !b.complete() }
+
+// complete reports whether all items have a result.
+func (b *Batch) complete() bool { return len(b.Results) == len(b.Items) }
 
 // Allowances of encodedSizeHint for what has no text or body of its own, such as names of fields.
 const (
@@ -146,14 +159,7 @@
 func (b *Batch) encodedSizeHint() int {
 	n := batchFrameBytes + len(b.Model) + len(b.Path) + len(b.Host)
 	for i := range b.Items {
-		it := &b.Items[i]
-		n += itemFrameBytes + len(it.ID) + len(it.Path) + len(it.Body) + len(it.Group) + len(it.Model) + len(it.Prompt)
-		for _, f := range it.Header {
-			n += len(f.Name) + len(f.Value) + 16
-		}
-		if r := it.Reward; r != nil {
-			n += itemFrameBytes + len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body)
-		}
+		n += itemFrameBytes + b.Items[i].contentBytes()
 	}
 	for i := range b.Results {
 		n += itemFrameBytes + len(b.Results[i].Text) + len(b.Results[i].Score)
@@ -167,6 +173,18 @@
 	return n
 }
 
+// contentBytes returns about the encoded size of an item, without a frame.
+func (it *BatchItem) contentBytes() int {
+	n := len(it.ID) + len(it.Path) + len(it.Body) + len(it.Group) + len(it.Model) + len(it.Prompt)
+	for _, f := range it.Header {
+		n += len(f.Name) + len(f.Value) + 16
+	}
+	if r := it.Reward; r != nil {
+		n += itemFrameBytes + len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body)
+	}
+	return n
+}
+
 // buildIndexes fills in the derived fields.
 func (b *Batch) buildIndexes() {
 	b.itemIndex = make(map[string]int, len(b.Items))
@@ -177,6 +195,7 @@
 	for i := range b.Results {
 		b.resultIndex[b.Results[i].Item] = i
 	}
+	b.measure()
 }
 
 func (s *State) batchAccept(c *BatchAccept, at time.Time) Outcome {
@@ -188,13 +207,13 @@
 	}
 	b := c.Batch
 	b.Accepted = at
-	b.Results, b.Partial, b.Ended = nil, nil, false
+	b.Results, b.Partial, b.Ended, b.EndedAt = nil, nil, false, time.Time{}
 	b.buildIndexes()
 	if len(b.itemIndex) != len(b.Items) || len(b.Items) == 0 {
 		return reject(result.BodyMalformed, "a batch job needs items with different ids")
 	}
-	s.Ledger.pruneBatches(at)
 	s.Ledger.Batches[b.ID] = &b
+	s.Ledger.pruneBatches(at, c.RetainedLimit)
 	return Outcome{}
 }
 
@@ -210,7 +229,11 @@
 		r.Batch = ""
 		b.resultIndex[r.Item] = len(b.Results)
 		b.Results = append(b.Results, r)
+		b.bytes += r.retainedBytes()
 		delete(b.Partial, r.Item)
+		if b.EndedRetention > 0 && b.complete() && !b.Ended {
+			b.dropRequests(true)
+		}
 	}
 	for i := range c.Progress {
 		s.batchProgress(&c.Progress[i])
@@ -238,7 +261,7 @@
 	}
 }
 
-func (s *State) batchEnd(c *BatchEnd) Outcome {
+func (s *State) batchEnd(c *BatchEnd, at time.Time) Outcome {
 	b := s.Ledger.Batches[c.ID]
 	if b == nil {
 		return reject(result.NotFound, "no batch job "+c.ID)
@@ -248,22 +271,27 @@
 	}
 	if !b.Ended {
 		b.Ended = true
+		if b.EndedRetention > 0 {
+			b.EndedAt = at
+		}
 		b.Partial = nil
-		b.dropRequests()
+		b.dropRequests(false)
 	}
 	return Outcome{}
 }
 
-// dropRequests discards what is needed only to run the items of a job that has ended: all of it for an item with a result, and all but the body for another one. Results
-// are retained for minutes, and the requests are about as large. The items are replaced, not
+// dropRequests discards what is needed only to run the items of a job that has ended or is complete: all
+// but the bodies of items without a result, and of the others if listedBodies is set. Results are
+// retained for minutes or longer, and the requests are about as large. The items are replaced, not
 // changed, because a frozen state may share them.
-func (b *Batch) dropRequests() {
+func (b *Batch) dropRequests(listedBodies bool) {
 	items := make([]BatchItem, len(b.Items))
 	for i, it := range b.Items {
 		items[i] = BatchItem{ID: it.ID}
-		if !b.HasResult(it.ID) {
+		if listedBodies || !b.HasResult(it.ID) {
 			items[i].Body = it.Body
 		}
 	}
 	b.Items = items
+	b.measure()
 }
--- a/internal/state/batch_retention.go
+++ b/internal/state/batch_retention.go
@@ -1,13 +1,30 @@
 package state
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // DiscardReason says why a batch job was discarded.
 type DiscardReason string
 
-// DiscardExpired means that the job was not open and its Retention had passed, or that the
-// ItemTTL of an open one had passed too.
-const DiscardExpired DiscardReason = "expired"
+const (
+	// DiscardEnded means that Retention and EndedRetention of an ended job had passed.
+	DiscardEnded DiscardReason = "ended"
+	// DiscardMemory means that the retained jobs exceeded their bound.
+	DiscardMemory DiscardReason = "memory"
+	// DiscardExpired means that Retention of a job without EndedRetention had passed, and ItemTTL too if
+	// it was open.
+	DiscardExpired DiscardReason = "expired"
+)
+
+// Memory of a job, an item and a result without texts and bodies, with their places in maps.
+const (
+	batchMemoryBytes  = 1 << 10
+	itemMemoryBytes   = 320
+	resultMemoryBytes = 240
+)
 
 // DiscardedBatch describes a batch job that was discarded.
 type DiscardedBatch struct {
@@ -35,12 +52,93 @@
 	})
 }
 
-// pruneBatches discards batch jobs that callers may no longer read. at is the command's
-// time, so that every replica discards the same jobs.
-func (l *Ledger) pruneBatches(at time.Time) {
+// RetainedBytes returns about the memory of the jobs in the state without partial output.
+func (l *Ledger) RetainedBytes() int {
+	n := 0
+	for _, b := range l.Batches {
+		n += b.bytes
+	}
+	return n
+}
+
+// FixedBytes returns the part of RetainedBytes that must not be discarded at a time of the control group.
+func (l *Ledger) FixedBytes(at time.Time) int {
+	n := 0
+	for _, b := range l.Batches {
+		if !b.mayDiscard(at) {
+			n += b.bytes
+		}
+	}
+	return n
+}
+
+// measure computes bytes and hasBodies.
+func (b *Batch) measure() {
+	b.bytes, b.hasBodies = batchMemoryBytes, false
+	for i := range b.Items {
+		b.bytes += itemMemoryBytes + b.Items[i].contentBytes()
+		b.hasBodies = b.hasBodies || len(b.Items[i].Body) > 0
+	}
+	for i := range b.Results {
+		b.bytes += b.Results[i].retainedBytes()
+	}
+}
+
+func (r *BatchResult) retainedBytes() int {
+	return resultMemoryBytes + len(r.Item) + len(r.Text) + len(r.Score) + 8*len(r.Versions)
+}
+
+// mayDiscard reports whether a job may be discarded for lack of memory: its retention has passed, as if it
+// were a job without EndedRetention.
+func (b *Batch) mayDiscard(at time.Time) bool {
+	age := at.Sub(b.Accepted)
+	return age > b.Retention && (!b.Open() || age > b.Retention+b.ItemTTL)
+}
+
+// pruneBatches discards batch jobs that callers may no longer read and, while the jobs have more than
+// limit bytes, those that only their callers' missing end retains. at is the command's time, so that
+// every replica discards the same jobs.
+func (l *Ledger) pruneBatches(at time.Time, limit int) {
+	var candidates []*Batch
 	for _, b := range l.Batches {
-		if at.Sub(b.Accepted) > b.Retention && (!b.Open() || at.Sub(b.Accepted) > b.Retention+b.ItemTTL) {
+		if !b.mayDiscard(at) {
+			continue
+		}
+		switch {
+		case b.EndedRetention == 0:
 			l.discardBatch(b, at, DiscardExpired)
+		case b.Ended && at.Sub(b.EndedAt) > b.EndedRetention:
+			l.discardBatch(b, at, DiscardEnded)
+		default:
+			if b.complete() && b.hasBodies {
+				b.dropRequests(false)
+			}
+			candidates = append(candidates, b)
 		}
 	}
+	bytes := l.RetainedBytes()
+	if limit == 0 || bytes <= limit {
+		return
+	}
+	slices.SortFunc(candidates, func(a, b *Batch) int {
+		return cmp.Or(compareBool(b.Ended, a.Ended), a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	for _, b := range candidates {
+		if bytes <= limit {
+			return
+		}
+		bytes -= b.bytes
+		l.discardBatch(b, at, DiscardMemory)
+	}
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
--- a/internal/state/builds_test.go
+++ b/internal/state/builds_test.go
@@ -75,7 +75,7 @@
 			g.Expect(err).NotTo(HaveOccurred(), file)
 			if strings.Contains(file, "6211bc4") { // the two differences of that build, which nobody can read
 				held.Ledger.Time = s.Ledger.Time // it has no time of the group
-				held.Ledger.Batches["j2"].dropRequests()
+				held.Ledger.Batches["j2"].dropRequests(false)
 			}
 			want, err := held.Encode()
 			g.Expect(err).NotTo(HaveOccurred(), file)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -111,7 +111,7 @@
 	case c.BatchRecord != nil:
 		return s.batchRecord(c.BatchRecord)
 	case c.BatchEnd != nil:
-		return s.batchEnd(c.BatchEnd)
+		return s.batchEnd(c.BatchEnd, now)
 	case c.IntervalFix != nil:
 		return s.intervalFix(c.IntervalFix, c.At)
 	case c.RetireMark != nil:
