Keep the record of a stream for as long as it may run

What callers would see: a stream that has run for more than 10 minutes cannot be taken up at another entry once its own is gone. The take-up is refused (origin-unknown, 503) although upstreams of its version serve.

Cause: a record lives until the time limit of its stream and 30 s more, but 10 minutes at most, while time limits of routes have no bound.

Evidence: with a limit of 45 minutes, the keeper had no record one second before the end of the limit.

Change: the bound is 24 hours. The memory of records is bounded by their number (32,768, about 220 bytes each) as before, and a record still ends 30 s after the time limit of its stream.

Mixed builds: a keeper of an older build drops the record after 10 minutes, as before.

Failed before: TestRecordOutlivesItsStreamHoweverLong.

--- a/internal/takeup/record.go
+++ b/internal/takeup/record.go
@@ -9,8 +9,9 @@
 
 // Limits of records.
 const (
-	// maxRetention is the longest time for which a record is kept after it was last used.
-	maxRetention = 10 * time.Minute
+	// maxRetention bounds the time for which a record is kept, which follows from the time limit of its
+	// stream. The memory of records has a bound of its own.
+	maxRetention = 24 * time.Hour
 	// maxNameBytes bounds the names in a record that another daemon sends.
 	maxNameBytes = upstream.MaxSoftwareBytes
 )
