Forget usage intervals that are too old to report

Members are killed for their memory in the end.

Cause: committed and reported intervals were kept for the whole term, and counts of entries until the next notice.

Change: each round forgets intervals that ended longer than maxReportAge (60 s) ago, with the counts of entries, which would be committed again else. If a wall clock steps back, the control log still has the first counts of an interval, and a report that is repeated has the same figures.

Failed before: TestUsageOfALongTermIsForgotten.

--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -82,11 +83,22 @@
 		}
 		u.entryCounts[n][r.Source] = counts
 	}
-	for n := range u.entryCounts {
-		if n < oldest {
-			delete(u.entryCounts, n)
-		}
-	}
+	u.forgetCounts(oldest)
+}
+
+// forgetCounts discards the counts of entries for intervals before oldest. The caller holds mu.
+func (u *Usage) forgetCounts(oldest uint64) {
+	maps.DeleteFunc(u.entryCounts, func(n uint64, _ map[string]map[string]int64) bool { return n < oldest })
+}
+
+// forget discards what is known of intervals that are too old to report.
+func (u *Usage) forget(now time.Time) {
+	oldest := intervalOf(now.Add(-maxReportAge), u.intervalLength)
+	u.mu.Lock()
+	u.forgetCounts(oldest) // else they would be committed again
+	u.mu.Unlock()
+	maps.DeleteFunc(u.committed, func(n uint64, _ map[string]int64) bool { return n < oldest })
+	maps.DeleteFunc(u.reported, func(n uint64, _ bool) bool { return n < oldest })
 }
 
 // Run commits and reports intervals until ctx ends.
@@ -108,6 +120,7 @@
 	if u.committed == nil && !u.loadCommitted(ctx, now) {
 		return
 	}
+	u.forget(now)
 	u.commitComplete(ctx, now)
 	u.reportCommitted(ctx, f, now)
 }
--- a/internal/duty/usage_test.go
+++ b/internal/duty/usage_test.go
@@ -126,6 +126,33 @@
 	})
 }
 
+// Guards against a leader whose memory grows for as long as it leads: intervals that are too old to report
+// are forgotten, and stay so if an entry is not heard of any more.
+func TestUsageOfALongTermIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		provider := &fakeProvider{reports: map[uint64][]map[string]int64{}}
+		term := uint64(1)
+		replica := fakeReplica{state.New()}
+		u := NewUsage(NewTerm(fakeLeadership(&term), "me", 0), testIntervalLength, replica, provider, log.New(io.Discard))
+		c := NewCounter("e", testIntervalLength)
+		began := time.Now()
+		for time.Since(began) < time.Hour {
+			c.Began("a", time.Now())
+			if time.Since(began) < 55*time.Minute {
+				u.Record(c.RequestCounts())
+			}
+			u.round(t.Context())
+			time.Sleep(testIntervalLength / 2)
+		}
+		g.Expect(len(u.committed) + len(u.reported) + len(u.entryCounts)).To(BeNumerically("<=", 3*int(maxReportAge/testIntervalLength+1)))
+		g.Expect(len(provider.reports)).To(BeNumerically(">=", int(54*time.Minute/testIntervalLength)))
+		for n, r := range provider.reports {
+			g.Expect(r).To(HaveLen(1), "interval %d", n)
+		}
+	})
+}
+
 // A process must not act without a valid lease, before its takeover delay has passed, or
 // under the fencing token of an earlier term.
 func TestTermRequiresLeaseAndTakeoverDelay(t *testing.T) {
