Leave nothing behind after a read of a batch job

Cause: each read registered a channel for changes of its job before it looked whether there is one to wait for. The channel was removed by the next change of the job, which never comes for an unknown, complete or discarded one.

Evidence: 20 jobs that were read before their acceptance and after their end left a channel each.

Change: the loop, which also applies changes, registers the channel only for a read that waits for a result of an open job. A job that is discarded notifies its readers.

--- a/internal/control/batches.go
+++ b/internal/control/batches.go
@@ -68,14 +68,20 @@
 		if err := r.catchUp(ctx); err != nil {
 			return BatchReadReply{}, err
 		}
-		changed := r.batchChangedChan(q.ID)
 		var reply BatchReadReply
 		var err error
-		if loopErr := r.runInLoop(ctx, func() { reply, err = r.readBatch(q) }); loopErr != nil {
+		var changed <-chan struct{} // nil unless there is something to wait for
+		remaining := time.Until(deadline)
+		loopErr := r.runInLoop(ctx, func() {
+			reply, err = r.readBatch(q)
+			if err == nil && q.Item == "" && len(reply.Results) == 0 && !reply.Done && remaining > 0 {
+				changed = r.batchChangedChan(q.ID)
+			}
+		})
+		if loopErr != nil {
 			return BatchReadReply{}, loopErr
 		}
-		remaining := time.Until(deadline)
-		if err != nil || q.Item != "" || len(reply.Results) > 0 || reply.Done || remaining <= 0 {
+		if changed == nil {
 			return reply, err
 		}
 		timer := time.NewTimer(remaining)
@@ -155,7 +161,8 @@
 	return r.openBatchesChanged
 }
 
-// batchChangedChan returns a channel that is closed when the batch job changes.
+// batchChangedChan returns a channel that is closed when an open batch job changes or is discarded. It is
+// called in the loop, which changes them.
 func (r *Replica) batchChangedChan(id string) <-chan struct{} {
 	r.batchChangedMu.Lock()
 	defer r.batchChangedMu.Unlock()
@@ -192,6 +199,13 @@
 	}
 }
 
+// discardedBatchChanged notifies the readers of a batch job that was discarded.
+func (r *Replica) discardedBatchChanged(id string) {
+	r.batchChangedMu.Lock()
+	defer r.batchChangedMu.Unlock()
+	r.notifyBatch(id)
+}
+
 func (r *Replica) notifyOpenBatches() {
 	close(r.openBatchesChanged)
 	r.openBatchesChanged = make(chan struct{})
--- a/internal/control/discarded_jobs.go
+++ b/internal/control/discarded_jobs.go
@@ -47,6 +47,7 @@
 func (r *Replica) noteDiscarded(jobs []state.DiscardedBatch) {
 	for _, x := range jobs {
 		r.discardedJobs.add(x)
+		r.discardedBatchChanged(x.ID)
 		if r.node.Status().Role != consensus.Leader {
 			continue
 		}
