Count replicas that are down in the level of batch jobs

What callers would see: while machines are upgraded one after the other, the last older replica is down for a moment. An entry that knows only the live daemons then writes fields of level 3 with each batch job. If the older replica comes back with its build, it stops (data-newer), or drops the fields in silence if it is from or before. The same holds for an entry that has just started and has not heard of an older replica yet. Jobs are accepted all the time, unlike the changes that levels 1 and 2 are for.

Cause: the level of an entry is the lowest one of the daemons that are live in its gossip.

Change: for batch jobs, members of the control group count with the level that was last heard of their address.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	// ownRegion allows the region of this node only.
 	ownRegion      *homes.Homes
 	replicaRegions replicaRegions
+	replicaLevels  replicaLevels
 	log            *log.Logger
 	started        time.Time
 	client         *peer.Client
@@ -185,7 +186,7 @@
 	n.spawn(func() {
 		periodic.Every(ctx, expireInterval, func() {
 			n.directory.Expire()
-			n.noteReplicaRegions()
+			n.noteReplicas()
 			status.logChanges()
 		})
 	})
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -156,7 +156,7 @@
 		return err
 	}
 	b.Retention = n.cfg.BatchRetention
-	if n.Level() >= endedRetentionLevel {
+	if n.replicaLevel() >= endedRetentionLevel {
 		b.EndedRetention = b.Retention / endedRetentionShare
 	}
 	_, err := n.proposeChange(ctx, state.Command{BatchAccept: &state.BatchAccept{Batch: b}})
