Retain ended batch jobs longer while there is room

What callers would see: an ended job, its results and the repetition of its end are a 404 once `batch_keep` (120 s) after its acceptance and half of that after its end have passed.

Change: such a job is discarded only while all jobs have more than a quarter of the bound for abandoned ones (13 MB at a replica of 294 MB); the oldest first, before any other. Larger states would cost more than they give: a replica that lost its disk has to get them before the next loss.

--- a/internal/state/batch.go
+++ b/internal/state/batch.go
@@ -8,9 +8,9 @@
 )
 
 // Batch is a batch job as it was submitted, with its results so far. Replicas retain it until it has
-// ended, and then for at least Retention after its acceptance and EndedRetention after its end. Only if
-// the retained jobs exceed a bound, the oldest ones whose caller has not ended them are discarded before,
-// but not within Retention after their acceptance.
+// ended, and then for at least Retention after its acceptance and EndedRetention after its end, longer
+// while there is room. Only if the retained jobs exceed a bound, the oldest ones are discarded before, but
+// not within Retention after their acceptance.
 type Batch struct {
 	ID            string        `json:"id"`
 	Account       string        `json:"account"`
--- a/internal/state/batch_retention.go
+++ b/internal/state/batch_retention.go
@@ -10,7 +10,8 @@
 type DiscardReason string
 
 const (
-	// DiscardEnded means that Retention and EndedRetention of an ended job had passed.
+	// DiscardEnded means that Retention and EndedRetention of an ended job had passed, and that all jobs
+	// exceeded a part of their bound.
 	DiscardEnded DiscardReason = "ended"
 	// DiscardMemory means that the retained jobs exceeded their bound.
 	DiscardMemory DiscardReason = "memory"
@@ -95,20 +96,20 @@
 	return age > b.Retention && (!b.Open() || age > b.Retention+b.ItemTTL)
 }
 
-// pruneBatches discards batch jobs that callers may no longer read and, while the jobs have more than
-// limit bytes, those that only their callers' missing end retains. at is the command's time, so that
+// endedShare is the part of the limit of all jobs, as a divisor, up to which ended ones are retained longer than
+// they have to be.
+const endedShare = 4
+
+// pruneBatches discards batch jobs that callers may no longer read while the jobs have more than a part of
+// limit bytes and, above limit, those that only the missing end retains. at is the command's time, so that
 // every replica discards the same jobs.
 func (l *Ledger) pruneBatches(at time.Time, limit int) {
 	var candidates []*Batch
 	for _, b := range l.Batches {
-		if !b.mayDiscard(at) {
-			continue
-		}
 		switch {
+		case !b.mayDiscard(at):
 		case b.EndedRetention == 0:
 			l.discardBatch(b, at, DiscardExpired)
-		case b.Ended && at.Sub(b.EndedAt) > b.EndedRetention:
-			l.discardBatch(b, at, DiscardEnded)
 		default:
 			if b.complete() && b.hasBodies {
 				b.dropRequests(false)
@@ -116,29 +117,30 @@
 			candidates = append(candidates, b)
 		}
 	}
-	bytes := l.RetainedBytes()
-	if limit == 0 || bytes <= limit {
-		return
-	}
 	slices.SortFunc(candidates, func(a, b *Batch) int {
-		return cmp.Or(compareBool(b.Ended, a.Ended), a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.discardRank(at), b.discardRank(at)), a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
 	})
+	bytes := l.RetainedBytes()
 	for _, b := range candidates {
-		if bytes <= limit {
-			return
+		reason, bound := DiscardMemory, limit
+		if b.discardRank(at) == 0 {
+			reason, bound = DiscardEnded, limit/endedShare
+		}
+		if bytes > bound && (limit > 0 || reason == DiscardEnded) {
+			bytes -= b.bytes
+			l.discardBatch(b, at, reason)
 		}
-		bytes -= b.bytes
-		l.discardBatch(b, at, DiscardMemory)
 	}
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// discardRank orders jobs that may be discarded: those that callers may no longer read come first, then those
+// that have ended.
+func (b *Batch) discardRank(at time.Time) int {
 	switch {
-	case a == b:
-		return 0
-	case a:
+	case !b.Ended:
+		return 2
+	case at.Sub(b.EndedAt) <= b.EndedRetention:
 		return 1
 	}
-	return -1
+	return 0
 }
