Count jobs that wait for their commit in the bound of retained jobs

The bound was compared with the jobs in the state alone, so several jobs that came at once passed it together, by up to what the memory for proposals allows. Found by reading; no test fails without it, and no run has shown that it matters.

--- a/internal/control/retained_jobs.go
+++ b/internal/control/retained_jobs.go
@@ -42,14 +42,22 @@
 	return c
 }
 
-// retainedFull reports whether a job of size bytes does not fit beside the jobs that must be retained. Only the
-// leader knows.
+// waitingBytes returns the size of the jobs that wait for their commit.
+func (m *proposalMemory) waitingBytes() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held / proposalMemoryFactor
+}
+
+// retainedFull reports whether a job of size bytes does not fit beside the jobs that must be retained or wait for
+// their commit. Only the leader knows.
 func (r *Replica) retainedFull(ctx context.Context, size int) (bool, error) {
 	if r.proposalMemory.budget == nil || r.Status().Role != consensus.Leader {
 		return false, nil
 	}
+	waiting := r.proposalMemory.waitingBytes()
 	return callInLoop(ctx, r, func() bool {
 		at := r.groupClock.now(clock.Now(), r.wallClock())
-		return int64(r.state.Ledger.FixedBytes(at)+size) > r.proposalMemory.budget.Limit()*fixedPercent/100
+		return int64(r.state.Ledger.FixedBytes(at)+size)+waiting > r.proposalMemory.budget.Limit()*fixedPercent/100
 	})
 }
