--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -55,6 +55,7 @@
 // Apply executes c. A command with a known operation ID is not executed again: it gets
 // the outcome of the first execution, or is rejected if it is a different command.
 func (s *State) Apply(c Command) Outcome {
+	s.Ledger.discarded = nil
 	if t := c.Time(); t.After(s.Ledger.Time) {
 		s.Ledger.Time = t
 	}
@@ -110,7 +111,7 @@
 	case c.BatchRecord != nil:
 		return s.batchRecord(c.BatchRecord)
 	case c.BatchEnd != nil:
-		return s.batchEnd(c.BatchEnd)
+		return s.batchEnd(c.BatchEnd, now)
 	case c.IntervalFix != nil:
 		return s.intervalFix(c.IntervalFix, c.At)
 	case c.RetireMark != nil:
