Log lost votes and membership changes that are held up

What operators saw: nothing. A lost vote whose successor was refused again and again left only the line of the learner's start; the refusals were logged at the level debug, which is off by default, ten times a second.

Change: the leader logs `Lost vote waits for its successor.` once a lost vote has waited for 0.5 s, and again each time that the wait has doubled: who lost it, who is to take it over, which index the successor must hold, which it holds and what is committed. `Failed to change the control group's membership.` is a warning after the same times; a refusal of a moment stays at the level debug. No decision changes.

--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -29,6 +29,7 @@
 	log      *log.Logger
 	lastLive map[consensus.ID]time.Time // when each member was last live, as seen by this process
 	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
+	delays   membershipDelays
 	term     uint64
 	began    time.Time // when the term began here
 }
@@ -58,8 +59,10 @@
 		r.replica.publishSilence(l.Term, view.silentMembers())
 	}
 	r.logCatchUp(now, view)
+	r.delays.logLostVotes(now, view, r.log)
 	next, reason, ok := view.NextChange()
 	if !ok {
+		r.delays.refused = nil
 		return
 	}
 	change := func(current consensus.Membership) consensus.Membership {
@@ -71,9 +74,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := r.replica.submit(ctx, &proposal{change: change}); err != nil {
-		r.log.Debug("Failed to change the control group's membership.", "change", reason, "err", err.Error())
+		r.delays.logRefusal(time.Now(), reason, err, r.log)
 		return
 	}
+	r.delays.refused = nil
 	r.log.Info("Control group membership changed.", "change", reason, "term", l.Term, "voters", next.Voters(), "members", len(next))
 }
 
@@ -83,7 +87,7 @@
 
 // beginTerm prepares the reconciler for a term in which its replica leads.
 func (r *MembershipReconciler) beginTerm(now time.Time, term uint64) {
-	r.term, r.began, r.behind = term, now, map[consensus.ID]time.Time{}
+	r.term, r.began, r.behind, r.delays = term, now, map[consensus.ID]time.Time{}, membershipDelays{}
 	for id, t := range r.lastLive {
 		if earliest := now.Add(newLeaderGrace - voterDeadAfter); t.Before(earliest) {
 			r.lastLive[id] = earliest
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -86,7 +86,7 @@
 // runs at the same address. The learner gets the vote of the old replica, if it had one.
 // The old replica can never run again.
 func (v MembershipView) replaceLostReplica() (consensus.Membership, string, bool) {
-	for _, l := range v.learnersWith(v.Commit) {
+	for _, l := range v.learnersWith(v.mustHold()) {
 		for _, id := range v.Members.IDs() {
 			old := v.Members[id]
 			if id == l.ID || old.Address != l.Address || v.live(id) {
@@ -104,6 +104,9 @@
 	return nil, "", false
 }
 
+// mustHold returns the index up to which the successor of a lost voter must hold the log.
+func (v MembershipView) mustHold() uint64 { return v.Commit }
+
 // promoteLearner makes a caught-up learner a voter when there are too few healthy voters.
 // It prefers the zone with the fewest of them.
 func (v MembershipView) promoteLearner() (consensus.Membership, string, bool) {
@@ -197,9 +200,17 @@
 
 // lost reports whether the replica has lost its disk: another one runs at its address.
 func (v MembershipView) lost(id consensus.ID) bool {
-	return !v.live(id) && slices.ContainsFunc(v.Live, func(m consensus.Member) bool {
-		return m.ID != id && m.Address == v.Members[id].Address
-	})
+	_, ok := v.successor(id)
+	return ok
+}
+
+// successor returns the replica that runs at the address of a replica that has lost its disk.
+func (v MembershipView) successor(id consensus.ID) (consensus.Member, bool) {
+	i := slices.IndexFunc(v.Live, func(m consensus.Member) bool { return m.ID != id && m.Address == v.Members[id].Address })
+	if i < 0 || v.live(id) {
+		return consensus.Member{}, false
+	}
+	return v.Live[i], true
 }
 
 func (v MembershipView) live(id consensus.ID) bool {
