--- a/internal/consensus/sim_cluster_test.go
+++ b/internal/consensus/sim_cluster_test.go
@@ -12,6 +12,7 @@
 	simHeartbeat      = 3 * clockTicksPerUnit
 	simElection       = 20 * clockTicksPerUnit
 	simLease          = 16 * clockTicksPerUnit
+	simSnapshotRetry  = 2 * simElection
 	// maxDelayUnits bounds the delay of a message. It is longer than an election
 	// timeout.
 	maxDelayUnits = 30
@@ -74,7 +75,7 @@
 	r.node = New(Config{
 		ID: r.id, Hard: r.disk.hard, Snapshot: meta, Entries: r.disk.entries, Now: r.clock(s.realTime), Rand: s.rnd,
 		HeartbeatInterval: simHeartbeat, ElectionTimeout: simElection, LeaseDuration: simLease, MaxAppendEntries: 2,
-		Restarted: s.newProcesses,
+		SnapshotRetryInterval: simSnapshotRetry, Restarted: s.newProcesses,
 	})
 	if s.newProcesses {
 		r.leaseEnd = 0
