Let a successor take over a lost vote without the newest entry

What callers would see: after a lost disk the group keeps its quorum, but the successor gets the vote late or not at all while the load lasts. The next lost disk then takes the quorum for good: the configuration and accepted jobs cannot be read any more.

Cause: the exchange of a lost vote required that the successor hold the newest committed entry at the moment of the check, every 100 ms. Under steady load a successor whose disk is slower than that of the other follower hardly ever does. The vote then came as an additional one, once the successor held what was committed one to two heartbeats ago, and the lost voter was removed after that. Among four voters of which one is lost, each of the other three is needed. Beyond a lag of one to two heartbeats the vote did not come at all.

Syncs of 0.2 to 1.0 s occur: "Control loop was slow." with store_ms of 540, 590 and 1031 on a machine of which eight processors are shared (load 17).

Change: the successor must hold the committed entries for which the lost voter may have counted: up to the larger of the last index at the leader's election and what the lost voter acknowledged to this leader. consensus.Status has it as TakeoverIndex, which the view uses too. A learner that has lost its disk is replaced once its successor answers.

Why it works: the index does not move once the voter is gone. docs/design/control.md has the argument for the safety.

Checks: in the random schedules of the core, a lost disk may now also be one of two among five voters, and a learner that joined before the loss may take over the vote at its address. After each exchange a quorum of the new voters must have stored every committed entry.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -75,7 +75,7 @@
 	n.leader = n.id
 	n.restart.elected = n.restart.confirmed != nil
 	n.restart.own, n.restart.confirmed = false, nil
-	n.leaderSince = n.now
+	n.leaderSince, n.electedAfter = n.now, n.log.lastIndex()
 	n.recentCommit, n.sampledCommit, n.nextCommitSample = n.commit, n.commit, n.now
 	n.votes, n.rejections = nil, nil
 	n.progress = make(map[ID]*progress, len(n.members))
--- a/internal/consensus/invariants_test.go
+++ b/internal/consensus/invariants_test.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// checkExchange verifies that after the exchange of a lost voter a quorum of next has stored every
+// committed entry, where other voters count that have lost their disks since.
+func (s *simCluster) checkExchange(l *simReplica, next Membership) {
+	for _, e := range s.committed {
+		stored := 0
+		for id, m := range next {
+			if r := s.replicas[id]; m.Voter && (r.disk.holds(e) || r.lostDisk.holds(e)) {
+				stored++
+			}
+		}
+		if stored < next.Quorum() {
+			s.fail("%s exchanges a lost voter, but %d of the new voters %v have stored entry %d", l.id, stored, next, e.Index)
+		}
+	}
+}
+
 // checkLogMatching verifies the log matching property for all durable logs: entries with
 // the same index and term have the same data and the same previous term.
 func (s *simCluster) checkLogMatching() {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -84,7 +84,8 @@
 	recentCommit     uint64
 	sampledCommit    uint64 // the next value of recentCommit
 	nextCommitSample Time
-	lastTick         Time // time of the newest tick
+	electedAfter     uint64 // index of the last log entry of earlier terms; set on a leader
+	lastTick         Time   // time of the newest tick
 	// lastLateTick is the time of the newest tick that came more than half a heartbeat
 	// interval after the tick before it.
 	lastLateTick Time
@@ -196,7 +197,8 @@
 
 // ProposeMembers appends a membership change. next may differ from the current
 // membership by at most one voter, or replace one voter as ReplacesOneVoter describes. A
-// new voter must have been a learner that has every committed entry.
+// new voter must have been a learner. One that replaces a lost voter must hold the log up to
+// Status.TakeoverIndex, any other up to Status.RecentCommit.
 func (n *Node) ProposeMembers(now Time, next Membership) (index, term uint64, err error) {
 	n.now = max(n.now, now)
 	if n.role != Leader {
@@ -209,11 +211,9 @@
 		return 0, 0, ErrChangeTooLarge
 	}
 	active := 0
-	// A voter that takes the place of a lost one must hold every committed entry, since the
-	// lost one may have counted for its quorum. Other new voters may lack the newest ones.
 	mustHold := n.recentCommit
 	if !n.members.ChangesAtMostOneVoter(next) {
-		mustHold = n.commit
+		mustHold = n.takeoverIndex(n.members.votersNotIn(next)[0].ID)
 	}
 	for id, m := range next {
 		if m.Voter && !n.members.IsVoter(id) && !n.caughtUp(id, mustHold) {
@@ -307,6 +307,10 @@
 	Match     map[ID]uint64 // leader only: highest index known to be durable, by replica
 	// RecentCommit is what Commit was one to two heartbeat intervals ago; leader only.
 	RecentCommit uint64
+	// TakeoverIndex is, by voter, the index up to which another replica must hold the log to
+	// replace the voter if that has lost its disk; leader only. It does not grow with the commit
+	// index once the voter is gone.
+	TakeoverIndex map[ID]uint64
 	// Active are the replicas that have answered a heartbeat of the last election timeout;
 	// leader only.
 	Active   []ID
@@ -330,8 +334,11 @@
 		if s.ElectedEarly = n.restart.elected; s.ElectedEarly {
 			s.AbsentVoters = slices.Clone(n.restart.absent)
 		}
-		s.Match = make(map[ID]uint64, len(n.progress))
+		s.Match, s.TakeoverIndex = make(map[ID]uint64, len(n.progress)), map[ID]uint64{}
 		for id, p := range n.progress {
+			if n.members.IsVoter(id) {
+				s.TakeoverIndex[id] = n.takeoverIndex(id)
+			}
 			s.Match[id] = p.match
 			if n.recentlyActive(id) {
 				s.Active = append(s.Active, id)
--- a/internal/consensus/sim_replica_test.go
+++ b/internal/consensus/sim_replica_test.go
@@ -24,6 +24,12 @@
 	}
 }
 
+// holds reports whether d holds the committed entry e.
+func (d *disk) holds(e Entry) bool {
+	i := e.Index - d.snapshot.Meta.Index - 1
+	return e.Index <= d.snapshot.Meta.Index || i < uint64(len(d.entries)) && d.entries[i].Term == e.Term
+}
+
 // simReplica simulates one replica with its disk and its drifting clock.
 type simReplica struct {
 	id               ID
@@ -33,6 +39,7 @@
 	clockRate        float64 // 1: no drift
 	clockOffset      Time
 	wiped            bool   // its disk is lost for good
+	lostDisk         disk   // what that disk held
 	waitingRun       uint32 // run of the process that waits to join at its address; 0: none
 	removalRequested bool   // to be removed from the cluster and wiped
 	frozen           bool
--- a/internal/control/group_sim_machine_test.go
+++ b/internal/control/group_sim_machine_test.go
@@ -42,7 +42,8 @@
 	boots    int  // invalidates the joining of an earlier process
 	gone     bool // for good
 	retiring bool
-	loss     *simLoss // the newest one
+	loss     *simLoss      // the newest one
+	slowSync time.Duration // added to each sync of its disk
 }
 
 // boot starts the process, unless it runs.
--- a/internal/control/membership_delays.go
+++ b/internal/control/membership_delays.go
@@ -54,7 +54,7 @@
 		_, isMember := v.Members[successor.ID]
 		holds, answers := v.Match[successor.ID]
 		logger.Warn("Lost vote waits for its successor.", "lost", id, "successor", successor.ID, "member", isMember, "answers", answers,
-			"must_hold", v.mustHold(), "holds", holds, "commit", v.Commit, "ms", took.Milliseconds())
+			"must_hold", v.TakeoverIndex[id], "holds", holds, "commit", v.Commit, "ms", took.Milliseconds())
 	}
 	d.lostVotes = waiting
 }
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -99,8 +99,7 @@
 // line. Under load a learner lacks the newest entry at nearly any moment.
 const loggedCatchUp = 500 * time.Millisecond
 
-// logCatchUp logs when a learner that lacked committed entries holds them all: from then
-// on it can replace a lost voter.
+// logCatchUp logs when a learner that lacked committed entries holds them all but the newest.
 func (r *MembershipReconciler) logCatchUp(now time.Time, view MembershipView) {
 	for id, m := range view.Members {
 		since, behind := r.behind[id]
@@ -122,7 +121,8 @@
 func (r *MembershipReconciler) view(now time.Time) MembershipView {
 	st := r.replica.Status()
 	v := MembershipView{
-		Self: st.ID, Members: st.Members, Match: map[consensus.ID]uint64{}, Commit: st.Commit, RecentCommit: st.RecentCommit, Live: r.live(),
+		Self: st.ID, Members: st.Members, Match: map[consensus.ID]uint64{}, Commit: st.Commit, RecentCommit: st.RecentCommit,
+		TakeoverIndex: st.TakeoverIndex, Live: r.live(),
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
 	v.MaxMembers = membersPerVoter * v.Voters
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -26,13 +26,15 @@
 	Match   map[consensus.ID]uint64 // highest durable index of the replicas that answer
 	Commit  uint64
 	// RecentCommit is what Commit was a short time ago. A learner that holds the entries up
-	// to there may become an additional voter; one that takes over a lost vote must hold
-	// every committed entry.
+	// to there may become an additional voter.
 	RecentCommit uint64
-	Live         []consensus.Member             // replicas that announce themselves as running
-	SilentFor    map[consensus.ID]time.Duration // time since each member was last live
-	Retiring     map[consensus.ID]bool          // replicas that are being retired
-	Voters       int                            // desired number of voters
+	// TakeoverIndex is, by voter, the index up to which a learner must hold the log to take over
+	// its vote if it has lost its disk.
+	TakeoverIndex map[consensus.ID]uint64
+	Live          []consensus.Member             // replicas that announce themselves as running
+	SilentFor     map[consensus.ID]time.Duration // time since each member was last live
+	Retiring      map[consensus.ID]bool          // replicas that are being retired
+	Voters        int                            // desired number of voters
 	// MaxMembers bounds the members. Replicas beyond it stay standbys: they hold no log, and
 	// join when a member is gone for good.
 	MaxMembers int
@@ -82,18 +84,17 @@
 	return next, "replica " + string(m.ID) + " joins as a learner", true
 }
 
-// replaceLostReplica replaces a replica that lost its disk with the caught-up learner that
-// runs at the same address. The learner gets the vote of the old replica, if it had one.
-// The old replica can never run again.
+// replaceLostReplica replaces a replica that lost its disk with a learner that runs at the same
+// address. The learner gets the vote of the old replica, if it had one and the learner holds
+// the log up to TakeoverIndex. The old replica can never run again.
 func (v MembershipView) replaceLostReplica() (consensus.Membership, string, bool) {
-	for _, l := range v.learnersWith(v.mustHold()) {
-		for _, id := range v.Members.IDs() {
-			old := v.Members[id]
+	for _, id := range v.Members.IDs() {
+		old := v.Members[id]
+		for _, l := range v.learnersWith(v.TakeoverIndex[id]) {
 			if id == l.ID || old.Address != l.Address || v.live(id) {
 				continue
 			}
-			next := v.Members.Clone()
-			delete(next, id)
+			next := v.without(id)
 			if old.Voter {
 				l.Voter = true
 				next[l.ID] = l
@@ -104,9 +105,6 @@
 	return nil, "", false
 }
 
-// mustHold returns the index up to which the successor of a lost voter must hold the log.
-func (v MembershipView) mustHold() uint64 { return v.Commit }
-
 // promoteLearner makes a caught-up learner a voter when there are too few healthy voters.
 // It prefers the zone with the fewest of them.
 func (v MembershipView) promoteLearner() (consensus.Membership, string, bool) {
@@ -217,12 +215,12 @@
 	return slices.ContainsFunc(v.Live, func(m consensus.Member) bool { return m.ID == id })
 }
 
-// learnersWith lists the running learners that hold the log entries up to index i.
+// learnersWith lists the running learners that answer and hold the log entries up to index i.
 func (v MembershipView) learnersWith(i uint64) []consensus.Member {
 	var out []consensus.Member
 	for _, id := range v.Members.IDs() {
 		m := v.Members[id]
-		if !m.Voter && v.live(id) && v.Match[id] >= i {
+		if match, answers := v.Match[id]; !m.Voter && v.live(id) && answers && match >= i {
 			out = append(out, m)
 		}
 	}
