Log requests for votes refused for a newer log, and heartbeats that waited

A group without a leader logged "Election failed." at the replica that can't win. That a voter refused it because its own log is newer, and had taken heartbeats of a dead leader for a contact, could only be inferred from the silence of that voter.

Status of the core now has the count and the last case of both; the replica logs each at most once a second with the number of cases since the last line, and counts them. No change of behaviour.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -110,7 +110,12 @@
 		n.becomeFollower(m.Term, "")
 	}
 	mayVote := n.vote == "" || n.vote == m.From || m.Kind == MsgPreVote
-	if m.Term < n.term || !mayVote || !n.log.upToDate(m.Index, m.LogTerm) {
+	if !n.log.upToDate(m.Index, m.LogTerm) {
+		n.recordOlderLogRefusal(m)
+		n.replyVote(m, n.term, true)
+		return
+	}
+	if m.Term < n.term || !mayVote {
 		n.replyVote(m, n.term, true)
 		return
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -94,6 +94,9 @@
 	progress     map[ID]*progress
 	restart      restart
 
+	olderLogRefusals OlderLogRefusals
+	staleHeartbeats  StaleHeartbeats
+
 	incarnation uint32 // random; identifies this run of the process
 	readPoint   ReadPoint
 
@@ -311,6 +314,9 @@
 	// leader only.
 	Active   []ID
 	Election ElectionResult
+	// OlderLogRefusals and StaleHeartbeats are what may delay an election.
+	OlderLogRefusals OlderLogRefusals
+	StaleHeartbeats  StaleHeartbeats
 	// ElectedEarly is set on a leader that was elected without waiting for the election
 	// timeout, because all voters had restarted or lost their disks. AbsentVoters are those
 	// that have lost their disks.
@@ -324,6 +330,7 @@
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
 		Members: n.members.Clone(), Election: n.election,
+		OlderLogRefusals: n.olderLogRefusals, StaleHeartbeats: n.staleHeartbeats,
 	}
 	if n.role == Leader {
 		s.RecentCommit = n.recentCommit
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -47,6 +47,9 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
+	if n.isStale(m) {
+		n.recordStaleHeartbeat(m)
+	}
 	n.lastLeaderContact = n.now
 	n.restart.own = false
 	n.resetElection()
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -58,6 +58,7 @@
 	startedAt time.Duration // on the boot clock; origin of the times of node
 	openedAt  time.Duration // on the boot clock; before the data folder was read
 	phases    phaseTimer
+	obstacles obstacleLogs
 	// wallClock is time.Now; tests set it.
 	wallClock  func() time.Time
 	groupClock groupClock
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -15,8 +15,8 @@
 	consensus.Candidate: "candidate", consensus.Leader: "leader",
 }
 
-// logRoleChange logs a change of role, term or leader, each election that failed, and the
-// first lease of a term. old is nil on the first call.
+// logRoleChange logs a change of role, term or leader, each election that failed, and what may
+// delay the next one. old is nil on the first call.
 func (r *Replica) logRoleChange(old, now *consensus.Status) {
 	if old == nil || old.Role != now.Role || old.Term != now.Term || old.Leader != now.Leader {
 		r.log.Info("Role in the control group.", "id", now.ID, "role", roleNames[now.Role], "term", now.Term, "leader", now.Leader,
@@ -30,6 +30,7 @@
 		r.log.Warn("Election failed.", "failed", e.Failed, "pre_vote", e.PreVote, "term", now.Term, "last", now.LastIndex, "quorum", now.Members.Quorum(),
 			"granted", e.Granted, "rejected", e.Rejected, "silent", silentVoters(now), "up_ms", r.upMs())
 	}
+	r.logElectionObstacles(now)
 }
 
 var votersCountedAbsent = metrics.NewCounter("apricotstream_voters_counted_absent_total")
