Take no stale heartbeat for a contact with the leader

A group of three could be left without a quorum for good: one voter lost its disk while another was frozen, and after the thaw no leader was elected for up to 2 s, so that the lost vote was not replaced before the next disk was lost.

Cause: a thawed replica processes the heartbeats that waited in its sockets. Each counted as a contact now, restarted its election timer (1 to 2 s) and let it refuse all votes for 1 s, although the leader that sent them was gone. If that replica has the newest log, nobody else can win.

Change: an append whose echo of the receiver's own clock is at least an election timeout old has proved nothing about the present. Its entries are stored, but the promise to the leader is not renewed, the reply carries SentAt 0, and the receiver's own election is only held back for two heartbeat intervals. A pre-candidate continues. The leader answers such a reply with an append at once (at most one a heartbeat interval), and rejections carry the clock too, so a leader that lives is in contact again after a round trip. An append without an echo, and one to a replica that can't be elected, count as before.

Why it is safe: the lease counts from SentAt of replies, and no reply without a renewed promise carries one. Everything else that the stale append changes is what any delayed append may change. An older leader ignores SentAt 0 and echoes with its next heartbeat; an older follower never sends 0.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // preVoteWaitHeartbeats is how many heartbeat intervals a replica that granted a
 // pre-vote waits before it starts an election itself.
 const preVoteWaitHeartbeats = 2
@@ -22,6 +24,11 @@
 	n.resetElection()
 }
 
+func (n *Node) resetElection() {
+	jitter := time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout)))
+	n.electionAt = n.now + n.cfg.ElectionTimeout + jitter
+}
+
 // campaign starts an election. It begins with a pre-vote, so that a replica that was
 // disconnected doesn't raise the term of a working cluster.
 func (n *Node) campaign() {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -44,7 +44,8 @@
 	Commit  uint64  `json:"c,omitempty"`
 
 	// SentAt is the leader's clock when it sent the message. The reply returns it;
-	// the leader lease is counted from it.
+	// the leader lease is counted from it. It is 0 in the reply to a stale append, which
+	// is no contact with the leader.
 	SentAt Time `json:"s,omitempty"`
 
 	// Clock is the follower's clock when it replied, and Incarnation identifies the
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 )
 
 // Role is the role that a replica currently has.
@@ -47,6 +46,7 @@
 	ackedSentAt Time   // when the leader sent the newest heartbeat that the replica answered
 	clock       Time   // the replica's clock in its newest reply
 	incarnation uint32 // the replica's incarnation in its newest reply
+	echoedAt    Time   // when an append was last sent at once in answer to a stale reply
 
 	// probing is set from a rejection until an append matches or a snapshot is sent.
 	// Meanwhile the next append is only sent after a reply or a heartbeat interval, so
@@ -377,11 +377,6 @@
 	}
 }
 
-func (n *Node) resetElection() {
-	jitter := time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout)))
-	n.electionAt = n.now + n.cfg.ElectionTimeout + jitter
-}
-
 func (n *Node) send(m Message) {
 	m.From = n.id
 	switch m.Kind {
--- a/internal/consensus/readpoint_test.go
+++ b/internal/consensus/readpoint_test.go
@@ -8,14 +8,19 @@
 )
 
 // simTrio simulates three replicas without message delays. Isolated replicas neither send
-// nor receive.
+// nor receive. Messages to the frozen replica wait.
 type simTrio struct {
 	now      Time
 	nodes    map[ID]*Node
 	isolated map[ID]bool
+	frozen   ID // none: empty
+	waiting  []Message
 }
 
-func newSimTrio() *simTrio {
+func newSimTrio() *simTrio { return newSimTrioOf(7) }
+
+// newSimTrioOf returns a trio whose random numbers depend on seed.
+func newSimTrioOf(seed uint64) *simTrio {
 	members := Membership{}
 	for _, id := range []ID{"a", "b", "c"} {
 		members[id] = Member{ID: id, Voter: true}
@@ -24,7 +29,7 @@
 	for i, id := range members.IDs() {
 		x.nodes[id] = New(Config{
 			ID: id, Hard: HardState{Term: 1, Commit: 1}, Snapshot: SnapshotMeta{Index: 1, Term: 1, Members: members},
-			Rand: rand.New(rand.NewPCG(7, uint64(i))),
+			Rand: rand.New(rand.NewPCG(seed, uint64(i))),
 		})
 	}
 	return x
@@ -34,7 +39,9 @@
 func (x *simTrio) run(d Time) {
 	for end := x.now + d; x.now < end; x.now += DefaultHeartbeatInterval / 4 {
 		for _, id := range []ID{"a", "b", "c"} {
-			x.nodes[id].Tick(x.now)
+			if id != x.frozen {
+				x.nodes[id].Tick(x.now)
+			}
 		}
 		for range 6 {
 			x.exchange()
@@ -45,16 +52,32 @@
 // exchange processes the outstanding work of every replica once and delivers the messages.
 func (x *simTrio) exchange() {
 	for _, id := range []ID{"a", "b", "c"} {
+		if id == x.frozen {
+			continue
+		}
 		r := x.nodes[id].Ready()
 		x.nodes[id].Advance(r)
 		for _, m := range r.Messages {
-			if !x.isolated[m.From] && !x.isolated[m.To] {
+			switch {
+			case x.isolated[m.From] || x.isolated[m.To]:
+			case m.To == x.frozen:
+				x.waiting = append(x.waiting, m)
+			default:
 				x.nodes[m.To].Step(x.now, m)
 			}
 		}
 	}
 }
 
+// thaw ends the freeze. The messages that waited are processed now.
+func (x *simTrio) thaw() {
+	x.frozen = ""
+	for _, m := range x.waiting {
+		x.nodes[m.To].Step(x.now, m)
+	}
+	x.waiting = nil
+}
+
 func (x *simTrio) leader() *Node {
 	for _, n := range x.nodes {
 		if _, ok := n.LeaseUntil(); ok {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -38,26 +38,41 @@
 }
 
 // acceptLeader accepts the sender of m as the leader and restarts the election timeout.
-// It rejects m and returns false if m is from an earlier term.
-func (n *Node) acceptLeader(m Message) bool {
+// It rejects m and returns false if m is from an earlier term. A stale append is no contact: its
+// SentAt is set to 0, so that no lease counts from the reply.
+func (n *Node) acceptLeader(m *Message) bool {
 	if m.Term < n.term {
 		n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: n.log.lastIndex()})
 		return false
 	}
+	n.restart.own = false
+	if n.isStale(*m) {
+		m.SentAt = 0
+		n.acceptStaleLeader(*m)
+		return true
+	}
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	if n.isStale(m) {
-		n.recordStaleHeartbeat(m)
-	}
 	n.lastLeaderContact = n.now
-	n.restart.own = false
 	n.resetElection()
 	return true
 }
 
+// acceptStaleLeader accepts a stale append of the leader without taking it for a contact: the
+// leader may be gone. This replica gives it preVoteWaitHeartbeats heartbeat intervals to echo the
+// clock reading in the reply. A pre-candidate continues, because the voters that hear a living
+// leader refuse it.
+func (n *Node) acceptStaleLeader(m Message) {
+	n.recordStaleHeartbeat(m)
+	if n.role != PreCandidate && (n.role != Follower || n.leader != m.From) {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.electionAt = max(n.electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+}
+
 func (n *Node) stepAppend(m Message) {
-	if !n.acceptLeader(m) {
+	if !n.acceptLeader(&m) {
 		return
 	}
 	if m.Index < n.log.snapshot.Index {
@@ -118,7 +133,7 @@
 			hint--
 		}
 	}
-	n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: hint, Index: m.Index, SentAt: m.SentAt})
+	n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: hint, Index: m.Index, SentAt: m.SentAt, Clock: n.now, Incarnation: n.incarnation})
 }
 
 func (n *Node) stepAppendReply(m Message) {
@@ -130,6 +145,12 @@
 		return
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
+	if m.Incarnation != 0 { // 0: rejection by an older build
+		p.clock, p.incarnation = m.Clock, m.Incarnation
+	}
+	if m.SentAt == 0 {
+		n.echoAtOnce(m.From, p)
+	}
 	if m.Reject {
 		n.stepReject(p, m)
 		return
@@ -140,7 +161,6 @@
 	if p.probing {
 		p.probing, p.next = false, m.Index+1
 	}
-	p.clock, p.incarnation = m.Clock, m.Incarnation
 	p.match = max(p.match, m.Index)
 	p.next = max(p.next, p.match+1)
 	n.advanceCommit()
@@ -149,6 +169,15 @@
 	}
 }
 
+// echoAtOnce sends an append without waiting for the next heartbeat. The replica has answered a
+// stale one, and no lease counts on it before it receives its newest clock reading.
+func (n *Node) echoAtOnce(id ID, p *progress) {
+	if n.now >= p.echoedAt+n.cfg.HeartbeatInterval {
+		p.echoedAt = n.now
+		n.sendAppend(id)
+	}
+}
+
 // stepReject moves next back to where the logs may match and starts probing. While
 // probing, only the rejection of the newest probe counts.
 func (n *Node) stepReject(p *progress, m Message) {
@@ -167,7 +196,7 @@
 }
 
 func (n *Node) stepSnapshot(m Message) {
-	if m.Snapshot == nil || !n.acceptLeader(m) {
+	if m.Snapshot == nil || !n.acceptLeader(&m) {
 		return
 	}
 	meta := m.Snapshot.Meta
