Restart the election timer only for a leader or a granted vote

A replica with the newest log could wait out a new election timeout (1 to 2 s) again and again without a leader: each vote request of a later term that it refused, and each refusal of a later term that it received, restarted its timer.

Cause: becomeFollower restarted the timer on every change of the term or the role, also when no leader was heard and no vote granted. A pre-vote in too early a term was given up.

Evidence, on the code before: TestRefusedRequestsOfLaterTermsDontPostponeElection "no election in two election timeouts", TestPreVoteIsRepeatedInLaterTerm no second request.

Change: becomeFollower restarts the timer of a former leader only; contacts with a leader and granted votes do as before. A pre-candidate that is refused with a later term adopts it and asks again in the term after that, once for each later term.

Why it works: electionAt is never earlier than the last contact plus the election timeout, since both are set together, so no promise is broken; the random part of each timer is kept.

Failed before: TestRefusedRequestsOfLaterTermsDontPostponeElection, TestPreVoteIsRepeatedInLaterTerm.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,6 +6,8 @@
 // pre-vote waits before it starts an election itself.
 const preVoteWaitHeartbeats = 2
 
+// becomeFollower doesn't restart the election timer, except that of a leader: neither a later
+// term nor the end of this replica's own election shows that another one leads or may be elected.
 func (n *Node) becomeFollower(term uint64, leader ID) {
 	if term > n.term {
 		n.term = term
@@ -15,13 +17,13 @@
 		// Operations started under the lease may still be in progress: grant no
 		// vote until the lease has ended.
 		n.lastLeaderContact = n.now
+		n.resetElection()
 	}
 	n.role = Follower
 	n.leader = leader
 	n.progress = nil
 	n.votes, n.rejections = nil, nil
 	n.restart.confirmed = nil
-	n.resetElection()
 }
 
 func (n *Node) resetElection() {
@@ -36,8 +38,13 @@
 	n.role = PreCandidate
 	n.leader = ""
 	n.restart.confirmed = nil
-	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	n.resetElection()
+	n.startPreVote()
+}
+
+// startPreVote asks all voters for their pre-votes in the term after the current one.
+func (n *Node) startPreVote() {
+	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 		return
@@ -168,10 +175,13 @@
 
 func (n *Node) stepPreVoteReply(m Message) {
 	if m.Reject {
-		if m.Term > n.term {
+		switch {
+		case m.Term > n.term && n.role == PreCandidate:
+			n.term, n.vote = m.Term, ""
+			n.startPreVote() // the request was for too early a term
+		case m.Term > n.term:
 			n.becomeFollower(m.Term, "")
-		}
-		if n.role == PreCandidate {
+		case n.role == PreCandidate:
 			n.rejections[m.From] = true
 		}
 		return
