Start an election after the refusal of an older log

While the only replica that can be elected waits for its own timer (1 to 2 s), the others ask it for votes in vain.

Cause: a refusal because the own log is newer had no effect on the replica that refuses, although it shows that another replica hears no leader and can't be elected while this one answers.

Evidence: TestReplicaThatRefusesOlderLogStartsElectionItself on the code before sends no pre-vote.

Change: such a replica starts its own election as soon as its promise to the last leader allows it. It yields for two heartbeat intervals to a candidate that it has granted a vote or a pre-vote, and to the leader of a stale append, which may live.

Why it is safe: the election begins no earlier than the last contact plus the election timeout, and with a pre-vote, which voters in contact with a leader refuse.

Failed before: TestReplicaThatRefusesOlderLogStartsElectionItself.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// preVoteWaitHeartbeats is how many heartbeat intervals a replica that granted a
-// pre-vote waits before it starts an election itself.
+// preVoteWaitHeartbeats is how many heartbeat intervals a replica that granted a vote or
+// pre-vote, or received a stale append, waits at least before it starts an election itself.
 const preVoteWaitHeartbeats = 2
 
 // becomeFollower doesn't restart the election timer, except that of a leader: neither a later
@@ -126,6 +126,7 @@
 	mayVote := n.vote == "" || n.vote == m.From || m.Kind == MsgPreVote
 	if !n.log.upToDate(m.Index, m.LogTerm) {
 		n.recordOlderLogRefusal(m)
+		n.expediteElection()
 		n.replyVote(m, n.term, true)
 		return
 	}
@@ -135,6 +136,7 @@
 	}
 	if m.Kind == MsgVote {
 		n.vote = m.From
+		n.yield()
 		n.resetElection()
 	} else if !n.grantPreVote(m) {
 		n.replyVote(m, n.term, true)
@@ -142,7 +144,8 @@
 	}
 	if afterRestart {
 		// If the early election fails, the next one must not begin later than without it.
-		n.electionAt = max(electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+		n.electionAt = electionAt
+		n.yield()
 	}
 	n.replyVote(m, m.Term, false)
 }
@@ -169,10 +172,25 @@
 	if n.role == PreCandidate && logsEqual && n.id < m.From {
 		return false
 	}
-	n.electionAt = max(n.electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+	n.yield()
 	return true
 }
 
+// yield starts no election for preVoteWaitHeartbeats heartbeat intervals, in favor of a candidate
+// or a leader that may succeed.
+func (n *Node) yield() {
+	n.yieldUntil = n.now + preVoteWaitHeartbeats*n.cfg.HeartbeatInterval
+	n.electionAt = max(n.electionAt, n.yieldUntil)
+}
+
+// expediteElection starts the next election of this replica as soon as it may vote and doesn't
+// yield. It is called when another replica can't be elected because the log here is newer.
+func (n *Node) expediteElection() {
+	if n.role == Follower && n.canCampaign() {
+		n.electionAt = min(n.electionAt, max(n.now, n.lastLeaderContact+n.cfg.ElectionTimeout, n.yieldUntil))
+	}
+}
+
 func (n *Node) stepPreVoteReply(m Message) {
 	if m.Reject {
 		switch {
--- a/internal/consensus/election_timer_test.go
+++ b/internal/consensus/election_timer_test.go
@@ -46,3 +46,28 @@
 	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 7, Reject: true})
 	g.Expect(sent(n, n.now, MsgPreVote)).To(BeEmpty(), "the refusal is not of a later term")
 }
+
+// Guards against a group that waits for the election timer of the only replica that can be elected,
+// while others ask it in vain. It must keep its promises nevertheless.
+func TestReplicaThatRefusesOlderLogStartsElectionItself(t *testing.T) {
+	g := NewWithT(t)
+	olderLog := Message{Kind: MsgPreVote, From: "c", To: "a", Term: 3, Index: 1, LogTerm: 1}
+	newNode := func() *Node { return newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2}) }
+
+	n := newNode()
+	promised := n.now + DefaultElectionTimeout
+	n.Step(promised-1, olderLog)
+	g.Expect(sent(n, promised, MsgPreVote)).To(BeEmpty(), "refused because of the promise")
+	n.Step(promised, olderLog)
+	g.Expect(sent(n, promised, MsgPreVote)).To(HaveLen(2))
+	g.Expect(n.Status().OlderLogRefusals).To(Equal(OlderLogRefusals{Count: 1, From: "c", PreVote: true, Index: 1, LogTerm: 1}))
+
+	for _, granted := range []MessageKind{MsgPreVote, MsgVote} {
+		n = newNode()
+		n.Step(promised, Message{Kind: granted, From: "b", To: "a", Term: 3, Index: 2, LogTerm: 2})
+		n.Step(promised, olderLog)
+		yields := promised + preVoteWaitHeartbeats*DefaultHeartbeatInterval
+		g.Expect(sent(n, yields-1, MsgPreVote)).To(BeEmpty(), "b may win")
+		g.Expect(sent(n, yields, MsgPreVote)).To(HaveLen(2))
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -77,6 +77,7 @@
 	now               Time
 	lastLeaderContact Time // no vote is granted before lastLeaderContact + ElectionTimeout
 	electionAt        Time // when to start an election
+	yieldUntil        Time // no earlier than that
 	leaderSince       Time // when this replica became the leader
 	nextHeartbeatAt   Time
 	// recentCommit is what commit was one to two heartbeat intervals ago. Under load no
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -60,15 +60,15 @@
 }
 
 // acceptStaleLeader accepts a stale append of the leader without taking it for a contact: the
-// leader may be gone. This replica gives it preVoteWaitHeartbeats heartbeat intervals to echo the
-// clock reading in the reply. A pre-candidate continues, because the voters that hear a living
+// leader may be gone. This replica yields, so that a living leader can echo the clock reading in
+// the reply. A pre-candidate continues, because the voters that hear a living
 // leader refuse it.
 func (n *Node) acceptStaleLeader(m Message) {
 	n.recordStaleHeartbeat(m)
 	if n.role != PreCandidate && (n.role != Follower || n.leader != m.From) {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.electionAt = max(n.electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+	n.yield()
 }
 
 func (n *Node) stepAppend(m Message) {
