--- a/internal/consensus/sim_cluster_test.go
+++ b/internal/consensus/sim_cluster_test.go
@@ -73,7 +73,7 @@
 	meta := r.disk.snapshot.Meta
 	r.node = New(Config{
 		ID: r.id, Hard: r.disk.hard, Snapshot: meta, Entries: r.disk.entries, Now: r.clock(s.realTime), Rand: s.rnd,
-		HeartbeatInterval: simHeartbeat, ElectionTimeout: simElection, LeaseDuration: simLease, MaxAppendEntries: 2,
+		HeartbeatInterval: simHeartbeat, ElectionTimeout: simElection, LeaseDuration: simLease, MaxAppendEntries: 2, SnapshotRetryInterval: 2 * simElection,
 		Restarted: s.newProcesses,
 	})
 	if s.newProcesses {
