Repeat pre-votes, and let a pre-candidate yield to the one that it grants

After a freeze or a cut, a replica whose pre-vote was refused or lost waited for its next election timer (1 to 2 s): its log was older when it asked and newer a moment later, when it had read what waited in its sockets, or the other one was still bound by its promise. Three voters of which one had lost its disk could then lose the next disk before the lost vote was replaced.

Cause: a pre-vote asked each voter once.

Change: a pre-candidate asks the voters that have not granted their pre-vote again every three heartbeat intervals. Those that grant it yield for two, so one that hears no replies can't keep the others from an election. A pre-candidate that grants the pre-vote of another yields too, and then asks anew; before, both could become candidates and split the votes. Log line and counter of a failed election are unchanged: one for each election timer.

Why it works: pre-votes change no term and no vote, and are refused by voters in contact with a leader.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,6 +6,11 @@
 // pre-vote, or received a stale append, waits at least before it starts an election itself.
 const preVoteWaitHeartbeats = 2
 
+// preVoteRepeatHeartbeats is the number of heartbeat intervals between two requests for the same
+// pre-vote in one election. It is longer than those that grant it yield, so that a replica that
+// receives no replies doesn't keep them from an election.
+const preVoteRepeatHeartbeats = preVoteWaitHeartbeats + 1
+
 // becomeFollower doesn't restart the election timer, except that of a leader: neither a later
 // term nor the end of this replica's own election shows that another one leads or may be elected.
 func (n *Node) becomeFollower(term uint64, leader ID) {
@@ -45,6 +50,7 @@
 // startPreVote asks all voters for their pre-votes in the term after the current one.
 func (n *Node) startPreVote() {
 	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
+	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 		return
@@ -52,6 +58,16 @@
 	n.requestVotes(MsgPreVote, n.term+1)
 }
 
+// repeatPreVote asks the voters again that have not granted their pre-vote: they may have been
+// unreachable, or have promised a leader to vote for nobody. The election in progress continues.
+func (n *Node) repeatPreVote() {
+	if n.role != PreCandidate || n.now < n.preVoteAgainAt {
+		return
+	}
+	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
+	n.requestVotes(MsgPreVote, n.term+1)
+}
+
 func (n *Node) becomeCandidate() {
 	n.role = Candidate
 	n.term++
@@ -65,9 +81,10 @@
 	n.requestVotes(MsgVote, n.term)
 }
 
+// requestVotes asks the voters that have not granted their vote in the election in progress.
 func (n *Node) requestVotes(kind MessageKind, term uint64) {
 	for _, id := range n.members.IDs() {
-		if id == n.id || !n.members.IsVoter(id) {
+		if n.votes[id] || !n.members.IsVoter(id) {
 			continue
 		}
 		n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
@@ -173,6 +190,10 @@
 		return false
 	}
 	n.yield()
+	if n.role == PreCandidate {
+		// Its own pre-vote begins anew afterwards. Two candidates would split the votes.
+		n.votes, n.preVoteAgainAt = map[ID]bool{n.id: true}, n.yieldUntil
+	}
 	return true
 }
 
@@ -204,10 +225,11 @@
 		}
 		return
 	}
-	if n.role != PreCandidate || m.Term != n.term+1 {
+	if n.role != PreCandidate || m.Term != n.term+1 || n.now < n.yieldUntil {
 		return
 	}
 	n.votes[m.From] = true
+	delete(n.rejections, m.From)
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 	}
--- a/internal/consensus/election_timer_test.go
+++ b/internal/consensus/election_timer_test.go
@@ -71,3 +71,50 @@
 		g.Expect(sent(n, yields, MsgPreVote)).To(HaveLen(2))
 	}
 }
+
+// Guards against the wait for another election timeout when a voter that was unreachable, or had
+// promised a leader to vote for nobody, could grant its pre-vote.
+func TestPreVoteIsRepeatedToVotersThatDidNotGrantIt(t *testing.T) {
+	g := NewWithT(t)
+	n := newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2})
+	first := n.now + 2*DefaultElectionTimeout
+	g.Expect(sent(n, first, MsgPreVote)).To(HaveLen(2))
+	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 2, Reject: true})
+	again := first + preVoteRepeatHeartbeats*DefaultHeartbeatInterval
+	g.Expect(sent(n, again-1, MsgPreVote)).To(BeEmpty())
+	g.Expect(sent(n, again, MsgPreVote)).To(HaveLen(2))
+	n.Tick(n.electionAt)
+	g.Expect(n.Status().Election).To(Equal(ElectionResult{Failed: 1, PreVote: true, Granted: []ID{"a"}, Rejected: []ID{"c"}}))
+	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 3})
+	g.Expect(n.role).To(Equal(Candidate))
+}
+
+// Guards against a replica whose messages arrive but that receives none, and that keeps the others
+// from an election because they yield to each of its requests.
+func TestRepeatedPreVotesDontPostponeElectionOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	n := newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2})
+	start, asked := n.now, []Message(nil)
+	for now := start; len(asked) == 0 && now <= start+3*DefaultElectionTimeout; now += DefaultHeartbeatInterval / 10 {
+		if (now-start-DefaultElectionTimeout)%(preVoteRepeatHeartbeats*DefaultHeartbeatInterval) == 0 {
+			n.Step(now, Message{Kind: MsgPreVote, From: "c", To: "a", Term: 3, Index: 2, LogTerm: 2})
+		}
+		asked = sent(n, now, MsgPreVote)
+	}
+	g.Expect(asked).To(HaveLen(2))
+}
+
+// Guards against two candidates that split the votes although one of them has granted the other its
+// pre-vote.
+func TestPreCandidateThatGrantsPreVoteYields(t *testing.T) {
+	g := NewWithT(t)
+	n := newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2})
+	g.Expect(sent(n, n.now+2*DefaultElectionTimeout, MsgPreVote)).To(HaveLen(2))
+	n.Step(n.now, Message{Kind: MsgPreVote, From: "b", To: "a", Term: 3, Index: 3, LogTerm: 2})
+	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 3})
+	g.Expect(n.role).To(Equal(PreCandidate))
+	again := sent(n, n.now+preVoteWaitHeartbeats*DefaultHeartbeatInterval, MsgPreVote)
+	g.Expect(again).To(HaveLen(2), "b may have failed")
+	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 3})
+	g.Expect(n.role).To(Equal(Candidate))
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -78,6 +78,7 @@
 	lastLeaderContact Time // no vote is granted before lastLeaderContact + ElectionTimeout
 	electionAt        Time // when to start an election
 	yieldUntil        Time // no earlier than that
+	preVoteAgainAt    Time // when to repeat the requests of the pre-vote in progress
 	leaderSince       Time // when this replica became the leader
 	nextHeartbeatAt   Time
 	// recentCommit is what commit was one to two heartbeat intervals ago. Under load no
@@ -151,6 +152,7 @@
 		n.campaign()
 		return
 	}
+	n.repeatPreVote()
 	n.tickRestart()
 }
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -65,7 +65,10 @@
 // leader refuse it.
 func (n *Node) acceptStaleLeader(m Message) {
 	n.recordStaleHeartbeat(m)
-	if n.role != PreCandidate && (n.role != Follower || n.leader != m.From) {
+	if n.role == PreCandidate {
+		return
+	}
+	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.yield()
--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -29,6 +29,8 @@
 	retired    []string
 	leaseEnd   time.Duration
 	gossipFrom time.Duration // when its gossip has heard from the others
+	frozen     bool
+	synced     func() // the sync that ended during the freeze
 }
 
 type simProposal struct {
@@ -57,7 +59,9 @@
 	var loop func()
 	loop = func() {
 		if p.runs() {
-			f()
+			if !p.frozen {
+				f()
+			}
 			p.s.after(d, loop)
 		}
 	}
@@ -75,7 +79,7 @@
 // enqueue passes f to the loop.
 func (p *simProcess) enqueue(f func()) {
 	p.inbox = append(p.inbox, f)
-	if !p.busy {
+	if !p.busy && !p.frozen {
 		p.work()
 	}
 }
@@ -96,12 +100,19 @@
 		}
 		if rd.HardState != nil || len(rd.Entries) > 0 || rd.Snapshot != nil {
 			p.busy = true
+			p.synced = nil
 			p.s.after(p.s.between(time.Millisecond, p.s.maxSync), func() {
-				if p.runs() {
+				end := func() {
 					p.finish(rd)
 					p.busy = false
 					p.work()
 				}
+				switch {
+				case p.frozen:
+					p.synced = end
+				case p.runs():
+					end()
+				}
 			})
 			return
 		}
@@ -209,6 +220,9 @@
 	}
 	p.s.after(delay, func() {
 		received := process != nil && process.runs() && p.s.connected(p.machine, receiver)
+		if p.s.losesUnsent && !p.runs() && p.s.rnd.IntN(2) == 0 || received && process.frozen && m.Kind == consensus.MsgSnapshot {
+			received = false
+		}
 		if m.Kind == consensus.MsgSnapshot {
 			delete(p.sendingTo, m.To)
 			if !p.runs() {
@@ -282,7 +296,7 @@
 func (p *simProcess) knowsLeader() bool {
 	st := p.node.Status()
 	m := p.s.machine(st.Members[st.Leader].Address)
-	return m != nil && m.process != nil && p.s.connected(p.machine, m) && m.process.node.Status().Role == consensus.Leader
+	return !p.frozen && m != nil && m.process != nil && !m.process.frozen && p.s.connected(p.machine, m) && m.process.node.Status().Role == consensus.Leader
 }
 
 // reconcile does what MembershipReconciler.reconcile does, in virtual time.
--- a/internal/control/group_sim_test.go
+++ b/internal/control/group_sim_test.go
@@ -55,6 +55,8 @@
 	perUpdate time.Duration // from one proposal to the next
 	onPropose func()        // called at the next proposal
 	onAck     func()        // called at the next acknowledgement
+	// losesUnsent is set if a message that is in flight when its sender ends may be lost.
+	losesUnsent bool
 
 	committed map[uint64]uint64 // term by index of every entry that a replica has applied
 	acked     uint64            // highest index of an acknowledged proposal
@@ -179,6 +181,9 @@
 // leader returns the replica that holds a lease, or nil.
 func (s *simDeployment) leader() *simProcess {
 	for _, p := range s.running() {
+		if p.frozen {
+			continue
+		}
 		if _, ok := p.node.ReadIndex(s.now); ok {
 			return p
 		}
