Tell stale appends by how long they waited

Cause: the echo of an append was taken for its age. A reply leaves after the sync, and the next append waits for another one, so with syncs of half an election timeout each echo is an election timeout old, although the appends themselves waited for a fraction of that.

Change: a follower samples the clock of its leader whenever an append echoes a reading of at most two heartbeat intervals ago. An append that was sent at least an election timeout ago by that sample is stale. The echo at once, the clock in rejections and the exception for learners are not needed any more: the newest append of a living leader is never stale, and a reply to a stale one could extend no lease and show no activity.

Why it is safe: as before, a stale append renews no promise and its reply carries no SentAt, whatever the sample says. Clocks that drift apart between two samples only move the border.

Failed before: TestContactDependsOnHowLongAppendWaited.

--- a/internal/consensus/election_obstacles.go
+++ b/internal/consensus/election_obstacles.go
@@ -11,25 +11,18 @@
 }
 
 // StaleHeartbeats describes the heartbeats that this replica has received since its Node was
-// created although their echo of its own clock was at least an election timeout old: they waited
-// while this replica did not run, and do not show that the leader still does.
+// created at least an election timeout after they were sent: they waited while this replica did not
+// run, and do not show that the leader still does.
 type StaleHeartbeats struct {
 	Count int
 	From  ID   // sender of the last one
-	Age   Time // age of the echo in the last one
+	Age   Time // for how long the last one waited
 }
 
 func (n *Node) recordOlderLogRefusal(m Message) {
 	n.olderLogRefusals = OlderLogRefusals{n.olderLogRefusals.Count + 1, m.From, m.Kind == MsgPreVote, m.Index, m.LogTerm}
 }
 
-// isStale reports whether m, an append of the current leader, was sent in answer to a message
-// that this replica sent at least an election timeout ago. An append without an echo is not: it
-// may be the first one of its leader. Neither is one to a replica that can't be elected.
-func (n *Node) isStale(m Message) bool {
-	return m.EchoClock > 0 && m.EchoIncarnation == n.incarnation && n.now >= m.EchoClock+n.cfg.ElectionTimeout && n.canCampaign()
-}
-
 func (n *Node) recordStaleHeartbeat(m Message) {
-	n.staleHeartbeats = StaleHeartbeats{n.staleHeartbeats.Count + 1, m.From, n.now - m.EchoClock}
+	n.staleHeartbeats = StaleHeartbeats{n.staleHeartbeats.Count + 1, m.From, n.waited(m)}
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -46,7 +46,6 @@
 	ackedSentAt Time   // when the leader sent the newest heartbeat that the replica answered
 	clock       Time   // the replica's clock in its newest reply
 	incarnation uint32 // the replica's incarnation in its newest reply
-	echoedAt    Time   // when an append was last sent at once in answer to a stale reply
 
 	// probing is set from a rejection until an append matches or a snapshot is sent.
 	// Meanwhile the next append is only sent after a reply or a heartbeat interval, so
@@ -96,6 +95,7 @@
 	progress     map[ID]*progress
 	restart      restart
 
+	leaderClock      clockSample
 	olderLogRefusals OlderLogRefusals
 	staleHeartbeats  StaleHeartbeats
 
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -46,9 +46,9 @@
 		return false
 	}
 	n.restart.own = false
-	if n.isStale(*m) {
-		m.SentAt = 0
+	if !n.sampleLeaderClock(*m) && n.isStale(*m) {
 		n.acceptStaleLeader(*m)
+		m.SentAt = 0
 		return true
 	}
 	if n.role != Follower || n.leader != m.From {
@@ -60,9 +60,8 @@
 }
 
 // acceptStaleLeader accepts a stale append of the leader without taking it for a contact: the
-// leader may be gone. This replica yields, so that a living leader can echo the clock reading in
-// the reply. A pre-candidate continues, because the voters that hear a living
-// leader refuse it.
+// leader may be gone. This replica yields, so that newer appends of a living leader can arrive. A
+// pre-candidate continues, because the voters that hear a living leader refuse it.
 func (n *Node) acceptStaleLeader(m Message) {
 	n.recordStaleHeartbeat(m)
 	if n.role == PreCandidate {
@@ -136,7 +135,7 @@
 			hint--
 		}
 	}
-	n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: hint, Index: m.Index, SentAt: m.SentAt, Clock: n.now, Incarnation: n.incarnation})
+	n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: hint, Index: m.Index, SentAt: m.SentAt})
 }
 
 func (n *Node) stepAppendReply(m Message) {
@@ -148,12 +147,6 @@
 		return
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
-	if m.Incarnation != 0 { // 0: rejection by an older build
-		p.clock, p.incarnation = m.Clock, m.Incarnation
-	}
-	if m.SentAt == 0 {
-		n.echoAtOnce(m.From, p)
-	}
 	if m.Reject {
 		n.stepReject(p, m)
 		return
@@ -164,6 +157,7 @@
 	if p.probing {
 		p.probing, p.next = false, m.Index+1
 	}
+	p.clock, p.incarnation = m.Clock, m.Incarnation
 	p.match = max(p.match, m.Index)
 	p.next = max(p.next, p.match+1)
 	n.advanceCommit()
@@ -172,15 +166,6 @@
 	}
 }
 
-// echoAtOnce sends an append without waiting for the next heartbeat. The replica has answered a
-// stale one, and no lease counts on it before it receives its newest clock reading.
-func (n *Node) echoAtOnce(id ID, p *progress) {
-	if n.now >= p.echoedAt+n.cfg.HeartbeatInterval {
-		p.echoedAt = n.now
-		n.sendAppend(id)
-	}
-}
-
 // stepReject moves next back to where the logs may match and starts probing. While
 // probing, only the rejection of the newest probe counts.
 func (n *Node) stepReject(p *progress, m Message) {
--- a/internal/consensus/stale_contact_test.go
+++ b/internal/consensus/stale_contact_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -47,6 +48,33 @@
 				x.run(DefaultHeartbeatInterval / 4)
 			}
 			NewWithT(t).Expect(x.now-thawed).To(BeNumerically("<=", bound), "%+v", successor.Status())
+			NewWithT(t).Expect(successor.Status().StaleHeartbeats.Age).To(BeNumerically(">=", DefaultElectionTimeout))
 		})
 	}
 }
+
+// Guards against a living leader that loses its quorum because the disk of a follower is slow: the
+// follower's replies, and so their echoes, are old, but its appends did not wait for long. An append
+// that waited renews no promise, so no lease may count from its reply.
+func TestContactDependsOnHowLongAppendWaited(t *testing.T) {
+	g := NewWithT(t)
+	n := newRestartedVoter(HardState{Term: 1, Commit: 1})
+	start := n.now
+	n.Tick(start)
+	const leaderAhead = time.Hour // difference of the clocks
+	heartbeat := func(received, sent, echo Time) Time {
+		n.Step(received, Message{
+			Kind: MsgAppend, From: "b", To: "a", Term: 1, Index: 1, LogTerm: 1, SentAt: sent + leaderAhead,
+			EchoClock: echo, EchoIncarnation: n.incarnation,
+		})
+		replies := flushReady(n)
+		return replies[len(replies)-1].SentAt
+	}
+	g.Expect(heartbeat(start+time.Second, start+time.Second, start+900*time.Millisecond)).NotTo(BeZero())
+	now := start + 3*time.Second
+	g.Expect(heartbeat(now, now-900*time.Millisecond, start+time.Second)).To(Equal(now - 900*time.Millisecond + leaderAhead))
+	g.Expect(grantsVote(n, now+DefaultElectionTimeout-1)).To(BeFalse(), "the promise was renewed")
+	now += DefaultElectionTimeout
+	g.Expect(heartbeat(now, now-DefaultElectionTimeout, start+time.Second)).To(BeZero())
+	g.Expect(grantsVote(n, now)).To(BeTrue(), "the promise was not renewed")
+}
