--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,9 +1,18 @@
 package consensus
 
-// preVoteWaitHeartbeats is how many heartbeat intervals a replica that granted a
-// pre-vote waits before it starts an election itself.
+import "time"
+
+// preVoteWaitHeartbeats is how many heartbeat intervals a replica that granted a vote or
+// pre-vote, or received a stale append, waits at least before it starts an election itself.
 const preVoteWaitHeartbeats = 2
 
+// preVoteRepeatHeartbeats is the number of heartbeat intervals between two requests for the same
+// pre-vote in one election. It is longer than those that grant it yield, so that a replica that
+// receives no replies doesn't keep them from an election.
+const preVoteRepeatHeartbeats = preVoteWaitHeartbeats + 1
+
+// becomeFollower doesn't restart the election timer, except that of a leader: neither a later
+// term nor the end of this replica's own election shows that another one leads or may be elected.
 func (n *Node) becomeFollower(term uint64, leader ID) {
 	if term > n.term {
 		n.term = term
@@ -13,13 +22,18 @@
 		// Operations started under the lease may still be in progress: grant no
 		// vote until the lease has ended.
 		n.lastLeaderContact = n.now
+		n.resetElection()
 	}
 	n.role = Follower
 	n.leader = leader
 	n.progress = nil
 	n.votes, n.rejections = nil, nil
 	n.restart.confirmed = nil
-	n.resetElection()
+}
+
+func (n *Node) resetElection() {
+	jitter := time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout)))
+	n.electionAt = n.now + n.cfg.ElectionTimeout + jitter
 }
 
 // campaign starts an election. It begins with a pre-vote, so that a replica that was
@@ -29,8 +43,14 @@
 	n.role = PreCandidate
 	n.leader = ""
 	n.restart.confirmed = nil
-	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
 	n.resetElection()
+	n.startPreVote()
+}
+
+// startPreVote asks all voters for their pre-votes in the term after the current one.
+func (n *Node) startPreVote() {
+	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
+	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 		return
@@ -38,6 +58,16 @@
 	n.requestVotes(MsgPreVote, n.term+1)
 }
 
+// repeatPreVote asks the voters again that have not granted their pre-vote: they may have been
+// unreachable, or have promised a leader to vote for nobody. The election in progress continues.
+func (n *Node) repeatPreVote() {
+	if n.role != PreCandidate || n.now < n.preVoteAgainAt {
+		return
+	}
+	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
+	n.requestVotes(MsgPreVote, n.term+1)
+}
+
 func (n *Node) becomeCandidate() {
 	n.role = Candidate
 	n.term++
@@ -51,9 +81,10 @@
 	n.requestVotes(MsgVote, n.term)
 }
 
+// requestVotes asks the voters that have not granted their vote in the election in progress.
 func (n *Node) requestVotes(kind MessageKind, term uint64) {
 	for _, id := range n.members.IDs() {
-		if id == n.id || !n.members.IsVoter(id) {
+		if n.votes[id] || !n.members.IsVoter(id) {
 			continue
 		}
 		n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
@@ -110,12 +141,19 @@
 		n.becomeFollower(m.Term, "")
 	}
 	mayVote := n.vote == "" || n.vote == m.From || m.Kind == MsgPreVote
-	if m.Term < n.term || !mayVote || !n.log.upToDate(m.Index, m.LogTerm) {
+	if !n.log.upToDate(m.Index, m.LogTerm) {
+		n.recordOlderLogRefusal(m)
+		n.expediteElection()
+		n.replyVote(m, n.term, true)
+		return
+	}
+	if m.Term < n.term || !mayVote {
 		n.replyVote(m, n.term, true)
 		return
 	}
 	if m.Kind == MsgVote {
 		n.vote = m.From
+		n.yield()
 		n.resetElection()
 	} else if !n.grantPreVote(m) {
 		n.replyVote(m, n.term, true)
@@ -123,7 +161,8 @@
 	}
 	if afterRestart {
 		// If the early election fails, the next one must not begin later than without it.
-		n.electionAt = max(electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+		n.electionAt = electionAt
+		n.yield()
 	}
 	n.replyVote(m, m.Term, false)
 }
@@ -150,24 +189,47 @@
 	if n.role == PreCandidate && logsEqual && n.id < m.From {
 		return false
 	}
-	n.electionAt = max(n.electionAt, n.now+preVoteWaitHeartbeats*n.cfg.HeartbeatInterval)
+	n.yield()
+	if n.role == PreCandidate {
+		// Its own pre-vote begins anew afterwards. Two candidates would split the votes.
+		n.votes, n.preVoteAgainAt = map[ID]bool{n.id: true}, n.yieldUntil
+	}
 	return true
 }
 
+// yield starts no election for preVoteWaitHeartbeats heartbeat intervals, in favor of a candidate
+// or a leader that may succeed.
+func (n *Node) yield() {
+	n.yieldUntil = n.now + preVoteWaitHeartbeats*n.cfg.HeartbeatInterval
+	n.electionAt = max(n.electionAt, n.yieldUntil)
+}
+
+// expediteElection starts the next election of this replica as soon as it may vote and doesn't
+// yield. It is called when another replica can't be elected because the log here is newer.
+func (n *Node) expediteElection() {
+	if n.role == Follower && n.canCampaign() {
+		n.electionAt = min(n.electionAt, max(n.now, n.lastLeaderContact+n.cfg.ElectionTimeout, n.yieldUntil))
+	}
+}
+
 func (n *Node) stepPreVoteReply(m Message) {
 	if m.Reject {
-		if m.Term > n.term {
+		switch {
+		case m.Term > n.term && n.role == PreCandidate:
+			n.term, n.vote = m.Term, ""
+			n.startPreVote() // the request was for too early a term
+		case m.Term > n.term:
 			n.becomeFollower(m.Term, "")
-		}
-		if n.role == PreCandidate {
+		case n.role == PreCandidate:
 			n.rejections[m.From] = true
 		}
 		return
 	}
-	if n.role != PreCandidate || m.Term != n.term+1 {
+	if n.role != PreCandidate || m.Term != n.term+1 || n.now < n.yieldUntil {
 		return
 	}
 	n.votes[m.From] = true
+	delete(n.rejections, m.From)
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 )
 
 // Role is the role that a replica currently has.
@@ -77,6 +76,8 @@
 	now               Time
 	lastLeaderContact Time // no vote is granted before lastLeaderContact + ElectionTimeout
 	electionAt        Time // when to start an election
+	yieldUntil        Time // no earlier than that
+	preVoteAgainAt    Time // when to repeat the requests of the pre-vote in progress
 	leaderSince       Time // when this replica became the leader
 	nextHeartbeatAt   Time
 	// recentCommit is what commit was one to two heartbeat intervals ago. Under load no
@@ -95,6 +96,10 @@
 	progress     map[ID]*progress
 	restart      restart
 
+	leaderClock      clockSample
+	olderLogRefusals OlderLogRefusals
+	staleHeartbeats  StaleHeartbeats
+
 	incarnation uint32 // random; identifies this run of the process
 	readPoint   ReadPoint
 
@@ -148,6 +153,7 @@
 		n.campaign()
 		return
 	}
+	n.repeatPreVote()
 	n.tickRestart()
 }
 
@@ -315,6 +321,9 @@
 	// leader only.
 	Active   []ID
 	Election ElectionResult
+	// OlderLogRefusals and StaleHeartbeats are what may delay an election.
+	OlderLogRefusals OlderLogRefusals
+	StaleHeartbeats  StaleHeartbeats
 	// ElectedEarly is set on a leader that was elected without waiting for the election
 	// timeout, because all voters had restarted or lost their disks. AbsentVoters are those
 	// that have lost their disks.
@@ -328,6 +337,7 @@
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
 		Members: n.members.Clone(), Election: n.election,
+		OlderLogRefusals: n.olderLogRefusals, StaleHeartbeats: n.staleHeartbeats,
 	}
 	if n.role == Leader {
 		s.RecentCommit = n.recentCommit
@@ -377,11 +387,6 @@
 	}
 }
 
-func (n *Node) resetElection() {
-	jitter := time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout)))
-	n.electionAt = n.now + n.cfg.ElectionTimeout + jitter
-}
-
 func (n *Node) send(m Message) {
 	m.From = n.id
 	switch m.Kind {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -38,23 +38,43 @@
 }
 
 // acceptLeader accepts the sender of m as the leader and restarts the election timeout.
-// It rejects m and returns false if m is from an earlier term.
-func (n *Node) acceptLeader(m Message) bool {
+// It rejects m and returns false if m is from an earlier term. A stale append is no contact: its
+// SentAt is set to 0, so that no lease counts from the reply.
+func (n *Node) acceptLeader(m *Message) bool {
 	if m.Term < n.term {
 		n.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Hint: n.log.lastIndex()})
 		return false
 	}
+	n.restart.own = false
+	if !n.sampleLeaderClock(*m) && n.isStale(*m) {
+		n.acceptStaleLeader(*m)
+		m.SentAt = 0
+		return true
+	}
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.lastLeaderContact = n.now
-	n.restart.own = false
 	n.resetElection()
 	return true
 }
 
+// acceptStaleLeader accepts a stale append of the leader without taking it for a contact: the
+// leader may be gone. This replica yields, so that newer appends of a living leader can arrive. A
+// pre-candidate continues, because the voters that hear a living leader refuse it.
+func (n *Node) acceptStaleLeader(m Message) {
+	n.recordStaleHeartbeat(m)
+	if n.role == PreCandidate {
+		return
+	}
+	if n.role != Follower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.yield()
+}
+
 func (n *Node) stepAppend(m Message) {
-	if !n.acceptLeader(m) {
+	if !n.acceptLeader(&m) {
 		return
 	}
 	if m.Index < n.log.snapshot.Index {
@@ -164,7 +184,7 @@
 }
 
 func (n *Node) stepSnapshot(m Message) {
-	if m.Snapshot == nil || !n.acceptLeader(m) {
+	if m.Snapshot == nil || !n.acceptLeader(&m) {
 		return
 	}
 	meta := m.Snapshot.Meta
