Acknowledge nothing in a log that has no name any more

What callers would see: accepted jobs and configurations that are gone, although one disk at most was lost at a time.

Cause: a process whose data folder is removed while it runs goes on writing to its open log. It counts for quorums, as a successor that holds every entry, and as a leader, with content that is gone once the process ends.

Change: after the sync of each record the disk checks that the log still has a name, and fails with DataMissing otherwise.

Why it works: nothing is acknowledged, and no vote sent, before a record is stored; so from the first record on, the replica counts for nothing.

Result: TestRemovedLogTakesNoEntries passes.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -17,6 +17,7 @@
 	fs            fileSystem
 	dir           string
 	log           file
+	countsNames   bool                   // isNameless can tell whether the log was removed
 	snapshotMeta  consensus.SnapshotMeta // of the newest active snapshot
 	snapshotBytes int                    // size of that snapshot's data
 	hardState     consensus.HardState
@@ -149,13 +150,14 @@
 	if d.log != nil {
 		d.log.Close()
 	}
-	d.log = f
+	d.log, d.countsNames = f, !isNameless(f)
 	return d.fs.syncDir(d.dir)
 }
 
 // Append stores a hard state and entries in one record and syncs it. hs may be nil. An
 // error is final: the content of the folder is unknown then, and every later Append,
-// SaveSnapshot and ActivateSnapshot returns the same error.
+// SaveSnapshot and ActivateSnapshot returns the same error. It is DataMissing if the log file
+// was removed, so that what is stored in it would be lost with the process.
 func (d *Disk) Append(hs *consensus.HardState, es []consensus.Entry) error {
 	if d.failed != nil {
 		return d.failed
@@ -178,7 +180,13 @@
 	if hs != nil {
 		d.hardState = *hs
 	}
-	return d.log.Sync()
+	if err := d.log.Sync(); err != nil {
+		return err
+	}
+	if d.countsNames && isNameless(d.log) {
+		return result.New(result.DataMissing, "%s was removed while it was in use", d.logPath())
+	}
+	return nil
 }
 
 // Failed returns the error of the first write that failed, or nil. After one, the folder
--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -84,3 +84,19 @@
 		g.Expect(f.Release()).To(Succeed())
 	}
 }
+
+// Guards against a replica that acknowledges entries in files without a name, after its disk was
+// emptied under the running process: they are gone with the process.
+func TestRemovedLogTakesNoEntries(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	g.Expect(Create(dir, Identity{Cluster: "c", ID: "a"}, firstState().snapshot)).To(Succeed())
+	d, _, err := Open(dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer d.Close()
+	g.Expect(d.Append(nil, []consensus.Entry{dataEntry(2)})).To(Succeed())
+	g.Expect(os.RemoveAll(dir)).To(Succeed())
+	for range 2 {
+		g.Expect(result.CodeOf(d.Append(nil, []consensus.Entry{dataEntry(3)}))).To(Equal(result.DataMissing))
+	}
+}
--- a/internal/storage/os_files.go
+++ b/internal/storage/os_files.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"os"
+
+	"golang.org/x/sys/unix"
 )
 
 // osFiles implements fileSystem by the operating system.
@@ -49,3 +51,14 @@
 	defer d.Close()
 	return d.Sync()
 }
+
+// isNameless reports whether an open file has no name any more, so that its content goes with the
+// process. It is false if the system does not tell.
+func isNameless(f file) bool {
+	h, ok := f.(*os.File)
+	if !ok {
+		return false
+	}
+	var st unix.Stat_t
+	return unix.Fstat(int(h.Fd()), &st) == nil && st.Nlink == 0
+}
