Yield once to the repeated pre-votes of an election

What callers would see: no leader for as long as one replica receives nothing while its messages arrive.

Cause: a replica yields for two heartbeat intervals to each pre-vote that it grants, and a pre-candidate then begins its own anew. Since pre-votes are repeated every three intervals, a round trip of 200 ms or more did not fit in between.

Change: a repeated grant to the same replica within an election timeout yields and clears nothing. That makes it safe to repeat pre-votes after each heartbeat interval, so that a restarted voter is asked sooner once its promise ends.

Why it works: each sender delays the others once an election timeout at most, and a whole election timeout less two intervals is left to them.

TestRepeatedPreVotesDontPostponeElectionOfOthers asks more often now, and lets the replies take as long as two intervals.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,11 +6,6 @@
 // pre-vote, or received a stale append, waits at least before it starts an election itself.
 const preVoteWaitHeartbeats = 2
 
-// preVoteRepeatHeartbeats is the number of heartbeat intervals between two requests for the same
-// pre-vote in one election. It is longer than those that grant it yield, so that a replica that
-// receives no replies doesn't keep them from an election.
-const preVoteRepeatHeartbeats = preVoteWaitHeartbeats + 1
-
 // becomeFollower doesn't restart the election timer, except that of a leader: neither a later
 // term nor the end of this replica's own election shows that another one leads or may be elected.
 func (n *Node) becomeFollower(term uint64, leader ID) {
@@ -50,7 +45,7 @@
 // startPreVote asks all voters for their pre-votes in the term after the current one.
 func (n *Node) startPreVote() {
 	n.votes, n.rejections = map[ID]bool{n.id: true}, map[ID]bool{}
-	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
+	n.preVoteAgainAt = n.now + n.cfg.HeartbeatInterval
 	if n.hasVoteQuorum() {
 		n.becomeCandidate()
 		return
@@ -64,7 +59,7 @@
 	if n.role != PreCandidate || n.now < n.preVoteAgainAt {
 		return
 	}
-	n.preVoteAgainAt = n.now + preVoteRepeatHeartbeats*n.cfg.HeartbeatInterval
+	n.preVoteAgainAt = n.now + n.cfg.HeartbeatInterval
 	n.requestVotes(MsgPreVote, n.term+1)
 }
 
@@ -183,12 +178,17 @@
 // ask for pre-votes at the same time would split the votes, so if their logs are equal
 // the one with the smaller ID continues. A replica that grants a pre-vote starts no
 // election itself for preVoteWaitHeartbeats heartbeat intervals, so that the sender can
-// finish its election.
+// finish its election. It does so once for the repeated requests of an election: otherwise a
+// sender that receives no replies would keep the others from an election.
 func (n *Node) grantPreVote(m Message) bool {
 	logsEqual := m.Index == n.log.lastIndex() && m.LogTerm == n.log.lastTerm()
 	if n.role == PreCandidate && logsEqual && n.id < m.From {
 		return false
 	}
+	if n.yieldedTo == m.From && n.now < n.yieldedAt+n.cfg.ElectionTimeout {
+		return true
+	}
+	n.yieldedTo, n.yieldedAt = m.From, n.now
 	n.yield()
 	if n.role == PreCandidate {
 		// Its own pre-vote begins anew afterwards. Two candidates would split the votes.
--- a/internal/consensus/election_timer_test.go
+++ b/internal/consensus/election_timer_test.go
@@ -80,7 +80,7 @@
 	first := n.now + 2*DefaultElectionTimeout
 	g.Expect(sent(n, first, MsgPreVote)).To(HaveLen(2))
 	n.Step(n.now, Message{Kind: MsgPreVoteReply, From: "c", To: "a", Term: 2, Reject: true})
-	again := first + preVoteRepeatHeartbeats*DefaultHeartbeatInterval
+	again := first + DefaultHeartbeatInterval
 	g.Expect(sent(n, again-1, MsgPreVote)).To(BeEmpty())
 	g.Expect(sent(n, again, MsgPreVote)).To(HaveLen(2))
 	n.Tick(n.electionAt)
@@ -90,18 +90,27 @@
 }
 
 // Guards against a replica whose messages arrive but that receives none, and that keeps the others
-// from an election because they yield to each of its requests.
+// from an election because they yield to each of its requests, so that a reply of another one, which
+// takes longer than they wait between two of them, comes too late.
 func TestRepeatedPreVotesDontPostponeElectionOfOthers(t *testing.T) {
-	g := NewWithT(t)
-	n := newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2})
-	start, asked := n.now, []Message(nil)
-	for now := start; len(asked) == 0 && now <= start+3*DefaultElectionTimeout; now += DefaultHeartbeatInterval / 10 {
-		if (now-start-DefaultElectionTimeout)%(preVoteRepeatHeartbeats*DefaultHeartbeatInterval) == 0 {
-			n.Step(now, Message{Kind: MsgPreVote, From: "c", To: "a", Term: 3, Index: 2, LogTerm: 2})
+	for _, roundTrip := range []Time{0, DefaultHeartbeatInterval, 2 * DefaultHeartbeatInterval} {
+		g := NewWithT(t)
+		n := newRestartedVoter(HardState{Term: 2, Commit: 1}, Entry{Index: 2, Term: 2})
+		start, replies := n.now, []Time(nil)
+		for now := start; n.role != Candidate && now <= start+3*DefaultElectionTimeout; now += DefaultHeartbeatInterval / 10 {
+			if now >= start+DefaultElectionTimeout && (now-start)%DefaultHeartbeatInterval == 0 {
+				n.Step(now, Message{Kind: MsgPreVote, From: "c", To: "a", Term: 3, Index: 2, LogTerm: 2})
+			}
+			if len(replies) > 0 && now >= replies[0] {
+				n.Step(now, Message{Kind: MsgPreVoteReply, From: "b", To: "a", Term: 3})
+				replies = replies[1:]
+			}
+			if len(sent(n, now, MsgPreVote)) > 0 {
+				replies = append(replies, now+roundTrip)
+			}
 		}
-		asked = sent(n, now, MsgPreVote)
+		g.Expect(n.role).To(Equal(Candidate), "%v", roundTrip)
 	}
-	g.Expect(asked).To(HaveLen(2))
 }
 
 // Guards against two candidates that split the votes although one of them has granted the other its
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -77,6 +77,8 @@
 	lastLeaderContact Time // no vote is granted before lastLeaderContact + ElectionTimeout
 	electionAt        Time // when to start an election
 	yieldUntil        Time // no earlier than that
+	yieldedTo         ID   // replica whose pre-vote this one has granted and yielded to last
+	yieldedAt         Time // when
 	preVoteAgainAt    Time // when to repeat the requests of the pre-vote in progress
 	leaderSince       Time // when this replica became the leader
 	nextHeartbeatAt   Time
