Refuse a data folder with files of others again

What operators would see: a replica takes the mount point of a disk that is not mounted for its lost disk. It answers that its voter is absent, joins and takes the vote; once the disk is mounted, the old voter runs again.

Cause: since a folder without an identity may hold other files, a marker file in a mount point does not keep a replica from being created there any more.

A folder that can't be listed, or has such files, ends the start before a founder decides whether to form its group.

Result: TestCreateKeepsFilesOfOthers demands the refusal again, of four names, two of them beginning like files of a replica. It failed before. lost+found and leftover files of a replica are accepted as before this commit.

--- a/internal/node/open_replica.go
+++ b/internal/node/open_replica.go
@@ -24,11 +24,15 @@
 	if result.CodeOf(err) != result.DataMissing {
 		return err
 	}
-	if !n.folder.Vacant() {
+	hasLog, err := n.folder.HasLog()
+	if err != nil {
+		return err
+	}
+	if hasLog {
 		n.log.Warn("Data folder has a log without an identity: only joining a running group replaces it.", "dir", n.cfg.DataFolder)
 	}
 	absence := control.NewAbsence(n.cfg.DataFolder, n.cfg.PeerAddress, n.client, n.log.WithPrefix("control"))
-	if err := n.retryWithoutSpace(ctx, func() error { return n.createFolder(ctx, absence) }); err != nil {
+	if err := n.retryWithoutSpace(ctx, func() error { return n.createFolder(ctx, absence, hasLog) }); err != nil {
 		return err
 	}
 	return n.openFolder()
@@ -70,10 +74,10 @@
 // once stays with it, because it may have answered that the voter that has run here is absent. A
 // folder with a log is that of a replica of a group that was formed, so its founder joins, too.
 // The node listens all the time, so that no vote request of an early election is lost.
-func (n *Node) createFolder(ctx context.Context, absence *control.Absence) error {
+func (n *Node) createFolder(ctx context.Context, absence *control.Absence, hasLog bool) error {
 	form, register := false, absence.Register
 	var founding *control.Founding
-	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() && n.folder.Vacant() {
+	if n.cfg.FirstStart && n.isFounder() && !absence.Begun() && !hasLog {
 		founding = control.NewFounding(n.cfg.PeerAddress, n.cfg.Founders, absence)
 		register = founding.Register
 	}
--- a/internal/storage/create_test.go
+++ b/internal/storage/create_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// Guards against a founder that forms a group although its folder has the log of a replica, and
-// against one that replaces a replica. What is not a replica's must not be touched, and must not keep
-// a replica from being created: a new file system has lost+found.
+// Guards against a founder that forms a group although its folder has the log of a replica, against
+// one that replaces a replica, and against a replica that takes a folder of others for its lost disk, such
+// as a mount point whose disk is not mounted. A new file system has lost+found.
 func TestCreateKeepsFilesOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	first := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}, Data: []byte("first")}
@@ -52,29 +52,29 @@
 	_, err := openState(used)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(os.Remove(filepath.Join(used, identityFile))).To(Succeed())
-	for _, refused := range []error{
+	refused := []error{
 		unchanged(g, used, func() error { return Create(used, Identity{Cluster: "c", ID: "b"}, first) }),
 		unchanged(g, complete, func() error { return Create(complete, Identity{Cluster: "c", ID: "b"}, first) }),
 		unchanged(g, complete, func() error { return CreateAnew(complete, Identity{Cluster: "c", ID: "b"}, first) }),
-	} {
-		g.Expect(result.CodeOf(refused)).To(Equal(result.AlreadyExists))
 	}
-
-	foreign := map[string][]byte{"notes.txt": []byte("x"), "notes.tmp": []byte("y"), "snapshot-notes.json": []byte("z"), "log-1.wal": nil}
 	for _, create := range []func(string, Identity, consensus.Snapshot) error{Create, CreateAnew} {
+		for _, name := range []string{"notes.txt", "notes.tmp", "snapshot-notes.json", "log-1.wal"} {
+			dir := filepath.Join(t.TempDir(), "foreign")
+			writeFiles(g, dir, map[string][]byte{name: []byte("x"), identityFile + temporarySuffix: nil})
+			g.Expect(CheckVacant(dir)).NotTo(Succeed())
+			refused = append(refused, unchanged(g, dir, func() error { return create(dir, Identity{Cluster: "c", ID: "b"}, first) }))
+		}
 		dir := filepath.Join(t.TempDir(), "data")
-		writeFiles(g, dir, foreign)
-		g.Expect(os.Mkdir(filepath.Join(dir, "lost+found"), 0)).To(Succeed())
+		g.Expect(os.MkdirAll(filepath.Join(dir, lostAndFound), 0o700)).To(Succeed())
 		g.Expect(CheckVacant(dir)).To(Succeed())
 		g.Expect(create(dir, Identity{Cluster: "c", ID: "b"}, first)).To(Succeed())
 		got, err := openState(dir)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(got.snapshot).To(Equal(first))
-		g.Expect(os.Remove(filepath.Join(dir, "lost+found"))).To(Succeed())
-		kept := readFiles(g, dir)
-		for name, content := range foreign {
-			g.Expect(kept).To(HaveKeyWithValue(name, append([]byte{}, content...)))
-		}
+		g.Expect(filepath.Join(dir, lostAndFound)).To(BeADirectory())
+	}
+	for _, err := range refused {
+		g.Expect(result.CodeOf(err)).To(Equal(result.AlreadyExists))
 	}
 }
 
--- a/internal/storage/findings.go
+++ b/internal/storage/findings.go
@@ -37,7 +37,7 @@
 		return l
 	}
 	for _, n := range names {
-		if !hasIdentity || kindOf(n) == foreignFile {
+		if kind := kindOf(n); !hasIdentity || kind == foreignFile || kind == systemKind {
 			l.add(n)
 		}
 	}
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -67,8 +67,12 @@
 	return createAnew(osFiles{}, f.dir, id, s)
 }
 
-// Vacant reports whether the folder can be read and no replica has run there; see CheckVacant.
-func (f *Folder) Vacant() bool { return CheckVacant(f.dir) == nil }
+// HasLog reports whether the folder has a log without an identity, which only CreateAnew replaces. It
+// returns AlreadyExists if the folder has an identity, or files of others.
+func (f *Folder) HasLog() (bool, error) {
+	_, hasLog, err := withoutIdentity(osFiles{}, f.dir)
+	return hasLog, err
+}
 
 // Release lets another process own the folder. Nothing in this process may use it any more.
 func (f *Folder) Release() error { return f.handle.Close() }
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -26,9 +26,8 @@
 }
 
 // Create initialises a data folder with an identity and a first snapshot. It replaces what an
-// interrupted Create has left, and leaves files that are not a replica's alone. Errors:
-// FolderInUse if another process owns the folder, AlreadyExists if it has an identity, or a log: a
-// replica has run there.
+// interrupted Create has left. Errors: FolderInUse if another process owns the folder, AlreadyExists
+// if it has files of others, an identity, or a log: a replica has run there.
 func Create(dir string, id Identity, s consensus.Snapshot) error {
 	return inOwnedFolder(dir, func(f *Folder) error { return f.Create(id, s) })
 }
@@ -103,8 +102,8 @@
 	return result.New(result.AlreadyExists, "data folder %s is not empty: it has a log but no %s, so a replica has run there that must join its group again", dir, identityFile)
 }
 
-// CheckVacant returns nil if the folder does not exist, or holds neither an identity nor a log, so
-// that no replica has run there.
+// CheckVacant returns nil if the folder does not exist, or holds neither an identity nor a log nor
+// files of others, so that no replica has run there.
 func CheckVacant(dir string) error {
 	_, hasLog, err := withoutIdentity(osFiles{}, dir)
 	switch {
@@ -116,8 +115,9 @@
 	return err
 }
 
-// withoutIdentity returns the names of the files of a replica in a folder that has no identity, or
-// AlreadyExists if it has one.
+// withoutIdentity returns the names of the files of a replica in a folder that has no identity.
+// It returns AlreadyExists if the folder has one, or files of others: it may be a mount point whose
+// disk, with the replica, is not mounted.
 func withoutIdentity(fs fileSystem, dir string) (names []string, hasLog bool, err error) {
 	all, err := fs.readDir(dir)
 	if err != nil {
@@ -125,8 +125,10 @@
 	}
 	for _, name := range all {
 		switch kindOf(name) {
-		case foreignFile:
+		case systemKind:
 			continue
+		case foreignFile:
+			return nil, false, result.New(result.AlreadyExists, "data folder %s is not empty: it has %s, which is not a file of a replica", dir, name)
 		case identityKind:
 			return nil, false, result.New(result.AlreadyExists, "data folder %s is not empty: it holds a replica", dir)
 		case logKind:
--- a/internal/storage/names.go
+++ b/internal/storage/names.go
@@ -13,11 +13,15 @@
 	logSuffix = ".wal"
 )
 
+// lostAndFound is the folder that a new file system has.
+const lostAndFound = "lost+found"
+
 // fileKind is what a data folder has a file for, by its name.
 type fileKind int
 
 const (
-	foreignFile fileKind = iota // not a file of a replica
+	foreignFile fileKind = iota // neither of a replica nor of the file system
+	systemKind                  // of the file system itself
 	identityKind
 	snapshotKind
 	logKind
@@ -35,6 +39,8 @@
 		kind = snapshotKind
 	case isIndexed(complete, logPrefix, logSuffix):
 		kind = logKind
+	case name == lostAndFound:
+		return systemKind
 	case name == writableFile:
 		return temporaryKind
 	}
