--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // log holds the log entries after a snapshot. entries[0] has index firstIndex().
 type log struct {
@@ -129,3 +132,19 @@
 	lt := l.lastTerm()
 	return term > lt || (term == lt && index >= l.lastIndex())
 }
+
+// MembersAt returns a copy of the membership as of index i, which must not be compacted.
+func (n *Node) MembersAt(i uint64) Membership {
+	return n.log.membersAt(i).Clone()
+}
+
+// TermAt returns the term of the entry at index i. It returns false if i is compacted or
+// after the last entry.
+func (n *Node) TermAt(i uint64) (uint64, bool) {
+	return n.log.term(i)
+}
+
+// EntriesAfter returns a copy of the log entries after index i.
+func (n *Node) EntriesAfter(i uint64) []Entry {
+	return n.log.slice(i+1, int(n.log.lastIndex()-i), math.MaxInt)
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -360,17 +359,6 @@
 	return s
 }
 
-// MembersAt returns a copy of the membership as of index i, which must not be compacted.
-func (n *Node) MembersAt(i uint64) Membership {
-	return n.log.membersAt(i).Clone()
-}
-
-// TermAt returns the term of the entry at index i. It returns false if i is compacted or
-// after the last entry.
-func (n *Node) TermAt(i uint64) (uint64, bool) {
-	return n.log.term(i)
-}
-
 // reloadMembers makes the newest membership in the log the current one, committed or not.
 func (n *Node) reloadMembers() {
 	n.members = n.log.membersAt(n.log.lastIndex())
@@ -398,8 +386,3 @@
 	}
 	n.outbox = append(n.outbox, m)
 }
-
-// EntriesAfter returns a copy of the log entries after index i.
-func (n *Node) EntriesAfter(i uint64) []Entry {
-	return n.log.slice(i+1, int(n.log.lastIndex()-i), math.MaxInt)
-}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -24,6 +24,9 @@
 	VotersRestarted bool
 }
 
+// Leadership returns the current leader lease of this replica.
+func (r *Replica) Leadership() Leadership { return *r.leadership.Load() }
+
 // ExpiredFor reports whether the lease expired at least d ago.
 func (l Leadership) ExpiredFor(d time.Duration) bool {
 	if l.BootUntil != 0 && clock.Now() >= l.BootUntil+d {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -391,9 +391,6 @@
 	}
 }
 
-// Leadership returns the current leader lease of this replica.
-func (r *Replica) Leadership() Leadership { return *r.leadership.Load() }
-
 // Status returns the replica's view of the control group.
 func (r *Replica) Status() consensus.Status { return *r.status.Load() }
 
