Count the daemons of a simulated fleet without a race

Cause: a map was read without its lock while a daemon was started in TestFleetKeepsToTheRateThroughTroubles.

Result: the package passes with the race detector; what the test checks is as before.

--- a/internal/ratecap/fleet_test.go
+++ b/internal/ratecap/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,7 @@
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	keepers  map[string]*Keeper // by peer address, which is also the daemon's ID
+	daemons  atomic.Int64       // number of keepers
 	cancel   map[string]context.CancelFunc
 	leader   string
 	term     uint64
@@ -61,7 +63,7 @@
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
 	k := NewKeeper(Deployment{
-		Daemon: id, Leads: func() (uint64, bool) { return f.leads(id) }, Daemons: func() int { return len(f.keepers) },
+		Daemon: id, Leads: func() (uint64, bool) { return f.leads(id) }, Daemons: func() int { return int(f.daemons.Load()) },
 		Replicas:      func() []string { return []string{"d0", "d1", "d2", "d5", "d6"} },
 		LeaderAddress: func() string { return f.knownLeader(id) },
 		Broadcast:     func(_ string, params any) { f.broadcast(id, params.([]SentCap)) },
@@ -71,6 +73,7 @@
 		Gone: func(string, int64) bool { return false },
 	}, log.New(io.Discard))
 	f.keepers[id], f.cancel[id] = k, cancel
+	f.daemons.Store(int64(len(f.keepers)))
 	f.wg.Go(func() { k.Run(ctx) })
 	purpose := Purpose(f.rnd.IntN(2))
 	f.wg.Go(func() {
