Give the founders of node tests addresses that nobody else uses

TestFounderWithLogOfReplicaFormsNoGroup left a start behind that still listened in the next test.

Change: a reserved network with a fixed port, as in package platform; a start ends with its test, which waits for it.

--- a/internal/node/founding_test.go
+++ b/internal/node/founding_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +19,7 @@
 
 	"github.com/apricotstream/apricotstream/internal/batch"
 	"github.com/apricotstream/apricotstream/internal/reach"
+	"github.com/apricotstream/apricotstream/internal/testkit"
 )
 
 // foundingNode is a founder of a deployment whose settings always say that it starts for
@@ -31,12 +32,14 @@
 
 func newFoundingNodes(t *testing.T, count int) []*foundingNode {
 	t.Helper()
+	// Ports of another test, or of outgoing connections, could be those that the kernel gave to a
+	// listener that is closed again.
+	network, release, err := testkit.ReserveNetwork()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(release)
 	var founders []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		l.Close()
-		founders = append(founders, l.Addr().String())
+	for i := range count {
+		founders = append(founders, fmt.Sprintf("%s.1.%d:7471", network, 1+i))
 	}
 	var out []*foundingNode
 	for i, a := range founders {
@@ -48,10 +51,10 @@
 	return out
 }
 
-// start starts the node and returns once it runs or New has failed.
+// start starts the node and returns once it runs, New has failed, or the test has ended.
 func (f *foundingNode) start(t *testing.T) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	newCtx, stopNew := context.WithTimeout(ctx, 20*time.Second)
+	newCtx, stopNew := context.WithTimeout(t.Context(), 20*time.Second)
 	defer stopNew()
 	deps := Dependencies{Links: reach.NewLinks(reach.Direct(""), log.New(io.Discard)), Scorer: func(*Node) batch.Scorer { return nil }}
 	n, err := New(newCtx, f.cfg, deps, log.New(io.Discard))
--- a/internal/node/leftover_test.go
+++ b/internal/node/leftover_test.go
@@ -49,7 +49,12 @@
 	before, err := os.ReadDir(f.cfg.DataFolder)
 	g.Expect(err).NotTo(HaveOccurred())
 	started := make(chan error, 1)
-	go func() { started <- f.start(t) }()
+	ended := make(chan struct{})
+	t.Cleanup(func() { <-ended })
+	go func() {
+		defer close(ended)
+		started <- f.start(t)
+	}()
 	g.Consistently(started, time.Second).ShouldNot(Receive()) // a single founder forms its group at once
 	g.Expect(os.ReadDir(f.cfg.DataFolder)).To(HaveLen(len(before)))
 }
