Say in the logs why the control group has no leader

Cause: a replica outside of the group, a learner, a voter that hears nobody and a voter that hears a quorum without an election all answered "this replica knows no leader", and a repair of the membership that waits wrote nothing.

Change, without any change of decisions or of messages between replicas: - The consensus core records when the newest message of each member arrived (Status.Contact), with the newest contact with a leader. - The errors of a relayed call carry the standing of the replica, and the line "Request rejected." has the newest answers of the replicas in detail; callers still get the message alone. - A replica without a leader logs its standing at doubling intervals, and how long it took until a leader is known again. One outside of the group logs that it waits.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -100,6 +100,7 @@
 	leaderClock      clockSample
 	olderLogRefusals OlderLogRefusals
 	staleHeartbeats  StaleHeartbeats
+	heard            map[ID]Time // when the newest message of each member arrived
 
 	incarnation uint32 // random; identifies this run of the process
 	readPoint   ReadPoint
@@ -126,7 +127,7 @@
 		// The previous run may have acknowledged a heartbeat just before it ended.
 		lastLeaderContact: cfg.Now,
 	}
-	n.incarnation = n.rnd.Uint32()
+	n.incarnation, n.heard = n.rnd.Uint32(), map[ID]Time{}
 	n.restart = restart{own: cfg.Restarted, startedAt: cfg.Now, askAt: cfg.Now, answers: map[ID]restartedAnswer{}}
 	n.log.snapshot = cfg.Snapshot
 	n.log.append(cfg.Entries...)
@@ -325,6 +326,7 @@
 	// OlderLogRefusals and StaleHeartbeats are what may delay an election.
 	OlderLogRefusals OlderLogRefusals
 	StaleHeartbeats  StaleHeartbeats
+	Contact          Contact
 	// ElectedEarly is set on a leader that was elected without waiting for the election
 	// timeout, because all voters had restarted or lost their disks. AbsentVoters are those
 	// that have lost their disks.
@@ -338,7 +340,7 @@
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.commit, Applied: n.applied, LastIndex: n.log.lastIndex(),
 		Members: n.members.Clone(), Election: n.election,
-		OlderLogRefusals: n.olderLogRefusals, StaleHeartbeats: n.staleHeartbeats,
+		OlderLogRefusals: n.olderLogRefusals, StaleHeartbeats: n.staleHeartbeats, Contact: n.contact(),
 	}
 	if n.role == Leader {
 		s.RecentCommit = n.recentCommit
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -8,6 +8,7 @@
 	if m.To != n.id {
 		return // addressed to a previous replica at this address
 	}
+	n.recordReceipt(m)
 	switch m.Kind {
 	case MsgPreVote, MsgVote:
 		n.stepVoteRequest(m)
--- a/internal/control/failed_attempts_test.go
+++ b/internal/control/failed_attempts_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -26,6 +27,7 @@
 	_, err := p.Propose(ctx, state.Command{VersionPut: &state.VersionPut{Model: "m", Version: 2}})
 	g.Expect(result.CodeOf(err)).To(Equal(result.NoQuorum))
 	g.Expect(out.String()).To(MatchRegexp(`asked="127\.0\.0\.1:1 \(\d+ ms\): .*unreachable`))
+	g.Expect(result.Detail(err)).To(MatchRegexp(`^127\.0\.0\.1:1: unreachable$`), "the line on the rejected request has them")
 	g.Expect(result.From(err).Message).NotTo(ContainSubstring("127.0.0.1"), "callers are told nothing of the replicas")
 }
 
@@ -37,4 +39,10 @@
 	}
 	g.Expect(f.String()).To(HaveSuffix("; and 3 more"))
 	g.Expect(newFailedAttempts().String()).To(Equal("none"))
+	f.add("entry", result.New(result.NotReplica, "this daemon does not serve control.propose"))
+	for i := range maxAnswers {
+		f.add(fmt.Sprint("b", i), result.New(result.NotLeader, "%s: learner", noLeaderKnown))
+	}
+	f.add("a", result.New(result.NotLeader, "%s: voter", noLeaderKnown))
+	g.Expect(f.newestAnswers()).To(Equal("a: voter; b0: learner; b1: learner; b2: learner; b3: learner; b4: learner; b5: learner; b6: learner"))
 }
--- a/internal/control/membership_delays.go
+++ b/internal/control/membership_delays.go
@@ -17,6 +17,7 @@
 	lostVotes map[consensus.ID]*membershipDelay // by the voter that has lost its disk
 	refused   *membershipDelay                  // nil: the last change was not refused
 	refusal   string                            // the change and the error
+	waits     map[string]*membershipDelay       // by repairWait.key
 }
 
 // membershipDelay is a repair that is held up.
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -52,6 +52,7 @@
 		r.beginTerm(now, l.Term)
 	}
 	view := r.view(now)
+	r.delays.logWaits(now, l.Valid(), view, r.log)
 	if !l.Valid() {
 		return
 	}
--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
+	jujuerrors "github.com/juju/errors"
 
 	"github.com/apricotstream/apricotstream/internal/peer"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -90,11 +91,20 @@
 // and for commands that may still be committed after NoQuorum.
 func unknownToNoQuorum(err error) error {
 	if result.CodeOf(err) == result.CommitUnknown {
-		return result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
+		return noQuorum(result.Detail(err))
 	}
 	return err
 }
 
+// noQuorum returns NoQuorum with what the replicas answered, which only logs show.
+func noQuorum(answers string) error {
+	err := result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
+	if answers == "" {
+		return err
+	}
+	return jujuerrors.Annotate(err, answers)
+}
+
 // Query implements Log.
 func (p *Proposer) Query(ctx context.Context, q QueryRequest) (QueryReply, error) {
 	out, err := callAnyReplica(ctx, p, MethodQuery, q, (*Replica).Query)
@@ -142,9 +152,9 @@
 		case <-ctx.Done():
 			p.log.Warn("No replica gave a final result.", "method", method, "unknown", outcomeUnknown, "asked", failed)
 			if outcomeUnknown {
-				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active")
+				return none, jujuerrors.Annotate(result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active"), failed.newestAnswers())
 			}
-			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
+			return none, noQuorum(failed.newestAnswers())
 		case <-time.After(replicaRetryInterval):
 		}
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -59,6 +59,7 @@
 	openedAt  time.Duration // on the boot clock; before the data folder was read
 	phases    phaseTimer
 	obstacles obstacleLogs
+	absence   leaderAbsence
 	// wallClock is time.Now; tests set it.
 	wallClock  func() time.Time
 	groupClock groupClock
--- a/internal/control/role.go
+++ b/internal/control/role.go
@@ -31,6 +31,7 @@
 			"granted", e.Granted, "rejected", e.Rejected, "silent", silentVoters(now), "up_ms", r.upMs())
 	}
 	r.logElectionObstacles(now)
+	r.logLeaderAbsence(now)
 }
 
 var votersCountedAbsent = metrics.NewCounter("apricotstream_voters_counted_absent_total")
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -95,13 +95,13 @@
 	var none R
 	leader := r.LeaderAddress()
 	if leader == "" || relayed {
-		return none, result.NewRetryAfter(result.NotLeader, time.Second, "this replica knows no leader")
+		return none, result.NewRetryAfter(result.NotLeader, time.Second, "%s: %s", noLeaderKnown, r.standing())
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	out, err := peer.Call[R](ctx, r.client, leader, method, params)
 	if errors.Is(err, peer.ErrUnreachable) || errors.Is(err, context.DeadlineExceeded) {
-		return none, result.NewRetryAfter(result.NotLeader, time.Second, "the leader does not answer")
+		return none, result.NewRetryAfter(result.NotLeader, time.Second, "the leader does not answer: %s", r.standing())
 	}
 	return out, err
 }
