--- a/internal/control/group_sim_machine_test.go
+++ b/internal/control/group_sim_machine_test.go
@@ -96,12 +96,12 @@
 	})
 }
 
-// knows reports whether a process without data on m knows p: p runs on a founder, or has
-// made itself known through the gossip to m or to a founder. It does so at the addresses of
-// the founders and of its membership.
+// knows reports whether a process without data on m knows p: p runs on a machine that its
+// settings name, or has made itself known through the gossip to m or to a founder. It does so
+// at the addresses of the founders and of its membership.
 func (m *simMachine) knows(p *simProcess) bool {
 	founders := m.s.machines[:simFounders]
-	if slices.Contains(founders, p.machine) {
+	if slices.Contains(m.s.named(), p.machine) {
 		return true
 	}
 	member := false
--- a/internal/control/group_sim_schedule_test.go
+++ b/internal/control/group_sim_schedule_test.go
@@ -122,14 +122,15 @@
 	})
 }
 
-// replace replaces a machine by one at another address.
-func (s *simDeployment) replace(m *simMachine) {
+// replace replaces a machine by one at another address, which it returns.
+func (s *simDeployment) replace(m *simMachine) *simMachine {
 	s.logf("%s is replaced", m.address)
 	m.leave()
 	next := s.addMachine()
 	next.loss = &simLoss{}
 	s.losses = append(s.losses, next.loss)
 	s.after(s.between(simRestart, 2*simRestart), next.boot)
+	return next
 }
 
 // mayLeave reports whether m may disappear for good: one founder must keep its address, because
@@ -247,12 +248,12 @@
 		s.fail("nothing was acknowledged for %v before the final fault", simReadable)
 		return
 	}
-	end := s.now + simRestart + simReadFolder + simReadable
+	end := s.now + simRestart + simReadFolder + s.recovery
 	if !s.runUntil(end, s.readable) {
-		s.fail("what was acknowledged can't be read %v after the machines are back", simReadable)
+		s.fail("what was acknowledged can't be read %v after the machines are back", s.recovery)
 	}
 	if !s.runUntil(end, s.discoverable) {
-		s.fail("an entry finds no replica %v after the machines are back", simReadable)
+		s.fail("an entry finds no replica %v after the machines are back", s.recovery)
 	}
 }
 
--- a/internal/control/group_sim_small_test.go
+++ b/internal/control/group_sim_small_test.go
@@ -23,12 +23,17 @@
 )
 
 func newSmallDeployment(seed uint64) *simDeployment {
+	return newSpareless(seed, smallMachines)
+}
+
+// newSpareless returns a deployment in which every machine has a vote.
+func newSpareless(seed uint64, machines int) *simDeployment {
 	s := newSimDeployment(seed)
 	s.events, s.machines = nil, nil
-	s.voters, s.maxLost, s.repair, s.maxSync = smallMachines, 1, smallRepair, smallMaxSync
+	s.voters, s.maxLost, s.repair, s.maxSync = machines, (machines-1)/2, smallRepair, smallMaxSync
 	s.transfer = s.between(smallMaxTransfer/5, smallMaxTransfer)
 	s.compactAt = 5 + uint64(s.between(s.transfer, 4*s.transfer)/s.perUpdate)
-	s.form(smallMachines)
+	s.form(machines)
 	return s
 }
 
--- a/internal/control/group_sim_test.go
+++ b/internal/control/group_sim_test.go
@@ -50,6 +50,7 @@
 	maxLost   int           // disks that may be lost at the same time
 	repair    time.Duration // a replica is replaced this long after its machine is back
 	maxSync   time.Duration // longest sync of a disk
+	recovery  time.Duration // everything acknowledged can be read this long after a fault
 	transfer  time.Duration // of a snapshot
 	compactAt uint64        // log entries from one snapshot to the next
 	perUpdate time.Duration // from one proposal to the next
@@ -57,6 +58,9 @@
 	onAck     func()        // called at the next acknowledgement
 	// losesUnsent is set if a message that is in flight when its sender ends may be lost.
 	losesUnsent bool
+	// namesAll is set if the settings of a new process name all machines of that moment, not
+	// only the founders.
+	namesAll bool
 
 	committed map[uint64]uint64 // term by index of every entry that a replica has applied
 	acked     uint64            // highest index of an acknowledged proposal
@@ -79,7 +83,7 @@
 }
 
 func newSimDeployment(seed uint64) *simDeployment {
-	s := &simDeployment{rnd: rand.New(rand.NewPCG(seed, 2)), committed: map[uint64]uint64{}, voters: simVoters, maxLost: simMaxDisksLost, repair: simRepairTime}
+	s := &simDeployment{rnd: rand.New(rand.NewPCG(seed, 2)), committed: map[uint64]uint64{}, voters: simVoters, maxLost: simMaxDisksLost, repair: simRepairTime, recovery: simReadable}
 	s.maxSync = []time.Duration{2, 10, 60}[s.rnd.IntN(3)] * time.Millisecond
 	s.transfer = s.between(100*time.Millisecond, 5*time.Second)
 	s.perUpdate = s.between(20*time.Millisecond, time.Second)
@@ -197,10 +201,18 @@
 	return l != nil && l.applied >= s.acked
 }
 
+// named returns the machines that the settings of a new process name.
+func (s *simDeployment) named() []*simMachine {
+	if s.namesAll {
+		return s.machines
+	}
+	return s.machines[:simFounders]
+}
+
 // discoverable reports whether an entry that has only the addresses in its settings finds a
 // replica.
 func (s *simDeployment) discoverable() bool {
-	return slices.ContainsFunc(s.machines[:simFounders], func(m *simMachine) bool {
+	return slices.ContainsFunc(s.named(), func(m *simMachine) bool {
 		return !m.gone && (m.process != nil || slices.ContainsFunc(s.running(), func(p *simProcess) bool { return p.madeKnownTo(m) }))
 	})
 }
