Take a voter that does not answer its leader for silent

What callers saw: in a deployment whose machines were replaced in series, a group without a leader for good: accepted batch jobs and the configuration could not be read (LOST, CONFIG).

Cause, one of two: a voter counted as seen while the gossip listed it, or while it had answered a heartbeat of the last election timeout. The gossip lists a machine that is gone until a probe, indirect probes and a suspicion have passed, up to 2.6 s where it refuses no connection; voterDeadAfter came on top. The vote of its successor then comes later than the next machine may be lost.

Change: a leader counts the silence of a member from the heartbeat that it last answered (Status.Silence). Followers still use the gossip, so that a new leader knows who was silent before. After its own lease has lapsed, or when its process did not run, a leader waits for answers as at the beginning of a term.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -321,7 +321,10 @@
 	TakeoverIndex map[ID]uint64
 	// Active are the replicas that have answered a heartbeat of the last election timeout;
 	// leader only.
-	Active   []ID
+	Active []ID
+	// Silence is, by replica, the time since the sending of the newest heartbeat that it has
+	// answered; leader only. It is longer than the term for one that has answered none.
+	Silence  map[ID]Time
 	Election ElectionResult
 	// OlderLogRefusals and StaleHeartbeats are what may delay an election.
 	OlderLogRefusals OlderLogRefusals
@@ -347,12 +350,12 @@
 		if s.ElectedEarly = n.restart.elected; s.ElectedEarly {
 			s.AbsentVoters = slices.Clone(n.restart.absent)
 		}
-		s.Match, s.TakeoverIndex = make(map[ID]uint64, len(n.progress)), map[ID]uint64{}
+		s.Match, s.TakeoverIndex, s.Silence = make(map[ID]uint64, len(n.progress)), map[ID]uint64{}, map[ID]Time{}
 		for id, p := range n.progress {
 			if n.members.IsVoter(id) {
 				s.TakeoverIndex[id] = n.takeoverIndex(id)
 			}
-			s.Match[id] = p.match
+			s.Match[id], s.Silence[id] = p.match, n.now-p.ackedSentAt
 			if n.recentlyActive(id) {
 				s.Active = append(s.Active, id)
 			}
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -28,10 +28,12 @@
 	voters   func() int                // desired number of voters
 	log      *log.Logger
 	lastLive map[consensus.ID]time.Time // when each member was last live, as seen by this process
+	viewedAt time.Time                  // the last call of view
 	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
 	delays   membershipDelays
 	term     uint64
 	began    time.Time // when the term began here
+	leased   bool      // the lease was valid at the last check
 }
 
 // NewMembershipReconciler returns a reconciler for the control group of replica. live
@@ -48,9 +50,13 @@
 func (r *MembershipReconciler) reconcile(ctx context.Context) {
 	now := time.Now()
 	l := r.replica.Leadership()
-	if l.Valid() && l.Term != r.term {
+	switch {
+	case l.Valid() && l.Term != r.term:
 		r.beginTerm(now, l.Term)
+	case l.Valid() && !r.leased:
+		r.awaitAnswers(now) // a lease that lapsed shows that answers are late
 	}
+	r.leased = l.Valid()
 	view := r.view(now)
 	r.delays.logWaits(now, l.Valid(), view, r.log)
 	if !l.Valid() {
@@ -89,6 +95,11 @@
 // beginTerm prepares the reconciler for a term in which its replica leads.
 func (r *MembershipReconciler) beginTerm(now time.Time, term uint64) {
 	r.term, r.began, r.behind, r.delays = term, now, map[consensus.ID]time.Time{}, membershipDelays{}
+	r.awaitAnswers(now)
+}
+
+// awaitAnswers takes no member for silent for newLeaderGrace from now on.
+func (r *MembershipReconciler) awaitAnswers(now time.Time) {
 	for id, t := range r.lastLive {
 		if earliest := now.Add(newLeaderGrace - voterDeadAfter); t.Before(earliest) {
 			r.lastLive[id] = earliest
@@ -127,13 +138,24 @@
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
 	v.MaxMembers = membersPerVoter * v.Voters
+	if now.Sub(r.viewedAt) > newLeaderGrace {
+		r.awaitAnswers(now) // answers that came while this process did not run are not read yet
+	}
+	r.viewedAt = now
+	leads := st.Role == consensus.Leader
 	for _, m := range v.Live {
-		r.lastLive[m.ID] = now
+		if _, known := r.lastLive[m.ID]; !leads || !known {
+			r.lastLive[m.ID] = now
+		}
 	}
 	for _, id := range st.Active {
-		r.lastLive[id] = now
 		v.Match[id] = st.Match[id]
 	}
+	for id, silence := range st.Silence {
+		if answered := now.Add(-silence); answered.After(r.lastLive[id]) {
+			r.lastLive[id] = answered
+		}
+	}
 	for id := range st.Members {
 		if _, ok := r.lastLive[id]; !ok {
 			r.lastLive[id] = now // not seen before: wait the full timeout from now
