Let members that are gone keep no successor out of the group

What callers saw: in a deployment whose machines were replaced in series, a group without a leader for good: accepted batch jobs and the configuration could not be read (LOST, CONFIG).

Cause, the other of two: MaxMembers, two for each voter, counted members whose machines are gone. A voter that is gone becomes a learner and stayed for 15 s, counted anew by each process that leads. With three voters the fourth replaced machine within that time stayed outside: no log, no vote, and no line in any log. The next lost disk took the quorum.

Change: a replica joins while there are fewer than MaxMembers members, or while fewer members run than the voters and a successor for each that may be gone at a time. The learner that has been silent for the longest time leaves when there are more than MaxMembers members, or more silent learners than voters. A learner that the leader's process has never seen counts as running for newLeaderGrace only. A voter that is gone is demoted before another learner joins: until then all others are needed.

TestLearnersThatWereNeverSeenKeepNoSuccessorOut fails before.

--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -156,9 +156,12 @@
 			r.lastLive[id] = answered
 		}
 	}
-	for id := range st.Members {
+	for id, m := range st.Members {
 		if _, ok := r.lastLive[id]; !ok {
 			r.lastLive[id] = now // not seen before: wait the full timeout from now
+			if !m.Voter {
+				r.lastLive[id] = now.Add(newLeaderGrace - voterDeadAfter)
+			}
 		}
 		if id != st.ID {
 			v.SilentFor[id] = now.Sub(r.lastLive[id])
--- a/internal/control/membership_reconciler_test.go
+++ b/internal/control/membership_reconciler_test.go
@@ -109,3 +109,25 @@
 	x.silence["a"], x.silence["b"] = 5*time.Second, 5*time.Second
 	g.Expect(x.at(5 * time.Second).silentMembers()).To(Equal(map[consensus.ID]bool{"a": false, "b": false}))
 }
+
+// Guards against a restart of the leader's process after which learners whose machines are gone
+// keep the successor of a voter out for as long as they did before.
+func TestLearnersThatWereNeverSeenKeepNoSuccessorOut(t *testing.T) {
+	g := NewWithT(t)
+	x := newReconciled("a", "b", "z")
+	x.live = append(x.live[1:], consensus.Member{ID: "n", Address: "n"})
+	for _, id := range []consensus.ID{"d1", "d2", "d3"} {
+		x.members[id] = consensus.Member{ID: id, Address: string(id)}
+	}
+	joined := time.Duration(0)
+	for ; joined < voterDeadAfter; joined += reconcileInterval {
+		for _, id := range []consensus.ID{"a", "d1", "d2", "d3"} {
+			x.silence[id] = time.Hour
+		}
+		if next, _, ok := x.at(joined).NextChange(); ok {
+			g.Expect(next).To(HaveKey(consensus.ID("n")))
+			break
+		}
+	}
+	g.Expect(joined).To(BeNumerically("<=", newLeaderGrace+reconcileInterval))
+}
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,11 +33,11 @@
 	// its vote if it has lost its disk.
 	TakeoverIndex map[consensus.ID]uint64
 	Live          []consensus.Member             // replicas that announce themselves as running
-	SilentFor     map[consensus.ID]time.Duration // time since each member was last live
+	SilentFor     map[consensus.ID]time.Duration // time since each member last answered the leader
 	Retiring      map[consensus.ID]bool          // replicas that are being retired
 	Voters        int                            // desired number of voters
 	// MaxMembers bounds the members. Replicas beyond it stay standbys: they hold no log, and
-	// join when a member is gone for good.
+	// join when a member is gone for good, or when fewer than repairMembers members run.
 	MaxMembers int
 }
 
@@ -44,7 +45,7 @@
 // the change. It returns false when no change is needed. Each change concerns one member,
 // or exchanges a member for its successor at the same address.
 func (v MembershipView) NextChange() (consensus.Membership, string, bool) {
-	for _, change := range []func() (consensus.Membership, string, bool){v.replaceLostReplica, v.promoteLearner, v.addLearner, v.removeOrDemoteVoter, v.removeLearner} {
+	for _, change := range []func() (consensus.Membership, string, bool){v.replaceLostReplica, v.promoteLearner, v.addSuccessor, v.removeOrDemoteVoter, v.evictLearner, v.addLearner, v.removeLearner} {
 		if next, reason, ok := change(); ok {
 			return next, reason, true
 		}
@@ -52,26 +53,33 @@
 	return nil, "", false
 }
 
-// addLearner adds a running replica that is not a member yet as a learner: first one that
-// runs at the address of a member, which has lost its disk; then, up to MaxMembers, one from
-// the zone with the fewest members.
+// addSuccessor adds a replica that runs at the address of a member, which has lost its disk, as a
+// learner.
+func (v MembershipView) addSuccessor() (consensus.Membership, string, bool) {
+	return v.join(func(m consensus.Member) bool { return v.Members.HasAddress(m.Address) })
+}
+
+// addLearner adds a running replica that is not a member yet as a learner while there is room.
 func (v MembershipView) addLearner() (consensus.Membership, string, bool) {
+	return v.join(func(consensus.Member) bool { return v.hasRoom() })
+}
+
+// join adds a running replica for which may returns true as a learner, from the zone with the
+// fewest running members.
+func (v MembershipView) join(may func(consensus.Member) bool) (consensus.Membership, string, bool) {
 	zones := map[string]int{}
-	for _, m := range v.Members {
-		zones[m.Zone]++
+	for id, m := range v.Members {
+		if !v.silent(id) {
+			zones[m.Zone]++
+		}
 	}
 	var best *consensus.Member
-	bestSucceeds := false
 	for i, m := range v.Live {
-		if _, ok := v.Members[m.ID]; ok || v.Retiring[m.ID] {
-			continue
-		}
-		succeeds := v.Members.HasAddress(m.Address)
-		if !succeeds && len(v.Members) >= v.MaxMembers {
+		if _, ok := v.Members[m.ID]; ok || v.Retiring[m.ID] || !may(m) {
 			continue
 		}
-		if best == nil || succeeds && !bestSucceeds || succeeds == bestSucceeds && zones[m.Zone] < zones[best.Zone] {
-			best, bestSucceeds = &v.Live[i], succeeds
+		if best == nil || zones[m.Zone] < zones[best.Zone] {
+			best = &v.Live[i]
 		}
 	}
 	if best == nil {
@@ -84,6 +92,27 @@
 	return next, "replica " + string(m.ID) + " joins as a learner", true
 }
 
+// hasRoom reports whether a replica may join that succeeds no member at its address.
+func (v MembershipView) hasRoom() bool {
+	return len(v.Members) < v.MaxMembers || v.running() < v.repairMembers()
+}
+
+// repairMembers returns the number of members that must run before MaxMembers keeps a replica out:
+// the voters, and a successor for each of them that may be gone at the same time. Otherwise
+// members that are gone would keep out the successors of voters.
+func (v MembershipView) repairMembers() int { return v.Voters + v.Voters/2 }
+
+// running returns the number of members that are not silent.
+func (v MembershipView) running() int {
+	n := 0
+	for id := range v.Members {
+		if !v.silent(id) {
+			n++
+		}
+	}
+	return n
+}
+
 // replaceLostReplica replaces a replica that lost its disk with a learner that runs at the same
 // address. The learner gets the vote of the old replica, if it had one and the learner holds
 // the log up to TakeoverIndex. The old replica can never run again.
@@ -168,6 +197,20 @@
 	return v.demoted(surplus), "voter " + string(surplus) + " is surplus and becomes a learner", true
 }
 
+// evictLearner removes the learner that has been silent for the longest time while there are
+// more than MaxMembers members, or more silent learners than voters are desired. If it returns, it
+// joins again with the log that it has.
+func (v MembershipView) evictLearner() (consensus.Membership, string, bool) {
+	gone := slices.DeleteFunc(v.Members.IDs(), func(id consensus.ID) bool {
+		return v.Members.IsVoter(id) || !v.silent(id) || v.live(id)
+	})
+	if len(gone) == 0 || len(v.Members) <= v.MaxMembers && len(gone) <= v.Voters {
+		return nil, "", false
+	}
+	longest := slices.MaxFunc(gone, func(a, b consensus.ID) int { return cmp.Compare(v.SilentFor[a], v.SilentFor[b]) })
+	return v.without(longest), "learner " + string(longest) + " is silent and makes room", true
+}
+
 // removeLearner removes a learner that no longer runs or is being retired.
 func (v MembershipView) removeLearner() (consensus.Membership, string, bool) {
 	for _, id := range v.Members.IDs() {
@@ -175,7 +218,7 @@
 		if m.Voter || id == v.Self {
 			continue
 		}
-		if v.SilentFor[id] > learnerDeadAfter || v.Retiring[id] {
+		if v.SilentFor[id] > learnerDeadAfter && !v.live(id) || v.Retiring[id] {
 			return v.without(id), "learner " + string(id) + " is dead or being retired", true
 		}
 	}
@@ -185,17 +228,20 @@
 // silentMembers returns the members that have been silent for voterDeadAfter.
 func (v MembershipView) silentMembers() map[consensus.ID]bool {
 	out := map[consensus.ID]bool{}
-	for id, d := range v.SilentFor {
-		out[id] = d > voterDeadAfter
+	for id := range v.SilentFor {
+		out[id] = v.silent(id)
 	}
 	return out
 }
 
 // shouldLeave reports whether the voter should lose its vote.
 func (v MembershipView) shouldLeave(id consensus.ID) bool {
-	return v.SilentFor[id] > voterDeadAfter || v.Retiring[id] || v.lost(id)
+	return v.silent(id) || v.Retiring[id] || v.lost(id)
 }
 
+// silent reports whether the member has not answered for voterDeadAfter.
+func (v MembershipView) silent(id consensus.ID) bool { return v.SilentFor[id] > voterDeadAfter }
+
 // lost reports whether the replica has lost its disk: another one runs at its address.
 func (v MembershipView) lost(id consensus.ID) bool {
 	_, ok := v.successor(id)
--- a/internal/control/membership_waits.go
+++ b/internal/control/membership_waits.go
@@ -34,7 +34,7 @@
 	if outside := v.outside(); len(outside) > 0 {
 		silent := v.silentTimes()
 		out = append(out, repairWait{"outside", "running replicas are not members", []any{
-			"replicas", bounded(outside), "members", len(v.Members), "max_members", v.MaxMembers, "silent", bounded(silent),
+			"replicas", bounded(outside), "members", len(v.Members), "max_members", v.MaxMembers, "running", v.running(), "repair_members", v.repairMembers(), "silent", bounded(silent),
 		}, len(silent) == 0})
 	}
 	healthy, lost := 0, 0
--- a/internal/control/membership_waits_test.go
+++ b/internal/control/membership_waits_test.go
@@ -36,7 +36,7 @@
 	}
 	lines := logFor(4 * time.Second)
 	g.Expect(strings.Count(lines, "\n")).To(Equal(6), "two repairs after 0.5, 1 and 2 s:\n"+lines)
-	g.Expect(lines).To(ContainSubstring(`WARN Repair of the membership waits. repair="running replicas are not members" ms=500 replicas=[new] members=6 max_members=6 silent="[old1 for 4.0 s old2 for 4.0 s old3 for 4.0 s r1 for 3.0 s]"`))
+	g.Expect(lines).To(ContainSubstring(`WARN Repair of the membership waits. repair="running replicas are not members" ms=500 replicas=[new] members=6 max_members=6 running=2 repair_members=4 silent="[old1 for 4.0 s old2 for 4.0 s old3 for 4.0 s r1 for 3.0 s]"`))
 	g.Expect(lines).To(ContainSubstring(`repair="a voter is to be replaced and no learner has caught up" ms=2000 voter=r1 silent_ms=3000 retiring=false healthy_voters=2 wanted=3 must_hold=10 learners="[old1 holds 0, answers false, runs false, retires false`))
 
 	x.view.Members = x.view.without("old1")
