Let a joining replica ask the next address while one is silent

Cause: JoinCluster asked the known addresses one after the other, each for up to 0.5 s (dial) or 1 s (call), and read the list of addresses only once a round. Machines that are gone stay on that list: as founders for good, and in the gossip until they are ejected. With six of them a successor found the group after 3.0 s in each of three cases: the running replica is last, it is first but has no leader in the first round, or the gossip finds it during the round.

Change: an address that does not answer holds up the next one for 100 ms (joinRetryInterval) while its call goes on, and an address that becomes known is asked next. No address is asked twice at the same time, so running replicas get as many questions as before.

--- a/internal/control/cluster.go
+++ b/internal/control/cluster.go
@@ -11,7 +11,6 @@
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/peer"
-	"github.com/apricotstream/apricotstream/internal/periodic"
 	"github.com/apricotstream/apricotstream/internal/result"
 	"github.com/apricotstream/apricotstream/internal/state"
 	"github.com/apricotstream/apricotstream/internal/storage"
@@ -57,26 +56,14 @@
 // the replicas at the addresses that addresses returns for the cluster ID, until one of
 // them replies or ctx ends.
 func JoinCluster(ctx context.Context, folder *storage.Folder, daemon string, client *peer.Client, addresses func() []string, logger *log.Logger) (storage.Identity, error) {
-	for tries := 0; ; tries++ {
-		for _, a := range addresses() {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			reply, err := peer.Call[MembersReply](callCtx, client, a, MethodMembers, MembersRequest{})
-			cancel()
-			if err != nil || reply.Cluster == "" {
-				if tries%joinTriesPerLogLine == 0 {
-					logger.Info("Waiting for a replica of the control group to answer.", "asked", a, "err", err)
-				}
-				continue
-			}
-			id := storage.Identity{Cluster: reply.Cluster, ID: NewIdentity(daemon)}
-			s, err := learnerSnapshot()
-			if err != nil {
-				return id, err
-			}
-			return id, folder.CreateAnew(id, s)
-		}
-		if !periodic.Pause(ctx, joinRetryInterval) {
-			return storage.Identity{}, ctx.Err()
-		}
+	cluster, err := findCluster(ctx, client, addresses, logger)
+	if err != nil {
+		return storage.Identity{}, err
+	}
+	id := storage.Identity{Cluster: cluster, ID: NewIdentity(daemon)}
+	s, err := learnerSnapshot()
+	if err != nil {
+		return id, err
 	}
+	return id, folder.CreateAnew(id, s)
 }
