Call replicas without a connection beside the others

Cause: callAnyReplica asked all known addresses in turn, again and again. While no running replica gave a final result, which is so until a leader is elected, each round also dialled every machine that is gone, for 0.5 s each: founders and members of the newest membership stay on the list, and Health only puts them last. The next question to the new leader waited for the end of the round. With six such machines an operator's call of 3 s ended with NoQuorum although the group had a leader again after 0.5 s.

--- a/internal/control/proposer.go
+++ b/internal/control/proposer.go
@@ -28,9 +28,6 @@
 	Members(ctx context.Context, q MembersRequest) (MembersReply, error)
 }
 
-// replicaRetryInterval is the delay before callAnyReplica calls all replicas again.
-const replicaRetryInterval = 50 * time.Millisecond
-
 // Timeouts of one attempt. A replica that waits for an unresponsive leader must reply
 // before its caller considers the replica itself unresponsive.
 const (
@@ -110,46 +107,6 @@
 	return out, err
 }
 
-// callAnyReplica calls the replicas in turn, the local one first, until one gives a final
-// result or ctx ends. When ctx ends it returns CommitUnknown if any replica may have run
-// the call, else NoQuorum.
-func callAnyReplica[P, R any](ctx context.Context, p *Proposer, method string, params P, local func(*Replica, context.Context, P) (R, error)) (R, error) {
-	var none R
-	failed := newFailedAttempts()
-	outcomeUnknown := false
-	for {
-		if p.local != nil {
-			r, err := callWithTimeout(ctx, func(ctx context.Context) (R, error) { return local(p.local, ctx, params) })
-			if isFinalAfter(err, outcomeUnknown) {
-				return r, err
-			}
-			failed.add("this replica", err)
-			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
-		}
-		for _, a := range p.health.Sorted(p.addresses()) {
-			if ctx.Err() != nil {
-				break // a call that was not made says nothing about the replica's health
-			}
-			r, err := callWithTimeout(ctx, func(ctx context.Context) (R, error) { return peer.Call[R](ctx, p.client, a, method, params) })
-			p.health.Mark(a, replicaAnswered(err))
-			if isFinalAfter(err, outcomeUnknown) {
-				return r, err
-			}
-			failed.add(a, err)
-			outcomeUnknown = outcomeUnknown || mayHaveRun(err)
-		}
-		select {
-		case <-ctx.Done():
-			p.log.Warn("No replica gave a final result.", "method", method, "unknown", outcomeUnknown, "asked", failed)
-			if outcomeUnknown {
-				return none, result.NewRetryAfter(result.CommitUnknown, noQuorumRetryAfter, "the change may or may not be active")
-			}
-			return none, result.NewRetryAfter(result.NoQuorum, noQuorumRetryAfter, "the control log did not answer in time")
-		case <-time.After(replicaRetryInterval):
-		}
-	}
-}
-
 func callWithTimeout[R any](ctx context.Context, f func(context.Context) (R, error)) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -75,6 +76,8 @@
 	activity *activityConn // network connection of stream
 	retryAt  time.Time     // no dial before this time
 	failure  error         // of the last dial; set with retryAt
+
+	dialing atomic.Bool // mu is held for a dial
 }
 
 // notice is a queued notice. params encodes its parameters as JSON on first use.
@@ -125,7 +128,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	e.dialing.Store(true)
 	nc, err := e.dial(ctx, e.address)
+	e.dialing.Store(false)
 	if err != nil {
 		e.retryAt, e.failure = time.Now().Add(redialDelay), err
 		return nil, nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -137,17 +142,25 @@
 	return e.conn, e.stream, nil
 }
 
-// Connected reports whether the client holds a connection to address.
+// Connected reports whether the client holds a connection to address. It does not wait for a dial.
 func (c *Client) Connected(address string) bool {
 	c.mu.Lock()
 	e := c.endpoints[address]
 	c.mu.Unlock()
-	if e == nil {
+	if e == nil || e.dialing.Load() {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn != nil
+	if e.conn == nil {
+		return false
+	}
+	select {
+	case <-e.conn.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
 }
 
 // Connections returns the number of connections that the client holds.
