--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -213,18 +214,20 @@
 // receivedSnapshot holds the parts of a snapshot that were received so far.
 type receivedSnapshot struct {
 	transfer uint64
+	term     uint64 // in which the sender leads
 	data     []byte
 }
 
-// appendPart appends a part to those received from the same sender. After the last part
-// it returns the whole snapshot, else nil. It returns BodyMalformed and discards the parts
+// appendPart appends a part to those received from the same sender. The first one discards the parts
+// from leaders of earlier terms, which may be gone. After the last part it returns the whole snapshot, else nil. It returns BodyMalformed and discards the parts
 // if a part is missing, belongs to another transfer, or makes the snapshot too large.
 func (r *Replica) appendPart(p SnapshotPart) ([]byte, error) {
 	r.snapshotTransferMu.Lock()
 	defer r.snapshotTransferMu.Unlock()
 	from := p.Message.From
 	if p.Offset == 0 {
-		r.receivedSnapshots[from] = receivedSnapshot{p.Transfer, make([]byte, 0, min(max(p.Size, 0), maxSnapshotBytes))}
+		maps.DeleteFunc(r.receivedSnapshots, func(_ consensus.ID, x receivedSnapshot) bool { return x.term < p.Message.Term })
+		r.receivedSnapshots[from] = receivedSnapshot{p.Transfer, p.Message.Term, make([]byte, 0, min(max(p.Size, 0), maxSnapshotBytes))}
 	}
 	received := r.receivedSnapshots[from]
 	if received.transfer != p.Transfer {
