Retire all members at the address of a replica

Cause: a replica that has lost its disk stays a member beside its successor at the same address, until that has taken over or, as a learner, for 15 s. A retirement marked one of the two at random. If it was the one that is gone, the successor stayed a member, and the retirement never ended, whoever asked for its state.

Change: the retirement marks all members at the address.

Measured: TestRetirementIncludesSuccessorOfLostReplica fails before (only "lost" is marked) and passes five times under the race detector. Found by reading; no run of the users or trials has shown it.

--- a/internal/control/retire.go
+++ b/internal/control/retire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/apricotstream/apricotstream/internal/consensus"
 	"github.com/apricotstream/apricotstream/internal/result"
@@ -37,13 +38,8 @@
 		relayed.Cluster, relayed.Relayed = r.cluster, true
 		return relay[RetireReply](ctx, r, q.Relayed, MethodRetire, relayed)
 	}
-	member := consensus.ID("")
-	for id, m := range st.Members {
-		if m.Address == q.Address {
-			member = id
-		}
-	}
-	if q.Start && member != "" {
+	members := membersAt(st.Members, q.Address)
+	if q.Start && len(members) > 0 {
 		silent, ok := r.silentMembers()
 		if !ok {
 			return RetireReply{}, result.NewRetryAfter(result.NotLeader, newLeaderGrace, "this leader does not know yet which replicas run")
@@ -51,14 +47,22 @@
 		if remaining := remainingReplicas(st.Members, q.Address, silent, r.retiringReplicas()); remaining < q.MinRemaining {
 			return RetireReply{}, result.New(result.MemberConflict, "only %d running replicas would remain, fewer than %d", remaining, q.MinRemaining)
 		}
-		c := state.Command{RetireMark: &state.RetireMark{Replica: string(member)}}
-		if _, err := r.Propose(ctx, ProposeRequest{Relayed: true, Command: c}); err != nil {
-			return RetireReply{}, err
+		for _, id := range members {
+			c := state.Command{RetireMark: &state.RetireMark{Replica: string(id)}}
+			if _, err := r.Propose(ctx, ProposeRequest{Relayed: true, Command: c}); err != nil {
+				return RetireReply{}, err
+			}
 		}
 	}
 	return callInLoop(ctx, r, func() RetireReply { return RetireReply{Done: hasLeft(r.node, r.now(), q.Address)} })
 }
 
+// membersAt returns the members at address: a replica that has lost its disk stays one beside its
+// successor for a while.
+func membersAt(members consensus.Membership, address string) []consensus.ID {
+	return slices.DeleteFunc(members.IDs(), func(id consensus.ID) bool { return members[id].Address != address })
+}
+
 // remainingReplicas returns the number of members apart from those at address that run and
 // are not being retired. A member that is gone for good stays one for a while.
 func remainingReplicas(members consensus.Membership, address string, silent, retiring map[consensus.ID]bool) int {
