Pass suspicions on with the table of daemons

Cause: a suspicion reaches the daemons that are known when it begins, by a notice. A daemon that starts in the second until the ejection gets the suspected one with the tables of its seeds, as one that is up. It ejects it only after its own probes have failed, in the order of its own round, and a second of suspicion. Until then it names it to callers, and as a replica to ask. A replica that is replaced starts at about that time after a loss.

Change: the reply with a table names the daemons that are suspected, and the receiver suspects them too, as with the notice. One that finds itself in the list refutes. Descriptions that are newer than the suspected one stay. Daemons of older builds ignore the field and do not send it.

Package tests pass three times under the race detector.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -189,7 +190,15 @@
 
 func (g *Gossip) handleTable(_ context.Context, p Ping) (TableReply, error) {
 	rejection := g.mergeSender(p.From)
-	return TableReply{Daemons: g.Live(), Rejection: rejection}, nil
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := TableReply{Daemons: g.table.Live(), Rejection: rejection}
+	for _, d := range r.Daemons {
+		if g.table.suspects(d.ID) {
+			r.Suspected = append(r.Suspected, d.ID)
+		}
+	}
+	return r, nil
 }
 
 // mergeSender merges the description of a caller, and returns why it is rejected.
@@ -248,8 +257,9 @@
 	return true
 }
 
-// pull fetches the table of the daemon at address and merges it. A daemon that is missing
-// there may have been ejected, and is probed next.
+// pull fetches the table of the daemon at address and merges it, suspicions included: this daemon
+// may have started after their notices. A daemon that is missing there may have been ejected,
+// and is probed next.
 func (g *Gossip) pull(ctx context.Context, address string) error {
 	reply, err := peer.Call[TableReply](ctx, g.client, address, MethodTable, g.localPing())
 	if err != nil {
@@ -259,6 +269,9 @@
 	for _, d := range reply.Daemons {
 		g.merge(d)
 		listed[d.ID] = true
+		if slices.Contains(reply.Suspected, d.ID) {
+			g.handleSuspicion(d)
+		}
 	}
 	g.mu.Lock()
 	g.table.ProbeFirst(func(id string) bool { return !listed[id] })
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -42,5 +42,6 @@
 // TableReply holds the descriptions of all daemons that the sender considers up.
 type TableReply struct {
 	Daemons   []Daemon   `json:"daemons"`
+	Suspected []string   `json:"suspected,omitempty"` // IDs of those that are suspected; not in older builds
 	Rejection *Rejection `json:"rejection,omitempty"` // as in Ping
 }
