Put off sources without a connection once one has replied

Cause: a follower asked all known replicas in turn until one proved its configuration to be the newest. While there is no leader none does, and each round dialled every machine that is gone, for 0.5 s each. The next question to the new leader waited for the end of the round; meanwhile the configuration stops counting as fresh, 3 s after the last proof, and the entry rejects callers.

Change: once another daemon has replied or refused, sources without a connection are put off: the follower connects to one of them at a time in the background and asks it in its turn once that has succeeded. While nobody replies, all are asked in turn as before, so the order of preference stays.

--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -50,6 +50,8 @@
 	members         atomic.Pointer[consensus.Membership]
 	freshUntil      atomic.Pointer[time.Time]
 	cluster         string      // ID from the first reply; used by Run only
+	connecting      atomic.Bool // to one of the sources that were put off
+	connected       int         // number of times that a source was chosen for that; used by Run only
 	hasProvenConfig atomic.Bool // a reply was proven to be the newest
 
 	mu      sync.Mutex
@@ -103,14 +105,24 @@
 }
 
 // syncOnce asks the sources in turn until one gives a proven reply, and reports whether
-// one did.
+// one did. Once another daemon has replied, those without a connection are put off: the dials to machines that
+// are gone must not delay the question to a new leader.
 func (f *Follower) syncOnce(ctx context.Context) bool {
+	replied := false
+	var putOff []connector
+	defer func() { f.connectOne(ctx, putOff) }()
 	for _, s := range f.sources() {
+		c, remote := s.(connector)
+		if remote && replied && !c.Connected() {
+			putOff = append(putOff, c)
+			continue
+		}
 		// The replica holds the request for Held before it replies. The reply was
 		// formed at sentAt + Held at the earliest, and contains everything that was
 		// committed up to Age before that.
 		sentAt := time.Now()
 		reply, err := f.requestSync(ctx, s)
+		replied = replied || remote && replicaAnswered(err)
 		if err != nil {
 			f.log.Debug("Failed to sync with a replica.", "err", err.Error())
 			continue
@@ -132,6 +144,28 @@
 	return false
 }
 
+// connector is a Source that may have no connection yet.
+type connector interface {
+	Connected() bool
+	Connect(ctx context.Context) error
+}
+
+// connectOne connects to one of the sources that were put off, each time to the next one, unless it still
+// tries to reach another. The source is asked in its turn once there is a connection.
+func (f *Follower) connectOne(ctx context.Context, putOff []connector) {
+	if len(putOff) == 0 || !f.connecting.CompareAndSwap(false, true) {
+		return
+	}
+	c := putOff[f.connected%len(putOff)]
+	f.connected++
+	go func() {
+		defer f.connecting.Store(false)
+		if err := c.Connect(ctx); err != nil {
+			f.log.Debug("Failed to connect to a replica.", "err", err.Error())
+		}
+	}()
+}
+
 func (f *Follower) requestSync(ctx context.Context, s Source) (SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
--- a/internal/control/remote_source.go
+++ b/internal/control/remote_source.go
@@ -20,6 +20,12 @@
 	return reply, err
 }
 
+// Connected reports whether there is a connection to the replica.
+func (r RemoteSource) Connected() bool { return r.Client.Connected(r.Address) }
+
+// Connect opens a connection to the replica.
+func (r RemoteSource) Connect(ctx context.Context) error { return r.Client.Connect(ctx, r.Address) }
+
 // AllSources lists the replicas to sync with, best first: the local replica, if there is
 // one, then those at addresses. Replicas that did not answer recently come last.
 func AllSources(local *Replica, client *peer.Client, addresses []string, health *Health) []Source {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -163,6 +163,12 @@
 	}
 }
 
+// Connect opens a connection to address unless the client holds one.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	_, _, err := c.endpoint(address).connect(ctx)
+	return err
+}
+
 // Connections returns the number of connections that the client holds.
 func (c *Client) Connections() int {
 	c.mu.Lock()
