Let short stalls of a leader not restart the silence of members

Cause: after a gap between two views of more than 0.5 s, and after each lapse of the lease, a leader gave all silent members 0.5 s more. A leader with a slow disk has both again and again: a change that takes long to commit is such a gap. A voter that was gone then kept its vote, a surplus voter that runs was demoted in its place, as the last by its identity, and a retirement could count it as running.

Change: only a gap or a lapse that can make a running member silent for voterDeadAfter counts. The surplus voter is the one that has been silent for the longest time. Silence is published for retirements only 0.5 s after answers were awaited. The simulation publishes the status after each sync and waits for the commit of a change, as the replica does.

TestGoneVoterIsReplacedAtLeaderWithSlowDisk (60 s and no vote) and TestSurplusVoterIsTheOneNotHeardForLongest fail before.

--- a/internal/control/group_sim_process_test.go
+++ b/internal/control/group_sim_process_test.go
@@ -105,6 +105,8 @@
 				end := func() {
 					p.finish(rd)
 					p.busy = false
+					st := p.node.Status()
+					p.replica.status.Store(&st)
 					p.work()
 				}
 				switch {
@@ -313,11 +315,12 @@
 	now := simEpoch.Add(p.s.now)
 	_, leased := p.node.ReadIndex(p.s.now)
 	leads := leased && st.Role == consensus.Leader
-	if leads && st.Term != r.term {
-		r.beginTerm(now, st.Term)
+	if p.changing {
+		return // reconcile waits for the commit of a change
 	}
+	r.observeLease(now, leads, st.Term)
 	view := r.view(now)
-	if !leads || p.changing {
+	if !leads {
 		return
 	}
 	next, reason, ok := view.NextChange()
--- a/internal/control/membership_reconciler.go
+++ b/internal/control/membership_reconciler.go
@@ -32,8 +32,8 @@
 	behind   map[consensus.ID]time.Time // since when each learner lacks committed entries, as seen in term
 	delays   membershipDelays
 	term     uint64
-	began    time.Time // when the term began here
-	leased   bool      // the lease was valid at the last check
+	awaiting time.Time // since when answers are awaited again, see awaitAnswers
+	leasedAt time.Time // the last check with a valid lease
 }
 
 // NewMembershipReconciler returns a reconciler for the control group of replica. live
@@ -50,19 +50,13 @@
 func (r *MembershipReconciler) reconcile(ctx context.Context) {
 	now := time.Now()
 	l := r.replica.Leadership()
-	switch {
-	case l.Valid() && l.Term != r.term:
-		r.beginTerm(now, l.Term)
-	case l.Valid() && !r.leased:
-		r.awaitAnswers(now) // a lease that lapsed shows that answers are late
-	}
-	r.leased = l.Valid()
+	r.observeLease(now, l.Valid(), l.Term)
 	view := r.view(now)
 	r.delays.logWaits(now, l.Valid(), view, r.log)
 	if !l.Valid() {
 		return
 	}
-	if now.Sub(r.began) > newLeaderGrace {
+	if now.Sub(r.awaiting) > newLeaderGrace {
 		r.replica.publishSilence(l.Term, view.silentMembers())
 	}
 	r.logCatchUp(now, view)
@@ -92,14 +86,33 @@
 // it has not heard of while it was cut off answer its heartbeats meanwhile.
 const newLeaderGrace = 500 * time.Millisecond
 
-// beginTerm prepares the reconciler for a term in which its replica leads.
-func (r *MembershipReconciler) beginTerm(now time.Time, term uint64) {
-	r.term, r.began, r.behind, r.delays = term, now, map[consensus.ID]time.Time{}, membershipDelays{}
-	r.awaitAnswers(now)
+// A shorter time in which nothing was heard cannot make a running member silent for voterDeadAfter.
+const (
+	// maxUnnoticedGap is the longest time between two views after which answers are not awaited again.
+	maxUnnoticedGap = voterDeadAfter - newLeaderGrace
+	// maxUnnoticedLapse is the same for a lapse of the lease.
+	maxUnnoticedLapse = voterDeadAfter - consensus.DefaultLeaseDuration
+)
+
+// observeLease prepares the reconciler for a term in which its replica leads, or for the time
+// after a lapse of its lease.
+func (r *MembershipReconciler) observeLease(now time.Time, valid bool, term uint64) {
+	switch {
+	case !valid:
+		return
+	case term != r.term:
+		r.term, r.behind, r.delays = term, map[consensus.ID]time.Time{}, membershipDelays{}
+		r.awaitAnswers(now)
+	case now.Sub(r.leasedAt) > maxUnnoticedLapse:
+		r.awaitAnswers(now)
+	}
+	r.leasedAt = now
 }
 
-// awaitAnswers takes no member for silent for newLeaderGrace from now on.
+// awaitAnswers takes no member for silent for newLeaderGrace from now on: nothing could be heard
+// before.
 func (r *MembershipReconciler) awaitAnswers(now time.Time) {
+	r.awaiting = now
 	for id, t := range r.lastLive {
 		if earliest := now.Add(newLeaderGrace - voterDeadAfter); t.Before(earliest) {
 			r.lastLive[id] = earliest
@@ -138,8 +151,8 @@
 		SilentFor: map[consensus.ID]time.Duration{}, Retiring: r.replica.retiringReplicas(), Voters: r.voters(),
 	}
 	v.MaxMembers = membersPerVoter * v.Voters
-	if now.Sub(r.viewedAt) > newLeaderGrace {
-		r.awaitAnswers(now) // answers that came while this process did not run are not read yet
+	if now.Sub(r.viewedAt) > maxUnnoticedGap {
+		r.awaitAnswers(now) // this process did not run
 	}
 	r.viewedAt = now
 	leads := st.Role == consensus.Leader
--- a/internal/control/membership_reconciler_test.go
+++ b/internal/control/membership_reconciler_test.go
@@ -58,7 +58,7 @@
 	replica *Replica
 	live    []consensus.Member
 	members consensus.Membership
-	silence map[consensus.ID]time.Duration
+	silence map[consensus.ID]time.Duration // of the members that do not answer
 }
 
 func newReconciled(voters ...consensus.ID) *reconciled {
@@ -73,9 +73,9 @@
 
 // at views the group at a time after simEpoch.
 func (x *reconciled) at(after time.Duration) MembershipView {
-	st := consensus.Status{ID: "z", Role: consensus.Leader, Members: x.members, Commit: 9, RecentCommit: 9, Match: map[consensus.ID]uint64{}, Silence: x.silence}
+	st := consensus.Status{ID: "z", Role: consensus.Leader, Members: x.members, Commit: 9, RecentCommit: 9, Match: map[consensus.ID]uint64{}, Silence: map[consensus.ID]consensus.Time{}}
 	for id := range x.members {
-		st.Match[id] = 9
+		st.Match[id], st.Silence[id] = 9, x.silence[id]
 		if x.silence[id] < consensus.DefaultElectionTimeout {
 			st.Active = append(st.Active, id)
 		}
@@ -131,3 +131,42 @@
 	}
 	g.Expect(joined).To(BeNumerically("<=", newLeaderGrace+reconcileInterval))
 }
+
+// Guards against a voter whose machine is gone and whose silence begins anew with each change
+// that takes long to commit, or with each short lapse of the leader's lease.
+func TestGoneVoterIsReplacedAtLeaderWithSlowDisk(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	g := NewWithT(t)
+	x := newReconciled("a", "b", "z")
+	x.members["n"] = consensus.Member{ID: "n", Address: "n"}
+	x.live = append(x.live[1:], x.members["n"])
+	x.observeLease(simEpoch, true, 1)
+	replaced := func(after time.Duration) bool {
+		x.silence["a"] = after
+		x.observeLease(simEpoch.Add(after), false, 1)
+		x.observeLease(simEpoch.Add(after), true, 1)
+		next, _, ok := x.at(after).NextChange()
+		return ok && next.IsVoter("n")
+	}
+	after := pause
+	for !replaced(after) && after < time.Minute {
+		after += pause
+	}
+	g.Expect(after).To(BeNumerically("<=", voterDeadAfter+pause))
+	x.silence["a"] = after + pause
+	g.Expect(x.at(after + pause).silentMembers()["a"]).To(BeTrue(), "for retirements")
+}
+
+// Guards against a surplus voter that runs and loses its vote in favour of one that is gone, which the
+// gossip still lists and the leader does not count as silent yet.
+func TestSurplusVoterIsTheOneNotHeardForLongest(t *testing.T) {
+	g := NewWithT(t)
+	x := newReconciled("a", "b", "z")
+	x.members["n"] = consensus.Member{ID: "n", Address: "n", Voter: true}
+	x.live = append(x.live, x.members["n"])
+	x.at(0)
+	x.silence["a"] = time.Second
+	next, reason, _ := x.at(time.Second).NextChange()
+	g.Expect(next.IsVoter("a")).To(BeFalse(), reason)
+	g.Expect(next.IsVoter("n")).To(BeTrue(), reason)
+}
--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -168,8 +168,8 @@
 
 // removeOrDemoteVoter acts when there are more voters than desired. It removes a voter
 // that has lost its disk or is being retired, and makes a silent one a learner, which
-// catches up if it returns. If there is none, it makes a surplus voter a learner, but not
-// while a voter does not run: that one may be dead.
+// catches up if it returns. If there is none, it makes the voter a learner that has been silent for
+// the longest time, but not while a voter does not run: that one may be dead.
 func (v MembershipView) removeOrDemoteVoter() (consensus.Membership, string, bool) {
 	if v.Members.Voters() <= v.Voters {
 		return nil, "", false
@@ -187,7 +187,9 @@
 			return v.demoted(id), "voter " + string(id) + " is silent and becomes a learner", true
 		}
 		if id != v.Self {
-			surplus = id
+			if surplus == "" || v.SilentFor[id] >= v.SilentFor[surplus] {
+				surplus = id
+			}
 			allLive = allLive && v.live(id)
 		}
 	}
