Bound the members that a leader lets join while it hears few of them

Cause: a leader whose machine hears few members (a cut in one direction) took all of them for gone and let each standby of a large deployment join; members that the gossip lists are neither evicted nor removed. Found by an independent review, by reading.

Change: beyond MaxMembers a replica joins only while fewer than MaxMembers and one for each vote are listed as running.

Evidence: TestLeaderThatHearsFewMembersLetsFewStandbysJoin fails before with 16 members of a group of three voters (at most 9).

--- a/internal/control/membership_view.go
+++ b/internal/control/membership_view.go
@@ -94,7 +94,19 @@
 
 // hasRoom reports whether a replica may join that succeeds no member at its address.
 func (v MembershipView) hasRoom() bool {
-	return len(v.Members) < v.MaxMembers || v.running() < v.repairMembers()
+	return len(v.Members) < v.MaxMembers || v.running() < v.repairMembers() && v.listed() < v.MaxMembers+v.Voters
+}
+
+// listed returns the number of members that announce themselves as running. A leader that hears
+// few of them may be cut off itself.
+func (v MembershipView) listed() int {
+	n := 0
+	for id := range v.Members {
+		if v.live(id) {
+			n++
+		}
+	}
+	return n
 }
 
 // repairMembers returns the number of members that must run before MaxMembers keeps a replica out:
--- a/internal/control/membership_view_test.go
+++ b/internal/control/membership_view_test.go
@@ -257,3 +257,24 @@
 		g.Expect(live).To(Equal(min(want, len(x.view.Live))))
 	})
 }
+
+// Guards against a leader that cannot hear the members, and lets all standbys of a large
+// deployment join in their place.
+func TestLeaderThatHearsFewMembersLetsFewStandbysJoin(t *testing.T) {
+	g := NewWithT(t)
+	x := newSimGroup(3)
+	for i := 3; i < 30; i++ {
+		x.start(consensus.ID(fmt.Sprint("r", i)), i)
+	}
+	x.reconcile(g)
+	for range 10 {
+		for id := range x.view.Members {
+			if !x.view.Members.IsVoter(id) {
+				x.view.SilentFor[id] = voterDeadAfter + time.Second
+				delete(x.view.Match, id)
+			}
+		}
+		x.reconcile(g)
+	}
+	g.Expect(len(x.view.Members)).To(BeNumerically("<=", x.view.MaxMembers+x.view.Voters))
+}
