Look for replicas in the gossip when the settings name none that exists

Cause: a daemon of the own interface that knows no replica yet asked only the peers of its settings. Restarted after all of these were replaced, an entry never became fresh, although the gossip listed the replicas and the group had a leader after 1.5 s.

Change: the replicas in the gossip are asked as well, before the peers of the settings.

--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -12,13 +12,9 @@
 )
 
 // replicaAddresses returns the peer addresses of the other replicas, those in this
-// daemon's zone first, followed by the peers of the settings. Before any replica is known
-// it returns only the peers of the settings.
+// daemon's zone first, followed by the replicas that run and the peers of the settings.
 func (d *Daemon) replicaAddresses() []string {
 	members := d.follower.Members()
-	if len(members) == 0 {
-		return d.cfg.Peers
-	}
 	var list []consensus.Member
 	for _, id := range members.IDs() {
 		if id != d.identity.ID {
@@ -30,10 +26,14 @@
 	for _, m := range list {
 		out = append(out, m.Address)
 	}
-	// The peers of the settings are a last resort: all known replicas may have been
-	// replaced while this daemon was disconnected.
-	for _, a := range d.cfg.Peers {
-		if !slices.Contains(out, a) {
+	// The others are a last resort: all known replicas, and the peers of the settings, may have
+	// been replaced while this daemon was disconnected.
+	var running []string
+	for _, r := range member.Replicas(d.gossip.Live()) {
+		running = append(running, r.PeerAddress)
+	}
+	for _, a := range slices.Concat(running, d.cfg.Peers) {
+		if a != d.cfg.PeerAddress && !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
